Refuse a transfer coding, beside which a length could hide another request

net/http takes chunks over a Content-Length and drops the length, so what stood after the last chunk was read as the next request and sent to a server. A request with a transfer coding now gets 411 and its connection closes; the protocol frames bodies by length alone.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -73,6 +73,14 @@
 	if crowded {
 		w.Header().Set("Connection", "close")
 	}
+	if len(r.TransferEncoding) > 0 {
+		// net/http drops a Content-Length beside it, so this may be the request
+		// of which two readers see different ends. The protocol has lengths only,
+		// and what follows on the connection could be part of this body.
+		w.Header().Set("Connection", "close")
+		reply(w, http.StatusLengthRequired, "the body needs a Content-Length alone")
+		return
+	}
 	if r.URL.Path == "/ready" {
 		if s.loop.ready.Load() && !s.leaving.Load() {
 			reply(w, http.StatusOK, "ready")
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -332,6 +332,41 @@
 	}
 }
 
+// A request with both a length and chunks ends in two places, depending on who
+// reads it. What stands between the two must never pass for a request.
+func TestNothingFromInsideABody(t *testing.T) {
+	s := newServer(t, say("fine"))
+	n := withServers(t, s)
+	const head = " HTTP/1.1\r\nHost: app.svc\r\nX-Txn: 1\r\nX-Remaining-Ms: 15000\r\n"
+	for name, text := range map[string]string{
+		"safe, refused by its method": "POST /look/1" + head,
+		"safe":                        "GET /look/1" + head,
+		"unsafe":                      "POST /act/1" + head,
+		"unknown class":               "POST /nothing/1" + head,
+		"the node's own path":         "POST /ready" + head,
+	} {
+		for order, lengths := range map[string]string{
+			"length first": "Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n",
+			"chunks first": "Transfer-Encoding: chunked\r\nContent-Length: %d\r\n\r\n",
+		} {
+			t.Run(name+", "+order, func(t *testing.T) {
+				body := "0\r\n\r\n" + rawLook
+				c := dialRaw(t, n)
+				c.send(t, text+fmt.Sprintf(lengths, len(body))+body)
+				if resp := c.receive(t); resp.StatusCode < 400 || resp.StatusCode > 499 || !resp.Close {
+					t.Errorf("answered %s, close %v", resp.Status, resp.Close)
+				}
+				if rest, _ := io.ReadAll(c.reader); len(rest) > 0 {
+					t.Errorf("what stood in the body was answered: %q", rest)
+				}
+			})
+		}
+	}
+	if s.seen() != 0 {
+		t.Errorf("%d requests reached the server", s.seen())
+	}
+}
+
 // At a planned end the code must answer what it has, take the connections that
 // go on coming for a while, and ask clients to leave. Closing the listener at
 // once would reset those that wait in its backlog.
