Close the longest idle client connection to make room for a client

Peers that asked only GET /ready, or asked amiss, kept their connections for five minutes. Now one over the budget takes the place of the connection that has been without a request for longest, if that is two seconds or more; an attempt in want of a socket does the same. A request that was asked amiss ends its connection.

Ruled out: leaked descriptors (ss and strace show each as an open client connection).

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	linked "container/list"
 	"context"
 	"errors"
 	"io"
@@ -9,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +23,7 @@
 	mostRemaining = 10 * time.Minute // longer waits are taken for nonsense
 	writeGrace    = time.Second      // after its deadline a client that does not read is cut off
 	writeWait     = 10 * time.Second // the same where no deadline is known
+	leastIdle     = 2 * time.Second  // a connection with no request open may be closed then
 )
 
 // callers answers the clients.
@@ -34,6 +37,9 @@
 	server   *http.Server
 	leaving  atomic.Bool  // a planned end has begun
 	accepted atomic.Int64 // when the last connection came, on the clock
+
+	mu   sync.Mutex
+	idle linked.List // of *clientConn with no request open, the longest idle first
 }
 
 func newCallers(c *Config, clock clock, loop *loop, sockets *sockets, log *slog.Logger) *callers {
@@ -57,19 +63,61 @@
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, crowdedKey{}, c.(*clientConn).crowded)
+			return context.WithValue(ctx, connKey{}, c)
 		},
+		ConnState: s.connState,
 	}
 	return s
 }
 
-// crowdedKey marks the context of a connection that came over the budget.
-type crowdedKey struct{}
+// connKey finds a request's connection in its context.
+type connKey struct{}
+
+// connState keeps the list of connections without an open request. The server
+// calls a new one active once it has read a request's head.
+func (s *callers) connState(nc net.Conn, state http.ConnState) {
+	c := nc.(*clientConn)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.place != nil {
+		s.idle.Remove(c.place)
+		c.place = nil
+	}
+	if state == http.StateNew || state == http.StateIdle {
+		c.idleSince = s.clock.now()
+		c.place = s.idle.PushBack(c)
+	}
+}
+
+// relieve closes the client's connection that has been without a request for
+// longest, to make room for another. Anyone may connect, so those who ask
+// nothing must not keep out those who do.
+func (s *callers) relieve(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	oldest := s.idle.Front()
+	if oldest == nil {
+		return false
+	}
+	c := oldest.Value.(*clientConn)
+	if now-c.idleSince < leastIdle {
+		return false
+	}
+	s.idle.Remove(oldest)
+	c.place = nil
+	c.evicted.Store(true) // a request that crosses the close is left alone
+	c.Close()
+	return true
+}
 
 // ServeHTTP answers one request.
 func (s *callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := s.clock.now()
-	crowded, _ := r.Context().Value(crowdedKey{}).(bool)
+	conn, _ := r.Context().Value(connKey{}).(*clientConn)
+	if conn.evicted.Load() {
+		panic(http.ErrAbortHandler) // its client sends it again
+	}
+	crowded := conn.crowded && s.sockets.over()
 	if crowded {
 		w.Header().Set("Connection", "close")
 	}
@@ -91,7 +139,8 @@
 	}
 	p, status, why := s.parse(w, r, now)
 	if p == nil {
-		s.partIfLeaving(w)
+		// Who asks amiss may hold the connection for long and ask nothing more.
+		w.Header().Set("Connection", "close")
 		reply(w, status, why)
 		return
 	}
@@ -230,8 +279,13 @@
 type clientConn struct {
 	*net.TCPConn
 	sockets *sockets
-	crowded bool
+	crowded bool // it came over the budget
 	closed  atomic.Bool
+	evicted atomic.Bool // it was closed to make room
+
+	// What follows is guarded by callers.mu.
+	place     *linked.Element // in callers.idle; nil: a request is open
+	idleSince time.Duration
 }
 
 func (c *clientConn) Close() error {
@@ -242,16 +296,15 @@
 }
 
 // listener books clients' connections. One over the budget takes the place of
-// an idle connection to a server, or has its requests refused.
+// an idle connection, or has its requests refused.
 type listener struct {
 	*net.TCPListener
 	callers *callers
-	relieve func() bool
 }
 
 func (l *listener) Accept() (net.Conn, error) {
 	for l.callers.sockets.full() { // what waits stays in the backlog for a moment
-		if !l.relieve() {
+		if !l.callers.sockets.relieve() {
 			time.Sleep(time.Millisecond)
 		}
 	}
@@ -262,7 +315,7 @@
 	s := l.callers
 	s.accepted.Store(int64(s.clock.now()))
 	s.sockets.force()
-	for s.sockets.over() && l.relieve() {
+	for s.sockets.over() && s.sockets.relieve() {
 	}
 	return &clientConn{TCPConn: c, sockets: s.sockets, crowded: s.sockets.over()}, nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,6 +46,7 @@
 	n.loop = newLoop(inner, c, n.clock, n.upstream, log)
 	n.loop.discovery = newDiscovery(c.Discovery, log, func(l *list) { n.loop.post(listed{l}) })
 	n.callers = newCallers(c, n.clock, n.loop, sockets, log)
+	sockets.relieve = func() bool { return n.callers.relieve(n.clock.now()) || n.upstream.relieve() }
 	address, err := net.ResolveTCPAddr("tcp", c.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listening: %w", err)
@@ -75,7 +76,7 @@
 
 	broke := make(chan error, 1)
 	parts.Go(func() {
-		broke <- n.callers.server.Serve(&listener{n.listener, n.callers, n.upstream.relieve})
+		broke <- n.callers.server.Serve(&listener{n.listener, n.callers})
 	})
 	select {
 	case err := <-broke:
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -469,6 +469,74 @@
 	}
 }
 
+// Anyone may connect, ask nothing or only whether the node is ready, and stay.
+// Such connections must make room for clients, the longest idle first, but none
+// before its two seconds have passed, and none with a request open.
+func TestIdleClientsMakeRoom(t *testing.T) {
+	release := make(chan struct{})
+	s := newServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		io.WriteString(w, "fine")
+	})
+	n := startNode(t, testConfig(t, deadAddress(t), listOf(1, true, s.addr()), leastSockets))
+	busy := dialRaw(t, n)
+	busy.send(t, rawLook)
+	waitFor(t, "the attempt is out", func() bool { return s.seen() == 1 })
+	silent, asked := dialRaw(t, n), dialRaw(t, n)
+	asked.send(t, "GET /ready HTTP/1.1\r\nHost: app.svc\r\n\r\n")
+	if resp := asked.receive(t); resp.StatusCode != 200 {
+		t.Fatalf("answered %s", resp.Status)
+	}
+	idle := func() int {
+		n.callers.mu.Lock()
+		defer n.callers.mu.Unlock()
+		return n.callers.idle.Len()
+	}
+	waitFor(t, "both idle", func() bool { return idle() == 2 })
+	n.callers.mu.Lock()
+	first := n.callers.idle.Front().Value.(*clientConn).idleSince
+	last := n.callers.idle.Back().Value.(*clientConn).idleSince
+	n.callers.mu.Unlock()
+	if n.callers.relieve(first + leastIdle - 1) {
+		t.Error("a connection was closed before its two seconds")
+	}
+	for i, c := range []*rawConn{silent, asked} {
+		if !n.callers.relieve(last + leastIdle) {
+			t.Errorf("connection %d was kept", i)
+		}
+		if rest, err := io.ReadAll(c.reader); err != nil || len(rest) > 0 {
+			t.Errorf("connection %d: %q, %v", i, rest, err)
+		}
+	}
+	if n.callers.relieve(last + time.Hour) {
+		t.Error("the connection with a request was closed")
+	}
+	close(release)
+	if resp := busy.receive(t); resp.StatusCode != 200 {
+		t.Errorf("the request was answered %s", resp.Status)
+	}
+	if open := n.callers.sockets.open.Load(); open > 2 { // the client's and the server's
+		t.Errorf("%d connections are booked", open)
+	}
+
+	most := int(n.callers.sockets.most)
+	for range most { // the last take the places of the two idle ones
+		dialRaw(t, n)
+	}
+	full := func() bool { return n.callers.sockets.open.Load() >= int64(most) && idle() >= most-1 }
+	waitFor(t, "silent connections fill the budget", full)
+	n.callers.mu.Lock()
+	for e := n.callers.idle.Front(); e != nil; e = e.Next() {
+		e.Value.(*clientConn).idleSince -= time.Minute
+	}
+	n.callers.mu.Unlock()
+	late := dialRaw(t, n)
+	late.send(t, rawLook)
+	if resp := late.receive(t); resp.StatusCode != 200 {
+		t.Errorf("a client was answered %s for the sake of silent ones", resp.Status)
+	}
+}
+
 // Many clients at once, servers that break, turn away and stall: each request
 // gets one whole answer, and the node is empty afterwards.
 func TestEachRequestIsAnsweredOnce(t *testing.T) {
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -10,8 +10,9 @@
 // sockets keeps count of the connections that a node holds, so that accepting
 // one never fails for want of a descriptor.
 type sockets struct {
-	most int64
-	open atomic.Int64
+	most    int64
+	open    atomic.Int64
+	relieve func() bool // closes a connection that can be spared, if there is one
 }
 
 func newSockets(limit int) *sockets {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -182,7 +182,7 @@
 // dial opens a connection to a server.
 func (u *upstream) dial(ctx context.Context, p *peer, until time.Duration) (*conn, error) {
 	for !u.sockets.take() {
-		if !u.relieve() {
+		if !u.sockets.relieve() {
 			return nil, fmt.Errorf("dialing %s: no socket left", p.id)
 		}
 	}
