Bound the wait for a whole request to 2.5 s, and the wait for an unwanted body

A silent or dripping peer was kept for 5 s, and one that claimed a long time for its body for as long as it claimed; the terms owe it an error or a close within 3 s of its connecting. After an answer that did not want the body, net/http read on to the body's end with no deadline, so such a connection stayed for good and could not be closed for room, as it counted as in use.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -19,11 +19,11 @@
 
 const (
 	mostHeader    = 16 << 10
-	headerWait    = 5 * time.Second  // for a request's head, once it has begun
-	mostRemaining = 10 * time.Minute // longer waits are taken for nonsense
-	writeGrace    = time.Second      // after its deadline a client that does not read is cut off
-	writeWait     = 10 * time.Second // the same where no deadline is known
-	leastIdle     = 2 * time.Second  // a connection with no request open may be closed then
+	requestWait   = 2500 * time.Millisecond // for a request to come whole: a peer that sends none has 3 s
+	mostRemaining = 10 * time.Minute        // longer waits are taken for nonsense
+	writeGrace    = time.Second             // after its deadline a client that does not read is cut off
+	writeWait     = 10 * time.Second        // the same where no deadline is known
+	leastIdle     = 2 * time.Second         // a connection with no request open may be closed then
 )
 
 // callers answers the clients.
@@ -55,7 +55,7 @@
 	}
 	s.server = &http.Server{
 		Handler:           s,
-		ReadHeaderTimeout: headerWait,
+		ReadHeaderTimeout: requestWait,
 		IdleTimeout:       5 * time.Minute, // clients keep their connections
 		WriteTimeout:      writeWait,       // counted anew with each request
 		MaxHeaderBytes:    mostHeader,
@@ -121,6 +121,11 @@
 	if crowded {
 		w.Header().Set("Connection", "close")
 	}
+	if r.Body != http.NoBody {
+		// After an answer that did not want the body, the server still reads on to
+		// the body's end, and with no deadline would wait for it for good.
+		http.NewResponseController(w).SetReadDeadline(s.clock.wall(conn.bodyUntil(now)))
+	}
 	if len(r.TransferEncoding) > 0 {
 		// net/http drops a Content-Length beside it, so this may be the request
 		// of which two readers see different ends. The protocol has lengths only,
@@ -137,7 +142,7 @@
 		}
 		return
 	}
-	p, status, why := s.parse(w, r, now)
+	p, status, why := s.parse(w, r, conn, now)
 	if p == nil {
 		// Who asks amiss may hold the connection for long and ask nothing more.
 		w.Header().Set("Connection", "close")
@@ -204,7 +209,7 @@
 
 // parse reads a request, or says what is wrong with it. None of the codes it
 // returns is a refusal: trying such a request again is of no use.
-func (s *callers) parse(w http.ResponseWriter, r *http.Request, now time.Duration) (*pending, int, string) {
+func (s *callers) parse(w http.ResponseWriter, r *http.Request, conn *clientConn, now time.Duration) (*pending, int, string) {
 	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	class, ok := s.classes[first]
 	if !ok {
@@ -251,16 +256,17 @@
 		return nil, http.StatusBadRequest, "the target is no path"
 	}
 	if r.Body == http.NoBody {
+		conn.asked = true
 		return p, 0, ""
 	}
 	if s.effects[class] == decide.Repeatable {
 		return nil, http.StatusBadRequest, "the class takes no body"
 	}
-	// The body must be here before the client's time is up.
+	// The body must be here before the client's time is up, of which anyone may
+	// claim a lot.
 	control := http.NewResponseController(w)
-	control.SetReadDeadline(s.clock.wall(p.deadline))
+	control.SetReadDeadline(s.clock.wall(min(p.deadline, conn.bodyUntil(now))))
 	p.call.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
-	control.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return nil, http.StatusRequestEntityTooLarge, "the body is too large"
@@ -268,6 +274,8 @@
 	if err != nil {
 		return nil, http.StatusBadRequest, "the body did not come"
 	}
+	control.SetReadDeadline(time.Time{})
+	conn.asked = true
 	// A request begins with its last byte.
 	p.deadline += s.clock.now() - now
 	return p, 0, ""
@@ -278,16 +286,27 @@
 // that it can't read to its end: the answer would else be lost in a reset.
 type clientConn struct {
 	*net.TCPConn
-	sockets *sockets
-	crowded bool // it came over the budget
-	closed  atomic.Bool
-	evicted atomic.Bool // it was closed to make room
+	sockets  *sockets
+	accepted time.Duration
+	crowded  bool // it came over the budget
+	asked    bool // it has carried a proper request; only its server goroutine looks
+	closed   atomic.Bool
+	evicted  atomic.Bool // it was closed to make room
 
 	// What follows is guarded by callers.mu.
 	place     *linked.Element // in callers.idle; nil: a request is open
 	idleSince time.Duration
 }
 
+// bodyUntil is when the body of a request must be here whose head is here now.
+// Until a connection has carried a proper request its time counts from the start.
+func (c *clientConn) bodyUntil(now time.Duration) time.Duration {
+	if !c.asked {
+		now = c.accepted
+	}
+	return now + requestWait
+}
+
 func (c *clientConn) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
 		defer c.sockets.give()
@@ -313,9 +332,10 @@
 		return nil, err
 	}
 	s := l.callers
-	s.accepted.Store(int64(s.clock.now()))
+	now := s.clock.now()
+	s.accepted.Store(int64(now))
 	s.sockets.force()
 	for s.sockets.over() && s.sockets.relieve() {
 	}
-	return &clientConn{TCPConn: c, sockets: s.sockets, crowded: s.sockets.over()}, nil
+	return &clientConn{TCPConn: c, sockets: s.sockets, accepted: now, crowded: s.sockets.over()}, nil
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -367,6 +367,46 @@
 	}
 }
 
+// A peer without a proper request is owed an error or a close within 3 s of its
+// connecting, whatever time it claims to have.
+func TestUnfinishedRequests(t *testing.T) {
+	if wait := newCallers(testConfig(t, deadAddress(t), "null", 1024), newClock(), nil, nil, quiet()).
+		server.ReadHeaderTimeout; wait <= 0 || wait >= 3*time.Second {
+		t.Errorf("a silent peer is kept for %s", wait)
+	}
+	c := &clientConn{accepted: time.Minute}
+	if until := c.bodyUntil(time.Minute + time.Second); until >= time.Minute+3*time.Second {
+		t.Errorf("the first body has until %s after it connected", until-time.Minute)
+	}
+	c.asked = true
+	if until := c.bodyUntil(time.Hour); until <= time.Hour {
+		t.Errorf("a later body has until %s after its head", until-time.Hour)
+	}
+
+	s := newServer(t, say("fine"))
+	n := withServers(t, s)
+	for name, text := range map[string]string{
+		"nothing":                       "",
+		"half a head":                   "GET /look/1 HTTP/1.1\r\nHost: app",
+		"half a body":                   "POST /act/1 HTTP/1.1\r\nHost: app.svc\r\nX-Txn: 1\r\nX-Remaining-Ms: 500000\r\nContent-Length: 9\r\n\r\nhalf",
+		"half a body that no one wants": "POST /nothing HTTP/1.1\r\nHost: app.svc\r\nContent-Length: 9\r\n\r\nhalf",
+		"half a chunk":                  "POST /act/1 HTTP/1.1\r\nHost: app.svc\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := dialRaw(t, n)
+			c.send(t, text)
+			answer, err := io.ReadAll(c.reader)
+			if err != nil || len(answer) > 0 && !strings.HasPrefix(string(answer), "HTTP/1.1 4") {
+				t.Errorf("got %q, %v; want an error or a close", answer, err)
+			}
+			if s.seen() != 0 {
+				t.Error("it reached the server")
+			}
+		})
+	}
+}
+
 // At a planned end the code must answer what it has, take the connections that
 // go on coming for a while, and ask clients to leave. Closing the listener at
 // once would reset those that wait in its backlog.
