Close the connection with the answer to GET /ready

Some 170 connections a second that asked only this stayed open and idle, and in the two seconds before an idle one may be closed they filled the budget.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -135,6 +135,9 @@
 		return
 	}
 	if r.URL.Path == "/ready" {
+		// Who checks the node asks nothing else of it. Kept, the connections of
+		// checks would take the places of clients'.
+		w.Header().Set("Connection", "close")
 		if s.loop.ready.Load() && !s.leaving.Load() {
 			reply(w, http.StatusOK, "ready")
 		} else {
