Take over discovery's new address on SIGHUP

The program had no handler: SIGHUP ended it, which is a crash. It now reads the file again, keeps the old configuration where the new one is bad, and begins the watch anew at the new address at once, with the whole list, also where the old watch was waiting or the module was waiting to ask again.

--- a/cmd/curlewring/main.go
+++ b/cmd/curlewring/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 
 	"curlewring/internal/node"
@@ -24,7 +25,10 @@
 }
 
 func run(log *slog.Logger) error {
-	config, err := node.ReadConfig(os.Getenv("LB_CONFIG"))
+	path := os.Getenv("LB_CONFIG")
+	replaced := make(chan os.Signal, 1) // SIGHUP: the configuration is
+	signal.Notify(replaced, syscall.SIGHUP)
+	config, err := node.ReadConfig(path)
 	if err != nil {
 		return err
 	}
@@ -41,5 +45,28 @@
 	if err != nil {
 		return err
 	}
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	defer stop() // ends reload also where Run ends by itself
+	parts.Go(func() { reload(ctx, n, path, replaced, log) })
 	return n.Run(ctx)
 }
+
+// reload gives the node each configuration that replaces the last, until the
+// context ends. The node keeps the old one where the new one is bad.
+func reload(ctx context.Context, n *node.Node, path string, replaced <-chan os.Signal, log *slog.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-replaced:
+		}
+		config, err := node.ReadConfig(path)
+		if err != nil {
+			log.Error("the old configuration is kept", "err", err)
+			continue
+		}
+		n.Reload(config)
+		log.Info("took over the configuration", "discovery", config.Discovery)
+	}
+}
--- a/cmd/curlewring/main_test.go
+++ b/cmd/curlewring/main_test.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -52,36 +54,53 @@
 	}
 }
 
-// The program must serve from its last list, and end in order on SIGTERM.
-func TestStartAndPlannedEnd(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := l.Addr().String()
-	l.Close()
-	cmd, log := command(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":"127.0.0.1:1","seed":"5",
+// config is one with which the program listens at address.
+func config(address, discovery string) string {
+	return fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"5",
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
 		"known":{"generation":1,"reset":true,"instances":[
 			{"instanceId":"s0","hostPort":"127.0.0.1:1","lifecycle":"SERVING"}]},
-		"settings":{"categories":[{"name":"look","semantics":"repeatable","aim_ns":1000000000,
-			"deadline_ns":2000000000,"worth":1}]}}`, address))
-	if err := cmd.Start(); err != nil {
+		"settings":{"registry_mode":"subscribe","categories":[{"name":"look","semantics":"repeatable",
+			"aim_ns":1000000000,"deadline_ns":2000000000,"worth":1}]}}`, address, discovery)
+}
+
+// freeAddress is one to listen at.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
 		t.Fatal(err)
 	}
-	defer cmd.Process.Kill()
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// waitReady waits until the program serves.
+func waitReady(t *testing.T, address string) {
+	t.Helper()
 	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
 		resp, err := http.Get("http://" + address + "/ready")
 		if err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
-				break
+				return
 			}
 		}
 		if time.Now().After(end) {
 			t.Fatalf("never ready: %v", err)
 		}
 	}
+}
+
+// The program must serve from its last list, and end in order on SIGTERM.
+func TestStartAndPlannedEnd(t *testing.T) {
+	address := freeAddress(t)
+	cmd, log := command(t, config(address, "127.0.0.1:1"))
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	waitReady(t, address)
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
@@ -89,3 +108,70 @@
 		t.Errorf("ended with %v: %s", err, log)
 	}
 }
+
+// On SIGHUP the program must turn to the discovery that the file names now, and
+// keep what it has where the file is bad.
+func TestReplacedConfiguration(t *testing.T) {
+	asked := make(chan struct{}, 100)
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked <- struct{}{}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer discovery.Close()
+	address := freeAddress(t)
+	cmd, _ := command(t, config(address, "127.0.0.1:1"))
+	cmd.Stderr = nil
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	kept := make(chan bool, 1)
+	go func() { // ends with the program
+		for lines := bufio.NewScanner(log); lines.Scan(); {
+			if strings.Contains(lines.Text(), "the old configuration is kept") {
+				kept <- true
+			}
+		}
+		close(kept)
+	}()
+	waitReady(t, address)
+	replace := func(text string) {
+		t.Helper()
+		var path string
+		for _, v := range cmd.Env {
+			if name, value, _ := strings.Cut(v, "="); name == "LB_CONFIG" {
+				path = value
+			}
+		}
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	late := time.AfterFunc(20*time.Second, func() { cmd.Process.Kill() })
+	defer late.Stop()
+	replace("{")
+	if !<-kept {
+		t.Fatal("a bad configuration was not logged, or ended the program")
+	}
+	waitReady(t, address)
+	replace(config(address, discovery.Listener.Addr().String()))
+	select {
+	case <-asked:
+	case <-time.After(20 * time.Second):
+		t.Error("the new address was not asked")
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for range kept { // the log is read to its end
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"curlewring/decide"
@@ -103,9 +104,10 @@
 
 // discovery makes the calls for the list of servers that the module asks for.
 type discovery struct {
-	address string
+	address atomic.Pointer[string]
 	client  *http.Client
 	log     *slog.Logger
+	moved   chan struct{} // discovery has another address
 	watch   chan bool     // on or off, the newest counts
 	fetch   chan struct{} // one call for the whole list
 	report  func(*list)   // called with each answer; nil: a call failed
@@ -114,8 +116,7 @@
 }
 
 func newDiscovery(address string, log *slog.Logger, report func(*list)) *discovery {
-	return &discovery{
-		address: address,
+	d := &discovery{
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: callConnect}).DialContext,
 			DisableCompression:  true,
@@ -123,11 +124,27 @@
 			MaxConnsPerHost:     2, // a watch and a fetch
 		}},
 		log:    log,
+		moved:  make(chan struct{}, 1),
 		watch:  make(chan bool, 1),
 		fetch:  make(chan struct{}, 1),
 		report: report,
 		long:   watchWait, patient: callWait,
 	}
+	d.address.Store(&address)
+	return d
+}
+
+// move turns to another address. A watch at the old one would go on in silence
+// until that closes it, so it begins anew at once. It does not block.
+func (d *discovery) move(address string) {
+	if *d.address.Swap(&address) == address {
+		return
+	}
+	select {
+	case d.moved <- struct{}{}:
+	default: // told already, and not yet taken up
+	}
+	d.client.CloseIdleConnections()
 }
 
 // setWatch turns the watch on or off. It does not block; only the loop calls it.
@@ -167,15 +184,19 @@
 }
 
 // runWatch keeps the watch, while it is wanted, until the context ends. A call
-// that fails ends the watch: the module decides when to ask again.
+// that fails ends the watch: the module decides when to ask again, unless there
+// is a new address to ask.
 func (d *discovery) runWatch(ctx context.Context, since *uint64) {
-	on := false
+	on, wanted := false, false
 	for {
 		if on {
 			on, since = d.watchOnce(ctx, since)
 		} else {
 			select {
 			case on = <-d.watch:
+				wanted = on
+			case <-d.moved:
+				on, since = wanted, nil
 			case <-ctx.Done():
 			}
 		}
@@ -186,22 +207,23 @@
 }
 
 // watchOnce makes one call of a watch, and returns whether the watch goes on and
-// the generation to ask from. Turning the watch off ends the call.
+// the generation to ask from. Turning the watch off ends the call, and so does a
+// move, after which the watch begins with the whole list.
 func (d *discovery) watchOnce(ctx context.Context, since *uint64) (bool, *uint64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	off := make(chan bool, 1)
+	var off, moved bool // settled once the goroutine has ended
+	ended := make(chan struct{})
 	go func() { // ends with this call
-		for {
+		defer close(ended)
+		defer cancel()
+		for !off && !moved {
 			select {
 			case on := <-d.watch:
-				if !on {
-					off <- true
-					cancel()
-					return
-				}
+				off = !on
+			case <-d.moved:
+				moved = true
 			case <-ctx.Done():
-				off <- false
 				return
 			}
 		}
@@ -213,8 +235,12 @@
 	}
 	l, err := d.call(ctx, query, wait)
 	cancel()
-	if <-off {
+	<-ended
+	switch {
+	case off:
 		return false, since
+	case moved:
+		return true, nil
 	}
 	if err != nil {
 		d.log.Warn("the watch failed", "err", err)
@@ -228,7 +254,7 @@
 func (d *discovery) call(ctx context.Context, query string, wait time.Duration) (*list, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.address+"/v1/endpoints"+query, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+*d.address.Load()+"/v1/endpoints"+query, nil)
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -80,6 +81,42 @@
 	}
 }
 
+// After a move the watch must begin anew at the new address at once, with the
+// whole list, whether the old one was waiting, silent or down.
+func TestDiscoveryMoves(t *testing.T) {
+	s, moved := newServer(t, say("first")), newServer(t, say("second"))
+	for _, down := range []bool{false, true} {
+		t.Run(fmt.Sprintf("down %v", down), func(t *testing.T) {
+			from, to := newDiscoveryService(t), newDiscoveryService(t)
+			n := startNode(t, testConfig(t, from.Listener.Addr().String(), listOf(41, true, s.addr()), 1024))
+			waitFor(t, "the watch begins", func() bool { return from.calls() == 1 })
+			if down {
+				from.tell(t, "") // a call that fails; the module waits before the next
+			}
+			c := *n.config
+			c.Discovery = to.Listener.Addr().String()
+			n.Reload(&c)
+			to.tell(t, listOf(44, true, moved.addr()))
+			if q := to.query(0); q != "" {
+				t.Errorf("the new address is asked %q, want the whole list", q)
+			}
+			waitFor(t, "the watch goes on there", func() bool { return to.calls() == 2 })
+			if q := to.query(1); !strings.HasPrefix(q, "since=44&") {
+				t.Errorf("the watch goes on with %q", q)
+			}
+			if _, body := exchange(t, request(t, n.url, "/look/1", "")); body != "second" {
+				t.Errorf("answered %q", body)
+			}
+			n.Reload(&c) // nothing new: the watch is left alone
+			to.tell(t, listOf(45, false))
+			waitFor(t, "the watch goes on there", func() bool { return to.calls() == 3 })
+			if q := to.query(2); !strings.HasPrefix(q, "since=45&") {
+				t.Errorf("the watch goes on with %q", q)
+			}
+		})
+	}
+}
+
 // Once told that a server drains or is gone, nothing new may go to it, not even
 // an attempt that was on its way: one that waited for its connection, say.
 func TestNothingToADrainingServer(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,10 @@
 // Address is where clients connect.
 func (n *Node) Address() net.Addr { return n.listener.Addr() }
 
+// Reload takes over what a new configuration may change while the node runs:
+// the address of discovery.
+func (n *Node) Reload(c *Config) { n.loop.discovery.move(c.Discovery) }
+
 // Run serves until the context ends, and then until what has come is answered.
 func (n *Node) Run(ctx context.Context) error {
 	inner := n.loop.ctx
