Take a server's answer whose end is uncertain for a broken one

net/http drops a length beside chunks, and takes the end of a connection for the end of an answer without a length. Half an answer could be served for the whole, which no server made. Such an answer is now a failed attempt that may have run, unless the server said that it closes.

--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -62,13 +62,28 @@
 type conn struct {
 	net.Conn
 	address   string
-	incoming  io.LimitedReader // what the answer may still take off the connection
-	reader    *bufio.Reader    // of incoming
+	incoming  incoming
+	reader    *bufio.Reader // of incoming
 	raw       syscall.RawConn
 	sockets   *sockets
 	idleSince time.Duration
 }
 
+// incoming is what comes from a server: of an answer's head no more than it may
+// have, and a copy of that.
+type incoming struct {
+	io.LimitedReader
+	head []byte // since the answer began; nil once it is past its head
+}
+
+func (r *incoming) Read(p []byte) (int, error) {
+	n, err := r.LimitedReader.Read(p)
+	if r.head != nil {
+		r.head = append(r.head, p[:n]...)
+	}
+	return n, err
+}
+
 func newConn(nc net.Conn, address string, raw syscall.RawConn, sockets *sockets) *conn {
 	c := &conn{Conn: nc, address: address, raw: raw, sockets: sockets}
 	c.incoming.R = nc
@@ -316,6 +331,8 @@
 // the attempt to its time-out, and fill the memory.
 func (c *conn) read(method string) (*http.Response, []byte, error) {
 	c.incoming.N = mostHeader // with the interim answers' heads
+	c.incoming.head = make([]byte, 0, 512)
+	defer func() { c.incoming.head = nil }()
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	for err == nil && resp.StatusCode < http.StatusOK { // an interim answer
 		resp, err = http.ReadResponse(c.reader, &http.Request{Method: method})
@@ -323,6 +340,10 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("reading the answer: %w", err)
 	}
+	if end := len(c.incoming.head) - c.reader.Buffered(); !framed(resp, c.incoming.head[:end]) {
+		return nil, nil, errors.New("reading the answer: where it ends is not certain")
+	}
+	c.incoming.head = nil
 	// The body is not closed: that would first read it to its end, however far,
 	// and it holds nothing that needs it.
 	if resp.ContentLength > mostBody {
@@ -339,6 +360,17 @@
 	return resp, body, nil
 }
 
+// framed tells whether an answer says in one way only where it ends. net/http
+// drops a length beside chunks, and takes the end of the connection for the end
+// of the answer, which may as well be a break.
+func framed(resp *http.Response, head []byte) bool {
+	head = bytes.ToLower(head) // as it came: net/http takes these two out
+	if len(resp.TransferEncoding) > 0 {
+		return !bytes.Contains(head, []byte("\ncontent-length:"))
+	}
+	return resp.ContentLength >= 0 || bytes.Contains(head, []byte("\nconnection: close\r"))
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -59,3 +59,36 @@
 		}
 	}
 }
+
+// An answer of which it is not certain where it ends is a broken one: a part of
+// it could be served for the whole, or what follows it for another answer.
+func TestUncertainAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		want string // the body; none: the answer is broken
+	}{
+		"length":                  {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine", "fine"},
+		"chunks":                  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n", "fine"},
+		"chunks, said in a body":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n12\r\n\nContent-Length: 4\r\n0\r\n\r\n", "\nContent-Length: 4"},
+		"to a close it announces": {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nfine", "fine"},
+		"to an end":               {"HTTP/1.1 200 OK\r\n\r\nfi", ""},
+		"length and chunks":       {"HTTP/1.1 200 OK\r\ncontent-length: 14\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n", ""},
+		"chunks and length":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n4\r\nfine\r\n0\r\n\r\n", ""},
+		"two lengths":             {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\nfine", ""},
+		"short":                   {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfine", ""},
+		"no chunk":                {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nfine\r\n0\r\n\r\n", ""},
+		"after an interim one":    {"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine", "fine"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			node, server := pipeConn(t)
+			go func() {
+				fmt.Fprint(server, c.text)
+				server.Close()
+			}()
+			_, body, err := node.read("GET")
+			if string(body) != c.want || (err == nil) != (c.want != "") {
+				t.Errorf("read %q, %v; want %q", body, err, c.want)
+			}
+		})
+	}
+}
