--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -218,7 +218,16 @@
 	if !ok {
 		return nil, http.StatusNotFound, "no such class of requests"
 	}
-	if lane := r.Header.Get("X-Lane"); lane != "" && lane != first {
+	if !r.ProtoAtLeast(1, 1) { // of a transfer coding there net/http says nothing
+		return nil, http.StatusBadRequest, "not HTTP/1.1"
+	}
+	// A server may go by another of two headers than this node does.
+	for _, name := range []string{"X-Lane", "X-Txn", "X-Remaining-Ms"} {
+		if len(r.Header[name]) != 1 {
+			return nil, http.StatusBadRequest, "not one " + name
+		}
+	}
+	if r.Header.Get("X-Lane") != first {
 		return nil, http.StatusBadRequest, "X-Lane and the path differ"
 	}
 	key := r.Header.Get("Idempotency-Key")
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -296,28 +296,35 @@
 	n := withServers(t, s)
 	const head = " HTTP/1.1\r\nHost: app.svc\r\n"
 	const common = "X-Txn: 1\r\nX-Remaining-Ms: 15000\r\n"
+	const look, note, act = "X-Lane: look\r\n", "X-Lane: note\r\n", "X-Lane: act\r\n"
+	const whole = common + look
 	for name, text := range map[string]string{
 		"unknown path":          "GET /nothing/1" + head + common + "X-Lane: nothing\r\n\r\n",
 		"no path":               "GET /" + head + common + "\r\n",
 		"asterisk":              "OPTIONS *" + head + common + "\r\n",
-		"class and path differ": "GET /look/1" + head + common + "X-Lane: act\r\n\r\n",
+		"class and path differ": "GET /look/1" + head + common + act + "\r\n",
 		"double slash":          "GET //look/1" + head + common + "\r\n",
-		"no time":               "GET /look/1" + head + "X-Txn: 1\r\n\r\n",
-		"negative time":         "GET /look/1" + head + "X-Txn: 1\r\nX-Remaining-Ms: -5\r\n\r\n",
-		"huge time":             "GET /look/1" + head + "X-Txn: 1\r\nX-Remaining-Ms: 9223372036854775807\r\n\r\n",
-		"time is no number":     "GET /look/1" + head + "X-Txn: 1\r\nX-Remaining-Ms: soon\r\n\r\n",
-		"no id":                 "GET /look/1" + head + "X-Remaining-Ms: 15000\r\n\r\n",
-		"odd estimate":          "GET /look/1" + head + common + "X-Estimate: -1\r\n\r\n",
-		"wrong method":          "POST /look/1" + head + common + "Content-Length: 0\r\n\r\n",
-		"body where none goes":  "GET /look/1" + head + common + "Content-Length: 1\r\n\r\nx",
-		"keyed without a key":   "POST /note/1" + head + common + "Content-Length: 0\r\n\r\n",
-		"body too large":        "POST /act/1" + head + common + "Content-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000),
-		"chunks too large":      "POST /act/1" + head + common + "Transfer-Encoding: chunked\r\n\r\n11170\r\n" + strings.Repeat("x", 70000) + "\r\n0\r\n\r\n",
-		"broken chunks":         "POST /act/1" + head + common + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
-		"bad header":            "GET /look/1" + head + "a b: c\r\n\r\n",
+		"no time":               "GET /look/1" + head + look + "X-Txn: 1\r\n\r\n",
+		"negative time":         "GET /look/1" + head + look + "X-Txn: 1\r\nX-Remaining-Ms: -5\r\n\r\n",
+		"huge time":             "GET /look/1" + head + look + "X-Txn: 1\r\nX-Remaining-Ms: 9223372036854775807\r\n\r\n",
+		"time is no number":     "GET /look/1" + head + look + "X-Txn: 1\r\nX-Remaining-Ms: soon\r\n\r\n",
+		"no id":                 "GET /look/1" + head + look + "X-Remaining-Ms: 15000\r\n\r\n",
+		"odd estimate":          "GET /look/1" + head + whole + "X-Estimate: -1\r\n\r\n",
+		"wrong method":          "POST /look/1" + head + whole + "Content-Length: 0\r\n\r\n",
+		"body where none goes":  "GET /look/1" + head + whole + "Content-Length: 1\r\n\r\nx",
+		"keyed without a key":   "POST /note/1" + head + common + note + "Content-Length: 0\r\n\r\n",
+		"body too large":        "POST /act/1" + head + common + act + "Content-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000),
+		"chunks too large":      "POST /act/1" + head + common + act + "Transfer-Encoding: chunked\r\n\r\n11170\r\n" + strings.Repeat("x", 70000) + "\r\n0\r\n\r\n",
+		"broken chunks":         "POST /act/1" + head + common + act + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"bad header":            "GET /look/1" + head + look + "a b: c\r\n\r\n",
 		"no HTTP":               "hello\r\n\r\n",
-		"headers too large":     "GET /look/1" + head + "X-Long: " + strings.Repeat("x", 40000) + "\r\n\r\n",
-		"two lengths":           "POST /act/1" + head + common + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
+		"headers too large":     "GET /look/1" + head + look + "X-Long: " + strings.Repeat("x", 40000) + "\r\n\r\n",
+		"no class in the head":  "GET /look/1" + head + common + "\r\n",
+		"two classes":           "GET /look/1" + head + whole + act + "\r\n",
+		"two ids":               "GET /look/1" + head + whole + "X-Txn: 2\r\n\r\n",
+		"two times":             "GET /look/1" + head + whole + "X-Remaining-Ms: 5\r\n\r\n",
+		"an older HTTP":         "GET /look/1 HTTP/1.0\r\nHost: app.svc\r\n" + whole + "\r\n",
+		"two lengths":           "POST /act/1" + head + common + act + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := dialRaw(t, n)
@@ -343,8 +350,8 @@
 	const head = " HTTP/1.1\r\nHost: app.svc\r\nX-Txn: 1\r\nX-Remaining-Ms: 15000\r\n"
 	for name, text := range map[string]string{
 		"safe, refused by its method": "POST /look/1" + head,
-		"safe":                        "GET /look/1" + head,
-		"unsafe":                      "POST /act/1" + head,
+		"safe":                        "GET /look/1" + head + "X-Lane: look\r\n",
+		"unsafe":                      "POST /act/1" + head + "X-Lane: act\r\n",
 		"unknown class":               "POST /nothing/1" + head,
 		"the node's own path":         "POST /ready" + head,
 	} {
@@ -391,9 +398,9 @@
 	for name, text := range map[string]string{
 		"nothing":                       "",
 		"half a head":                   "GET /look/1 HTTP/1.1\r\nHost: app",
-		"half a body":                   "POST /act/1 HTTP/1.1\r\nHost: app.svc\r\nX-Txn: 1\r\nX-Remaining-Ms: 500000\r\nContent-Length: 9\r\n\r\nhalf",
+		"half a body":                   "POST /act/1 HTTP/1.1\r\nHost: app.svc\r\nX-Txn: 1\r\nX-Lane: act\r\nX-Remaining-Ms: 500000\r\nContent-Length: 9\r\n\r\nhalf",
 		"half a body that no one wants": "POST /nothing HTTP/1.1\r\nHost: app.svc\r\nContent-Length: 9\r\n\r\nhalf",
-		"half a chunk":                  "POST /act/1 HTTP/1.1\r\nHost: app.svc\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf",
+		"half a chunk":                  "POST /act/1 HTTP/1.1\r\nHost: app.svc\r\nX-Lane: act\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf",
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
