Hold no request for longer than the deadline of its class

A request that claimed ten minutes held an attempt, and the module counted it as in flight, for as long.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -28,15 +28,16 @@
 
 // callers answers the clients.
 type callers struct {
-	clock    clock
-	loop     *loop
-	sockets  *sockets
-	classes  map[string]int
-	tenants  map[string]int
-	effects  []decide.Effect
-	server   *http.Server
-	leaving  atomic.Bool  // a planned end has begun
-	accepted atomic.Int64 // when the last connection came, on the clock
+	clock     clock
+	loop      *loop
+	sockets   *sockets
+	classes   map[string]int
+	tenants   map[string]int
+	effects   []decide.Effect
+	deadlines []time.Duration // by class; 0: not known
+	server    *http.Server
+	leaving   atomic.Bool  // a planned end has begun
+	accepted  atomic.Int64 // when the last connection came, on the clock
 
 	mu   sync.Mutex
 	idle linked.List // of *clientConn with no request open, the longest idle first
@@ -49,6 +50,7 @@
 	for i, name := range c.Classes {
 		s.classes[name] = i
 		s.effects = append(s.effects, c.Settings.Classes[i].Effect)
+		s.deadlines = append(s.deadlines, c.Settings.Classes[i].Deadline)
 	}
 	for i, name := range c.Tenants {
 		s.tenants[name] = i
@@ -246,9 +248,13 @@
 	if err != nil || ms < 0 || ms > mostRemaining.Milliseconds() {
 		return nil, http.StatusBadRequest, "X-Remaining-Ms is missing or odd"
 	}
+	wait := time.Duration(ms) * time.Millisecond
+	if most := s.deadlines[class]; most > 0 {
+		wait = min(wait, most) // no client of the class waits longer
+	}
 	p := &pending{
 		answer:   make(chan answer, 1),
-		deadline: now + time.Duration(ms)*time.Millisecond,
+		deadline: now + wait,
 		request:  decide.Request{Class: class, Tenant: -1, Repeat: r.Header.Get("X-Resent") == "1"},
 	}
 	if tenant, ok := s.tenants[r.Header.Get("X-Org")]; ok {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -377,6 +378,26 @@
 	}
 }
 
+// A request may claim any time; it must not hold an attempt, and with it the
+// node's other clients, for longer than its class's clients wait.
+func TestNoLongerThanTheClass(t *testing.T) {
+	clock := newClock()
+	c := newCallers(testConfig(t, deadAddress(t), "null", 1024), clock, nil, nil, quiet())
+	for claimed, want := range map[string]time.Duration{
+		"15000": 15 * time.Second, "500000": 30 * time.Second, // the class's deadline
+	} {
+		r := httptest.NewRequest("GET", "/look/1", nil)
+		for name, value := range map[string]string{"X-Lane": "look", "X-Txn": "1", "X-Remaining-Ms": claimed} {
+			r.Header.Set(name, value)
+		}
+		now := clock.now()
+		p, _, why := c.parse(httptest.NewRecorder(), r, &clientConn{}, now)
+		if p == nil || p.deadline != now+want {
+			t.Errorf("of %s ms claimed: %+v, %s; want %s", claimed, p, why, want)
+		}
+	}
+}
+
 // A peer without a proper request is owed an error or a close within 3 s of its
 // connecting, whatever time it claims to have.
 func TestUnfinishedRequests(t *testing.T) {
