Advise when to come back in refusals for want of room

The refusals of the node itself, over its budget of sockets or of held requests, carried no Retry-After, so clients came back at once into the same crowd.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -31,6 +31,7 @@
 	clock     clock
 	loop      *loop
 	sockets   *sockets
+	set       *decide.Settings
 	classes   map[string]int
 	tenants   map[string]int
 	effects   []decide.Effect
@@ -45,7 +46,7 @@
 
 func newCallers(c *Config, clock clock, loop *loop, sockets *sockets, log *slog.Logger) *callers {
 	s := &callers{
-		clock: clock, loop: loop, sockets: sockets, classes: map[string]int{}, tenants: map[string]int{},
+		clock: clock, loop: loop, sockets: sockets, set: &c.Settings, classes: map[string]int{}, tenants: map[string]int{},
 	}
 	for i, name := range c.Classes {
 		s.classes[name] = i
@@ -156,7 +157,7 @@
 	}
 	http.NewResponseController(w).SetWriteDeadline(s.clock.wall(p.deadline + writeGrace))
 	if crowded {
-		reply(w, http.StatusTooManyRequests, "too many connections")
+		s.write(w, noRoom(s.set))
 		return
 	}
 	s.loop.post(arrived{p})
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -180,7 +180,7 @@
 	return fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,"settings":{
 		"categories":[%s,%s,%s],"limits":{"cancel":true,"conn_idle_ns":10000000000,
-		"connect_timeout_ns":5000000000,"most_tries":4,"streams_per_conn":1},
+		"connect_timeout_ns":5000000000,"most_tries":4,"retry_after":true,"max_retry_after_ns":1500000000,"streams_per_conn":1},
 		"obligations":{"ask_within_ns":10000000000,"drain_grace_ns":500000000},
 		"n_instances":1,"registry_mode":"subscribe","tier":1,"tiers":["front","back"],"zone":"a"}}`,
 		discovery, sockets, known, class("look", "repeatable"), class("note", "by_key"), class("act", "once"))
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -18,6 +18,7 @@
 	answerMargin = 10 * time.Millisecond
 	safetyMargin = 5 * time.Millisecond
 	sweepEvery   = time.Second
+	crowdedFor   = time.Second // after which one refused for want of room may come back
 )
 
 // ending is how a request ended.
@@ -37,6 +38,16 @@
 	retryAfter time.Duration // refused; 0: no advice
 }
 
+// noRoom refuses a request that the node has no room for, which is no verdict of
+// the module's.
+func noRoom(set *decide.Settings) answer {
+	a := answer{ending: refused}
+	if set.MayAdviseReturn {
+		a.retryAfter = min(crowdedFor, set.MaxRetryAfter)
+	}
+	return a
+}
+
 // pending is a request that has no final answer yet, or attempts still out.
 type pending struct {
 	call     *call
@@ -186,7 +197,7 @@
 	}
 	if l.set.MaxHeld > 0 && len(l.pending) >= l.set.MaxHeld {
 		p.answered = true
-		p.answer <- answer{ending: refused}
+		p.answer <- noRoom(l.set)
 		return
 	}
 	p.request.ID = l.nextID
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"curlewring/decide"
 )
 
 // The code must pass on method, path, query and body byte for byte, and the
@@ -378,6 +380,24 @@
 	}
 }
 
+// Who is refused for want of room must be told when to come back, where the
+// settings allow it.
+func TestMostHeld(t *testing.T) {
+	s := newServer(t, hang)
+	c := testConfig(t, deadAddress(t), listOf(1, true, s.addr()), 1024)
+	c.Settings.MaxHeld = 1
+	n := startNode(t, c)
+	dialRaw(t, n).send(t, rawLook)
+	waitFor(t, "the first is held", func() bool { return s.seen() == 1 })
+	resp, _ := exchange(t, request(t, n.url, "/look/1", ""))
+	if resp.StatusCode != 429 || resp.Header.Get("Retry-After") != "1.000" {
+		t.Errorf("answered %s, %q", resp.Status, resp.Header)
+	}
+	if a := noRoom(&decide.Settings{MaxRetryAfter: time.Second}); a.retryAfter != 0 {
+		t.Errorf("advised %s where that is not allowed", a.retryAfter)
+	}
+}
+
 // A request may claim any time; it must not hold an attempt, and with it the
 // node's other clients, for longer than its class's clients wait.
 func TestNoLongerThanTheClass(t *testing.T) {
@@ -527,8 +547,8 @@
 	waitFor(t, "the idle connection made room", func() bool { _, ended := s.connections(); return ended == 1 })
 	over := dialRaw(t, n)
 	over.send(t, rawLook)
-	if resp := over.receive(t); resp.StatusCode != 429 || !resp.Close {
-		t.Errorf("over the budget: %s, close %v", resp.Status, resp.Close)
+	if resp := over.receive(t); resp.StatusCode != 429 || !resp.Close || resp.Header.Get("Retry-After") != "1.000" {
+		t.Errorf("over the budget: %s, close %v, %q", resp.Status, resp.Close, resp.Header)
 	}
 	for _, c := range conns[1:] {
 		c.Close()
