Give up a silent watch before its news count as told

PROTOCOL has it told 2 s after the wait; the node waited 5 s, and could send to a server that had drained meanwhile.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -23,7 +23,9 @@
 	watchWait   = 60 * time.Second
 	watchSpread = 10 // up to one part in so many
 	// A call is worked through in turn; one that has had no answer by now is lost.
+	// What there is to tell counts as told after 6 s, or 2 s after a watch's wait.
 	callWait     = 5 * time.Second
+	watchLate    = 1500 * time.Millisecond
 	callConnect  = time.Second
 	mostListSize = 16 << 20
 )
@@ -112,7 +114,8 @@
 	fetch   chan struct{} // one call for the whole list
 	report  func(*list)   // called with each answer; nil: a call failed
 	long    time.Duration // how long a watch may wait
-	patient time.Duration // how long a call may take besides
+	late    time.Duration // how long its answer may take besides
+	patient time.Duration // how long a call for the whole list may take
 }
 
 func newDiscovery(address string, log *slog.Logger, report func(*list)) *discovery {
@@ -128,7 +131,7 @@
 		watch:  make(chan bool, 1),
 		fetch:  make(chan struct{}, 1),
 		report: report,
-		long:   watchWait, patient: callWait,
+		long:   watchWait, late: watchLate, patient: callWait,
 	}
 	d.address.Store(&address)
 	return d
@@ -231,7 +234,7 @@
 	query, wait := "", d.patient
 	if since != nil {
 		long := d.long - rand.N(d.long/watchSpread)
-		query, wait = fmt.Sprintf("?since=%d&timeout_ms=%d", *since, long.Milliseconds()), long+d.patient
+		query, wait = fmt.Sprintf("?since=%d&timeout_ms=%d", *since, long.Milliseconds()), long+d.late
 	}
 	l, err := d.call(ctx, query, wait)
 	cancel()
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -70,7 +70,10 @@
 	d := newDiscoveryService(t)
 	reports := make(chan *list, 10)
 	watch := newDiscovery(d.Listener.Addr().String(), quiet(), func(l *list) { reports <- l })
-	watch.long, watch.patient = 50*time.Millisecond, 50*time.Millisecond
+	if watch.late >= 2*time.Second {
+		t.Errorf("a silent watch is given up %s after its wait, when its news count as told", watch.late)
+	}
+	watch.long, watch.late = 50*time.Millisecond, 50*time.Millisecond
 	since := uint64(3)
 	on, from := watch.watchOnce(t.Context(), &since)
 	if on || *from != 3 {
