--- a/cmd/curlewring/main.go
+++ b/cmd/curlewring/main.go
@@ -32,12 +32,8 @@
 	if err != nil {
 		return err
 	}
-	// One core, which other nodes may share. Memory that the limit leaves over
-	// is for stacks, the program itself and the kernel's part; collections are
-	// rare until the heap nears it.
-	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(config.MemoryMB) << 20 * 2 / 3)
-	debug.SetGCPercent(400)
+	runtime.GOMAXPROCS(1) // one core, which other nodes may share
+	limitMemory(config.MemoryMB)
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
@@ -52,6 +48,15 @@
 	return n.Run(ctx)
 }
 
+// limitMemory keeps the heap within the node's limit. What that leaves over is
+// for stacks, the program itself and the kernel's part. Collections come as often
+// as by default: were they rare, garbage would pile up for the better part of a
+// minute before the first, and the node's memory would seem to grow all day.
+func limitMemory(mb int) {
+	debug.SetMemoryLimit(int64(mb) << 20 * 2 / 3)
+	debug.SetGCPercent(100)
+}
+
 // reload gives the node each configuration that replaces the last, until the
 // context ends. The node keeps the old one where the new one is bad.
 func reload(ctx context.Context, n *node.Node, path string, replaced <-chan os.Signal, log *slog.Logger) {
--- a/cmd/curlewring/main_test.go
+++ b/cmd/curlewring/main_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
@@ -109,6 +110,21 @@
 	}
 }
 
+// With little alive the heap must be collected before it has grown by much: a
+// node's memory counts as growing until it has reached its level.
+func TestHeapLevelsOffEarly(t *testing.T) {
+	limitMemory(64)
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	if m.HeapAlloc > 4<<20 {
+		t.Fatalf("the test itself holds %d bytes", m.HeapAlloc)
+	}
+	if m.NextGC > 8<<20 {
+		t.Errorf("with %d bytes alive the heap is next collected at %d", m.HeapAlloc, m.NextGC)
+	}
+}
+
 // On SIGHUP the program must turn to the discovery that the file names now, and
 // keep what it has where the file is bad.
 func TestReplacedConfiguration(t *testing.T) {
