--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -270,7 +270,6 @@
 	}
 	p.call = &call{
 		method: r.Method, uri: r.RequestURI, host: r.Host, txn: txn, key: key, kind: r.Header.Get("Content-Type"),
-		once: s.effects[class] == decide.Once,
 	}
 	if !strings.HasPrefix(p.call.uri, "/") || strings.HasPrefix(p.call.uri, "//") {
 		return nil, http.StatusBadRequest, "the target is no path"
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"math"
-	"math/bits"
 	"net"
 	"net/http"
 	"net/url"
@@ -38,7 +37,6 @@
 	txn, key          string // X-Txn and Idempotency-Key
 	kind              string // Content-Type
 	body              []byte
-	once              bool        // it must not run twice, and nothing discards a repeat
 	over              atomic.Bool // it has its answer, or its client has left
 }
 
@@ -57,61 +55,8 @@
 	connectTimeout time.Duration
 	idleFor        time.Duration // connections are closed when idle for this
 
-	mu    sync.Mutex
-	idle  map[string][]*conn // by server; the last was used last
-	reuse [reuseSpans]reuse  // by the time that a connection had idled
-}
-
-const (
-	reuseSpans = 16               // the first is for new connections, each further one twice the one before
-	reuseFade  = 10 * time.Second // after which what was counted is mostly forgotten, and tried again
-	reuseProof = 1.5              // breaks, faded, that say something at all
-	reuseFew   = 8                // requests too few to speak for their own span
-	reuseRisk  = 0.05             // part above that of new connections from which it is too large
-)
-
-// reuse counts, faded, what became of requests on connections that had idled for
-// about as long.
-type reuse struct {
-	all, broke float64 // broke: without a byte of an answer
-	at         time.Duration
-}
-
-// span is the place in the table of a connection that has idled for so long.
-func span(idle time.Duration) int {
-	return min(1+bits.Len64(uint64(max(0, idle.Milliseconds()))), reuseSpans-1)
-}
-
-// reused is what a span has counted of late.
-func (u *upstream) reused(span int, now time.Duration) reuse {
-	r := u.reuse[span]
-	fade := math.Exp(-float64(now-r.at) / float64(reuseFade))
-	return reuse{all: r.all * fade, broke: r.broke * fade, at: now}
-}
-
-// booked notes what became of a request on a connection of this span.
-func (u *upstream) booked(span int, broke bool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	r := u.reused(span, u.clock.now())
-	r.all++
-	if broke {
-		r.broke++
-	}
-	u.reuse[span] = r
-}
-
-// risky tells whether connections of this span break so often, against new ones,
-// that a request that can't be sent again is better off on a new one. What has
-// idled for longer speaks for it too: a server closes the longest idle first.
-func (u *upstream) risky(span int, now time.Duration) bool {
-	fresh, own, sum := u.reused(0, now), u.reused(span, now), reuse{}
-	most := reuseRisk + fresh.broke/max(1, fresh.all)
-	for i := span; i < reuseSpans; i++ {
-		r := u.reused(i, now)
-		sum.all, sum.broke = sum.all+r.all, sum.broke+r.broke
-	}
-	return sum.broke >= reuseProof && sum.broke > most*sum.all && (own.all < reuseFew || own.broke > most*own.all)
+	mu   sync.Mutex
+	idle map[string][]*conn // by server; the last was used last
 }
 
 type conn struct {
@@ -122,7 +67,6 @@
 	raw       syscall.RawConn
 	sockets   *sockets
 	idleSince time.Duration
-	span      int // of the time it had idled before this request
 }
 
 // incoming is what comes from a server: of an answer's head no more than it may
@@ -171,10 +115,8 @@
 	return u
 }
 
-// get returns the connection to a server that was used last, or nil. A request
-// that must not run twice, and so can't be sent again when its connection
-// breaks, gets none on which that is likely.
-func (u *upstream) get(p *peer, once bool) *conn {
+// get returns the connection to a server that was used last, or nil.
+func (u *upstream) get(p *peer) *conn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for {
@@ -184,9 +126,7 @@
 		}
 		c := stack[len(stack)-1]
 		u.idle[p.id] = stack[:len(stack)-1]
-		now := u.clock.now()
-		c.span = span(now - c.idleSince)
-		if c.address == p.address && now-c.idleSince < u.idleFor && !(once && u.risky(c.span, now)) && c.alive() {
+		if c.address == p.address && u.clock.now()-c.idleSince < u.idleFor && c.alive() {
 			return c
 		}
 		c.close()
@@ -292,7 +232,7 @@
 // attempt sends a request to a server once and waits for the answer until a
 // point in time. Ending the context calls the attempt off.
 func (u *upstream) attempt(ctx context.Context, p *peer, q *call, until time.Duration) (decide.Result, *response) {
-	c := u.get(p, q.once)
+	c := u.get(p)
 	if c == nil {
 		var err error
 		if c, err = u.dial(ctx, p, until); err != nil {
@@ -334,9 +274,6 @@
 		return decide.Unconnected, nil
 	}
 	resp, body, err := c.read(q.method)
-	if err == nil || c.ended(err) && ctx.Err() == nil {
-		u.booked(c.span, err != nil)
-	}
 	if err != nil {
 		switch {
 		case ctx.Err() != nil:
@@ -358,9 +295,6 @@
 	return decide.Errored, nil
 }
 
-// ended tells whether the connection ended before anything of an answer came.
-func (c *conn) ended(err error) bool { return c.incoming.N == mostHeader && !isTimeout(err) }
-
 // encode writes the request out, to be sent in one piece.
 func (q *call) encode(address string, left time.Duration) ([]byte, error) {
 	req := http.Request{
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -2,15 +2,8 @@
 
 import (
 	"fmt"
-	"io"
-	"net/http"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
-	"time"
-
-	"curlewring/decide"
 )
 
 // An answer that is too large must end the attempt as soon as that shows: a
@@ -99,90 +92,3 @@
 		})
 	}
 }
-
-// Where connections break when they are used again, a request that must not run
-// twice must not go out on one: it could not be sent again. A new connection is
-// no more expensive for any other request than it was.
-func TestNoRiskForUnsafe(t *testing.T) {
-	var breaking atomic.Bool
-	s := newServer(t, nil)
-	answered := map[string]bool{} // by the client's end of a connection
-	var mu sync.Mutex
-	s.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		mu.Lock()
-		again := answered[r.RemoteAddr]
-		answered[r.RemoteAddr] = true
-		mu.Unlock()
-		if again && breaking.Load() {
-			cut(w, r)
-			return
-		}
-		io.WriteString(w, "fine")
-	})
-	u := withServers(t, s).upstream
-	p := &peer{id: "s0", address: s.addr()}
-	send := func(once bool) decide.Result {
-		q := &call{method: "POST", uri: "/act/1", host: "app.svc", txn: "1", once: once}
-		result, _ := u.attempt(t.Context(), p, q, u.clock.now()+patience)
-		return result
-	}
-	for range 10 {
-		if got := send(true); got != decide.Served {
-			t.Fatalf("attempt: %v", got)
-		}
-	}
-	if came, _ := s.connections(); came != 1 {
-		t.Errorf("%d connections while none broke", came)
-	}
-	// Whatever the span of the idle times here: each is found to break.
-	breaking.Store(true)
-	for i := range u.reuse[1:] {
-		for range 4 {
-			u.booked(1+i, true)
-		}
-	}
-	for i := range 5 {
-		if got := send(true); got != decide.Served {
-			t.Errorf("unsafe attempt %d on a connection that breaks: %v", i, got)
-		}
-	}
-	if got := send(false); got != decide.Broken {
-		t.Errorf("safe attempt: %v, want one that goes on using connections again", got)
-	}
-}
-
-// What is held against idle times must need more than one break, be measured
-// against new connections, and fade.
-func TestReuseFades(t *testing.T) {
-	u := newUpstream(newClock(), newSockets(1024), &decide.Settings{})
-	at := span(300 * time.Millisecond)
-	if at == span(time.Millisecond) || span(-1) != 1 || span(time.Hour) != reuseSpans-1 {
-		t.Errorf("spans %d, %d, %d", at, span(time.Millisecond), span(time.Hour))
-	}
-	for range 20 {
-		u.booked(at, false)
-		u.booked(at-3, false)
-	}
-	u.booked(at, true)
-	if u.risky(at, u.reuse[at].at) {
-		t.Error("one break is enough")
-	}
-	u.booked(at, true)
-	u.booked(at, true)
-	now := u.reuse[at].at
-	if !u.risky(at, now) || !u.risky(at-1, now) {
-		t.Error("three breaks say nothing of their span, or of one that is little used")
-	}
-	if u.risky(at+1, now) || u.risky(at-3, now) {
-		t.Error("they count against longer idle times, or against one that proves to be safe")
-	}
-	if u.risky(at, now+time.Minute) {
-		t.Error("they still count after a minute")
-	}
-	for range 3 {
-		u.booked(0, true)
-	}
-	if u.risky(at, now) {
-		t.Error("new connections break as often")
-	}
-}
