Sync manifests before they become current, and leave silent peers to our own pings

Cause 1: goleveldb names a new manifest current without a sync, so a machine that lost power right after its start found a torn one and ended 42 times.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -95,6 +95,9 @@
 	if err != nil {
 		return err
 	}
+	if st.Damaged != nil {
+		log.Error("store.damaged", "err", st.Damaged, "kept", "beside the new folder, as log.damaged")
+	}
 	n := &Node{
 		log: log, began: time.Now(), events: make(chan func(), 1024), ctx: ctx, store: st, catalog: catalog.New(),
 		changes: map[uint64]*change{}, reads: map[uint64]chan error{}, senders: map[uint64]*sender{},
@@ -160,7 +163,7 @@
 // seeds begins the core by itself, once in its life; all others join it.
 func (n *Node) restore(seed uint64) error {
 	set, st := n.set.Load(), n.store
-	if st.Fresh && set.Bootstrap && slices.Min(set.Seeds) == set.Control {
+	if st.Fresh && st.Damaged == nil && set.Bootstrap && slices.Min(set.Seeds) == set.Control {
 		data, err := n.catalog.Snapshot()
 		if err != nil {
 			return err
--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -20,7 +20,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 
 	"curlewring/internal/wire"
@@ -74,26 +73,12 @@
 	c := &conn{nc: nc, server: server, streams: map[uint32]*Stream{}, next: 1}
 	c.ctx, c.cancel = context.WithCancelCause(parent)
 	c.heard.Store(steadyMs())
-	tune(nc)
-	return c
-}
-
-// tune makes the kernel give up a peer that acknowledges nothing: it would
-// otherwise try for a quarter of an hour.
-func tune(nc net.Conn) {
-	tc, ok := nc.(*net.TCPConn)
-	if !ok {
-		return
+	// Pings and deadlines of writes find a silent peer; the kernel's probes would
+	// only see less of it.
+	if tc, ok := nc.(*net.TCPConn); ok {
+		tc.SetKeepAlive(false)
 	}
-	tc.SetKeepAlive(false) // pings of our own see more
-	raw, err := tc.SyscallConn()
-	if err != nil {
-		return
-	}
-	raw.Control(func(fd uintptr) {
-		// Best effort: pings find a silent peer too, only later.
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentFor.Milliseconds()))
-	})
+	return c
 }
 
 // write sends one frame whole, or ends the connection.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -12,7 +12,9 @@
 	"path/filepath"
 
 	"github.com/syndtr/goleveldb/leveldb"
+	lerrors "github.com/syndtr/goleveldb/leveldb/errors"
 	"github.com/syndtr/goleveldb/leveldb/opt"
+	"github.com/syndtr/goleveldb/leveldb/storage"
 	"github.com/syndtr/goleveldb/leveldb/util"
 	"google.golang.org/protobuf/proto"
 
@@ -33,12 +35,14 @@
 
 // Store is one machine's folder. It is not for use by several goroutines.
 type Store struct {
-	dir  string
-	db   *leveldb.DB
-	last uint64 // index of the last entry stored; 0: none
+	dir   string
+	db    *leveldb.DB
+	files storage.Storage
+	last  uint64 // index of the last entry stored; 0: none
 
 	ID       uint64 // the identity, drawn when the folder was empty
 	Fresh    bool   // the folder was empty
+	Damaged  error  // why an earlier folder was put aside
 	Hard     *wire.HardState
 	Snapshot *wire.RaftSnapshot
 	Entries  []*wire.Entry // as loaded; the caller takes them over
@@ -59,25 +63,102 @@
 		return nil, fmt.Errorf("store: %w", err)
 	}
 	s := &Store{dir: dir}
+	err := s.open()
+	if err == nil {
+		if err = s.load(rng); err == nil {
+			return s, nil
+		}
+		s.close()
+		err = fmt.Errorf("store: %s: %w", dir, err)
+	}
+	if !damaged(err) {
+		return nil, err
+	}
+	// What is left can't be told from what was never there. The machine goes on as
+	// an empty one, under a new identity; the folder is kept for a look at it.
+	aside := dir + ".damaged"
+	if err := os.RemoveAll(aside); err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	if err := os.Rename(dir, aside); err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	if err := syncDir(filepath.Dir(dir)); err != nil {
+		return nil, err
+	}
+	s = &Store{dir: dir, Damaged: err}
 	if err := s.open(); err != nil {
 		return nil, err
 	}
 	if err := s.load(rng); err != nil {
-		s.db.Close()
+		s.close()
 		return nil, fmt.Errorf("store: %s: %w", dir, err)
 	}
 	return s, nil
 }
 
+// errDamaged is content that contradicts itself.
+var errDamaged = errors.New("damaged")
+
+// damaged tells damage from a disk that fails for the moment.
+func damaged(err error) bool {
+	return errors.Is(err, errDamaged) || lerrors.IsCorrupted(errors.Unwrap(err)) || lerrors.IsCorrupted(err)
+}
+
+func syncDir(dir string) error {
+	f, err := os.Open(dir)
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	defer f.Close()
+	if err := f.Sync(); err != nil {
+		return fmt.Errorf("store: syncing %s: %w", dir, err)
+	}
+	return nil
+}
+
+// close releases the database and its files.
+func (s *Store) close() error { return errors.Join(s.db.Close(), s.files.Close()) }
+
 func (s *Store) open() error {
-	db, err := leveldb.OpenFile(s.dir, options())
+	files, err := storage.OpenFile(s.dir, false)
+	if err != nil {
+		return fmt.Errorf("store: %s: %w", s.dir, err)
+	}
+	db, err := leveldb.Open(syncedMeta{files, s.dir}, options())
 	if err != nil {
+		files.Close()
 		return fmt.Errorf("store: %s: %w", s.dir, err)
 	}
-	s.db = db
+	s.db, s.files = db, files
 	return nil
 }
 
+// syncedMeta is the library's storage with one gap closed: when a store is
+// opened, the library writes a new manifest and names it the current one without
+// a sync of its own. After a loss of power the name would lead to a torn file.
+type syncedMeta struct {
+	storage.Storage
+	dir string
+}
+
+// SetMeta makes a manifest the current one, once it is on disk.
+func (s syncedMeta) SetMeta(fd storage.FileDesc) error {
+	f, err := os.Open(filepath.Join(s.dir, fmt.Sprintf("MANIFEST-%06d", fd.Num)))
+	if err != nil {
+		return fmt.Errorf("syncing the manifest: %w", err)
+	}
+	err = f.Sync()
+	f.Close()
+	if err != nil {
+		return fmt.Errorf("syncing the manifest: %w", err)
+	}
+	return s.Storage.SetMeta(fd)
+}
+
 // get reads a message; ok is false where there is none.
 func (s *Store) get(key []byte, m proto.Message) (ok bool, err error) {
 	data, err := s.db.Get(key, nil)
@@ -88,7 +169,7 @@
 		return false, fmt.Errorf("reading %q: %w", key, err)
 	}
 	if err := proto.Unmarshal(data, m); err != nil {
-		return false, fmt.Errorf("reading %q: %w", key, err)
+		return false, fmt.Errorf("%w: reading %q: %w", errDamaged, key, err)
 	}
 	return true, nil
 }
@@ -105,7 +186,7 @@
 	case err != nil:
 		return fmt.Errorf("reading the identity: %w", err)
 	case len(id) != 8:
-		return fmt.Errorf("the identity has %d bytes, not 8", len(id))
+		return fmt.Errorf("%w: the identity has %d bytes, not 8", errDamaged, len(id))
 	}
 	s.ID = binary.BigEndian.Uint64(id)
 	hard := new(wire.HardState)
@@ -126,10 +207,10 @@
 	for it.Next() {
 		e := new(wire.Entry)
 		if err := proto.Unmarshal(it.Value(), e); err != nil {
-			return fmt.Errorf("entry %d: %w", next, err)
+			return fmt.Errorf("%w: entry %d: %w", errDamaged, next, err)
 		}
 		if e.Index != next {
-			return fmt.Errorf("entry %d is missing before entry %d", next, e.Index)
+			return fmt.Errorf("%w: entry %d is missing before entry %d", errDamaged, next, e.Index)
 		}
 		s.Entries = append(s.Entries, e)
 		next++
@@ -210,12 +291,9 @@
 // Reopen closes the store and opens it anew, after a write that failed: whether
 // that write is there then is known again.
 func (s *Store) Reopen() error {
-	s.db.Close()
-	if err := s.open(); err != nil {
-		return err
-	}
-	return nil
+	s.close()
+	return s.open()
 }
 
 // Close releases the folder.
-func (s *Store) Close() error { return s.db.Close() }
+func (s *Store) Close() error { return s.close() }
