Keep graphs out at their entry while a service that they call has no room

The node beside a server now tells an inner call by the id of the run in flight that it begins with, counts which services a run calls, and tells the entry; the entry's verdict looks at those gates as well, and at how often no server had room. Repeats stop while the gate refuses; calls of a repeat are charged.

--- a/decide/mesh.go
+++ b/decide/mesh.go
@@ -11,13 +11,16 @@
 
 const (
 	gatePeriod = 500 * time.Millisecond // between two readings of r
-	gateFoot   = 0.9                    // r, in aims, below which the lowest priority is let in whole
+	gateFoot   = 0.8                    // r, in aims, below which the lowest priority is let in whole
 	gateTop    = 2.0                    // r, in aims, at which even the highest is shut out
-	gateMemory = 20                     // outcomes over which r is averaged
+	gateCrowd  = 1.0                    // part of the stack shut where no request finds room at once
+	gateRoom   = 24                     // requests over which that is averaged
+	gateMemory = 8                      // outcomes over which r is averaged
 	meshSubset = 8                      // servers of a service that a node keeps to ...
 	meshFar    = 3                      // ... of which so many lie in other zones, where there are any
 	farStep    = 3                      // own calls in flight that a near server may have more than a far one
 	restFor    = 60 * time.Millisecond  // a server without room is left alone for so long ...
+	busyFor    = 200 * time.Millisecond // how long word of a queue counts
 	goneFor    = time.Second            // ... and one that takes nothing any more for so long
 )
 
@@ -27,6 +30,7 @@
 	rng       *rand.Rand
 	levels    []int // priorities, the lowest (largest number) first
 	r         float64
+	crowd     float64 // part of the requests that found no server with room at some moment
 	sum       float64
 	count     float64
 	inflight  int
@@ -48,11 +52,27 @@
 // Reading returns r, in aims.
 func (g *Gate) Reading() float64 { return g.r }
 
+// Room notes whether a request was taken, or found no server with room at some moment. It says at once what r
+// would say once those who wait have been answered.
+func (g *Gate) Room(taken bool) {
+	g.crowd *= 1 - 1.0/gateRoom
+	if !taken {
+		g.crowd += 1.0 / gateRoom
+	}
+}
+
 // Admit is the verdict on a new graph: admitted with probability 1 below a, 0 above b, (b-r)/(b-a) between.
-// The curves of the priorities are stacked: a lower one shuts before the next starts to refuse.
-func (g *Gate) Admit(now time.Duration, priority int) bool {
+// The curves of the priorities are stacked: a lower one shuts before the next starts to refuse. A graph is
+// also kept out where it would crowd a service behind: the gates of those that it calls have their say here,
+// as its calls will pass them without a verdict.
+func (g *Gate) Admit(now time.Duration, priority int, behind ...*Gate) bool {
 	g.roll(now)
-	return g.inflight == 0 || g.rng.Float64() < g.Chance(priority)
+	chance := g.Chance(priority)
+	for _, b := range behind {
+		b.roll(now)
+		chance = min(chance, b.Chance(priority))
+	}
+	return g.inflight == 0 || g.rng.Float64() < chance
 }
 
 // Chance is the probability with which a priority is admitted at the present r.
@@ -63,7 +83,7 @@
 	}
 	width := (gateTop - gateFoot) / float64(max(1, len(g.levels)))
 	a := gateFoot + width*float64(level)
-	return curve(g.r, a, a+width)
+	return curve(max(g.r, gateFoot+(gateTop-gateFoot)*gateCrowd*g.crowd), a, a+width)
 }
 
 // RetryAfter is when a refused client should come back: spread, lest all come at once.
@@ -111,6 +131,7 @@
 	health
 	rank uint64
 	rest time.Duration // left alone until then
+	busy time.Duration // requests wait there, until then as far as is known
 }
 
 // Picker picks the servers for one service's calls.
@@ -165,17 +186,19 @@
 }
 
 // Pick returns the server for a call: of two random members of the subset the one with fewer own calls in
-// flight, in this zone where that is not much busier. Those in tried are left out. Where none of the subset
-// is left, any other server is better than no answer.
+// flight, in this zone where that is not much busier. Servers before which requests wait come after those of
+// any zone that have room. Those in tried are left out. Where none of the subset is left, any other server is
+// better than no answer.
 func (p *Picker) Pick(now time.Duration, tried []string) (id string, ok bool) {
-	load := func(t *target) float64 { return float64(t.inflight) }
-	near := lesser(p.rng, p.usable(now, p.near, tried), load)
-	far := lesser(p.rng, p.usable(now, p.far, tried), load)
-	switch {
-	case near != nil && (far == nil || near.inflight < far.inflight+farStep):
-		return near.ID, true
-	case far != nil:
-		return far.ID, true
+	for _, room := range []bool{true, false} {
+		near := lesser(p.rng, p.usable(now, p.near, tried, room), (*target).load)
+		far := lesser(p.rng, p.usable(now, p.far, tried, room), (*target).load)
+		switch {
+		case near != nil && (far == nil || near.inflight < far.inflight+farStep):
+			return near.ID, true
+		case far != nil:
+			return far.ID, true
+		}
 	}
 	p.scratch = p.scratch[:0]
 	for _, t := range p.targets {
@@ -184,16 +207,18 @@
 		}
 	}
 	slices.SortFunc(p.scratch, func(a, b *target) int { return strings.Compare(a.ID, b.ID) })
-	if t := lesser(p.rng, p.scratch, load); t != nil {
+	if t := lesser(p.rng, p.scratch, (*target).load); t != nil {
 		return t.ID, true
 	}
 	return "", false
 }
 
-func (p *Picker) usable(now time.Duration, list []*target, tried []string) []*target {
+func (t *target) load() float64 { return float64(t.inflight) }
+
+func (p *Picker) usable(now time.Duration, list []*target, tried []string, room bool) []*target {
 	p.scratch = p.scratch[:0]
 	for _, t := range list {
-		if !t.out(now) && t.rest <= now && !slices.Contains(tried, t.ID) {
+		if !t.out(now) && t.rest <= now && !(room && t.busy > now) && !slices.Contains(tried, t.ID) {
 			p.scratch = append(p.scratch, t)
 		}
 	}
@@ -207,13 +232,18 @@
 	}
 }
 
-// End takes the result of a call. Full is a server without room, NotSent one that takes nothing any more.
-func (p *Picker) End(now time.Duration, id string, r Result) {
+// End takes the result of a call. Full is a server without room, NotSent one that takes nothing any more;
+// waiting says that requests wait before it, as the node beside it sees.
+func (p *Picker) End(now time.Duration, id string, r Result, waiting bool) {
 	t := p.targets[id]
 	if t == nil {
 		return
 	}
 	t.inflight = max(0, t.inflight-1)
+	t.busy = 0
+	if waiting {
+		t.busy = now + busyFor
+	}
 	switch r {
 	case Served, Errored:
 		t.served()
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -12,8 +12,9 @@
 const buckets = 20
 
 // Caution is the part of the bound that is spent at most: calls that the run of
-// a repeat makes are repeats too, and a node can't see those of others.
-const Caution = 0.25
+// a repeat makes are repeats too, and are charged where they begin, when it is
+// too late to do without them.
+const Caution = 0.4
 
 // Budget is a node's part for one service.
 type Budget struct {
--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -73,7 +73,7 @@
 	n.inbound = proxy.NewInbound(set.Bounds.Drain, set.Heartbeat, log)
 	n.outbound = &proxy.Outbound{
 		Node: set.Node, Zone: set.Zone, Backend: set.Backend, Ratio: set.Bounds.RetryRatio, Window: set.Bounds.RetryWindow,
-		Pool: n.pool, Log: log,
+		Pool: n.pool, Log: log, Graph: n.inbound.Graph,
 	}
 	n.outbound.Start(rng.Uint64())
 	n.front = &proxy.Front{
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -22,11 +22,13 @@
 	stallAfter   = 700 * time.Millisecond // without any answer, with several under way, a server hangs
 	stallCalls   = 3
 	trialEvery   = 500 * time.Millisecond
-	failsOut     = 3 // in a row, after which only trials go to a server
-	beatsMissed  = 3 // after which a server is taken for gone
+	failsOut     = 3  // in a row, after which only trials go to a server
+	beatsMissed  = 3  // after which a server is taken for gone
+	mostCalled   = 16 // services that are told apart in the calls of one run
 	serverHead   = 64 << 10
 	serverBody   = 64 << 20
 	dialServer   = 300 * time.Millisecond
+	innerRank    = 0                    // Forward.priority of inner calls; others have theirs and one
 	leastLeft    = 5 * time.Millisecond // below this a request is not begun
 	defaultSlots = 8
 )
@@ -48,12 +50,13 @@
 
 	mu      sync.Mutex
 	members map[string]*local
-	changed chan struct{} // has room for one: what Servers returns has changed
+	runs    map[string]*run // by the Attempt-Ids at servers here
+	changed chan struct{}   // has room for one: what Servers returns has changed
 }
 
 // NewInbound returns an Inbound without servers.
 func NewInbound(drain, heartbeat time.Duration, log *slog.Logger) *Inbound {
-	return &Inbound{Drain: drain, Heartbeat: heartbeat, Log: log, members: map[string]*local{}, changed: make(chan struct{}, 1)}
+	return &Inbound{Drain: drain, Heartbeat: heartbeat, Log: log, members: map[string]*local{}, runs: map[string]*run{}, changed: make(chan struct{}, 1)}
 }
 
 // Changed tells when Servers may return something else.
@@ -201,6 +204,43 @@
 	return n
 }
 
+// run is a request that a server here works on.
+type run struct {
+	repeat bool
+	rank   uint32
+	called []*wire.Called
+}
+
+// Graph tells whether a request with this Attempt-Id is a call that a run on this
+// machine makes, and if so the rank of its graph and whether that run is a
+// repeat; the call is booked for the run. Servers give their calls ids that begin with the id of the run; whoever
+// can name a run that is in flight here has been admitted with it. One who makes
+// up an id is a new entry.
+func (in *Inbound) Graph(attempt, service string) (rank uint32, inner, repeat bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	for i := len(attempt) - 1; i > 0; i-- {
+		c := attempt[i]
+		if c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' {
+			continue
+		}
+		r := in.runs[attempt[:i]]
+		if r == nil {
+			continue
+		}
+		at := slices.IndexFunc(r.called, func(c *wire.Called) bool { return c.Service == service })
+		if at < 0 && len(r.called) < mostCalled {
+			at = len(r.called)
+			r.called = append(r.called, &wire.Called{Service: service})
+		}
+		if at >= 0 {
+			r.called[at].Times++
+		}
+		return r.rank, true, r.repeat
+	}
+	return 0, false, false
+}
+
 func unsent(gone bool, format string, args ...any) *wire.Outcome {
 	return &wire.Outcome{Fate: wire.Outcome_UNSENT, Gone: gone, Why: fmt.Sprintf(format, args...)}
 }
@@ -221,16 +261,23 @@
 		w := m.enqueue(q.Priority)
 		in.mu.Unlock()
 		if w == nil {
-			return unsent(false, "no room"), nil
+			return &wire.Outcome{Fate: wire.Outcome_UNSENT, Why: "no room", Waiting: true}, nil
 		}
 		if refusal := m.await(ctx, w, until); refusal != nil {
 			return refusal, nil
 		}
 	}
+	in.mu.Lock()
+	in.runs[q.Attempt] = &run{repeat: q.Repeat, rank: q.Priority}
+	in.mu.Unlock()
 	out := m.send(ctx, q, until)
 	in.mu.Lock()
+	if r := in.runs[q.Attempt]; r != nil {
+		out.Called = r.called
+		delete(in.runs, q.Attempt)
+	}
 	m.finish(out, time.Now())
-	out.Held = uint32(m.inflight + len(m.queue))
+	out.Waiting = len(m.queue) > 0 || m.inflight >= m.Slots
 	in.mu.Unlock()
 	return out, nil
 }
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -21,7 +21,10 @@
 const (
 	answerMargin  = 15 * time.Millisecond // before its time is up a request gets its answer
 	fullPause     = 15 * time.Millisecond // between looks for a server with room
+	graphGain     = 0.05                  // weight of the newest run in the averages of calls
+	graphLeast    = 0.1                   // calls a run below which a service is not counted as called
 	patiencePart  = 5                     // a request without a server is given up after this part of its aim
+	innerPatience = 5                     // the same of a call of a graph
 	leastPatience = 30 * time.Millisecond
 	mostTurned    = 12 // servers asked that turned one request away
 	mostBudgetMs  = 3_600_000
@@ -42,14 +45,15 @@
 	Window              time.Duration
 	Pool                *rpc.Pool
 	Log                 *slog.Logger
-	Inner               func(c *Call) bool // is it a call of an admitted graph?
+	Graph               func(attempt, service string) (rank uint32, inner, repeat bool) // see Inbound.Graph
 	began               time.Time
 
 	mu       sync.Mutex
 	rng      *rand.Rand
 	world    *World
 	services map[string]*service
-	slack    float64 // this node's part of the retry slack
+	graphs   map[string]map[string]float64 // calls that a run makes, by route and service, averaged
+	slack    float64                       // this node's part of the retry slack
 }
 
 // service is what a node keeps for each service.
@@ -64,6 +68,7 @@
 	o.began = time.Now()
 	o.rng = rand.New(rand.NewPCG(seed, 1))
 	o.services = map[string]*service{}
+	o.graphs = map[string]map[string]float64{}
 	o.world = &World{}
 }
 
@@ -111,6 +116,11 @@
 		s.gate.Priorities(priorities)
 		s.picker.List(lists[b.Name])
 	}
+	for name := range o.graphs {
+		if !slices.ContainsFunc(w.Config.Routes, func(r meshconfig.Route) bool { return r.Name == name }) {
+			delete(o.graphs, name)
+		}
+	}
 	for name := range o.services {
 		if !slices.ContainsFunc(w.Config.Backends, func(b meshconfig.Backend) bool { return b.Name == name }) {
 			delete(o.services, name)
@@ -118,6 +128,41 @@
 	}
 }
 
+// learn notes which services a run of a route has called.
+func (o *Outbound) learn(route string, called []*wire.Called) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	g := o.graphs[route]
+	if g == nil {
+		if len(called) == 0 {
+			return
+		}
+		g = map[string]float64{}
+		o.graphs[route] = g
+	}
+	for name := range g {
+		g[name] *= 1 - graphGain
+	}
+	for _, c := range called {
+		if _, known := g[c.Service]; known || o.services[c.Service] != nil {
+			g[c.Service] += float64(c.Times) * graphGain
+		}
+	}
+}
+
+// behind returns the gates of the services that a route's graphs call. A graph
+// that would crowd them is kept out at its entry, by its own priority: inside,
+// its calls pass without a verdict.
+func (o *Outbound) behind(route *meshconfig.Route) []*decide.Gate {
+	var gates []*decide.Gate
+	for name, times := range o.graphs[route.Name] {
+		if s := o.services[name]; s != nil && times >= graphLeast {
+			gates = append(gates, s.gate)
+		}
+	}
+	return gates
+}
+
 // Bounds are what the configuration lets clients do.
 func (o *Outbound) Bounds() Bounds {
 	o.mu.Lock()
@@ -160,10 +205,13 @@
 	name     string // of the service
 	service  *service
 	until    time.Time
+	inner    bool     // a call of a graph that was admitted
+	rank     uint32   // its place in the queues of servers; 0 is the highest
 	arrivals int      // servers that it has reached
 	ran      bool     // it may have run
 	tried    []string // servers not to be asked again
 	turned   int
+	crowded  bool // at some moment no server had room
 }
 
 // Handle gives one request its final answer.
@@ -193,8 +241,7 @@
 	default:
 		return text(400, "more than one Time-Budget")
 	}
-	r := &request{o: o, call: c, route: route, world: world, until: c.Arrived.Add(wait - answerMargin)}
-	inner := o.Inner != nil && o.Inner(c)
+	r := &request{o: o, call: c, route: route, rank: uint32(route.Priority), world: world, until: c.Arrived.Add(wait - answerMargin)}
 
 	o.mu.Lock()
 	r.name = route.Service(o.rng.Float64())
@@ -205,7 +252,14 @@
 	}
 	s := r.service
 	s.budget.Request(o.now())
-	if !inner && !s.gate.Admit(o.now(), route.Priority) {
+	again := false
+	if o.Graph != nil {
+		_, r.inner, again = o.Graph(c.Headers.Get("Attempt-Id"), r.name)
+	}
+	if again { // calls of a repeat are repeats at the service that is called
+		s.budget.Charge(o.now(), 1)
+	}
+	if !r.inner && !s.gate.Admit(o.now(), route.Priority, o.behind(route)...) {
 		after := s.gate.RetryAfter(route.Aim())
 		o.mu.Unlock()
 		return refuse("overload", after)
@@ -217,7 +271,10 @@
 
 	o.mu.Lock()
 	aim := route.Aim()
-	if inner { // its time is part of its graph's
+	if r.inner { // its time is part of its graph's
+		aim = 0
+	}
+	if r.arrivals == 0 && !r.ran { // no server had a part in its time
 		aim = 0
 	}
 	s.gate.Done(o.now(), time.Since(c.Arrived), aim)
@@ -230,11 +287,21 @@
 	ctx, cancel := context.WithDeadline(ctx, r.until)
 	defer cancel()
 	patience := max(leastPatience, r.route.Aim()/patiencePart)
+	if r.inner {
+		// Its graph is lost with it, but one that waits holds a slot of its caller.
+		patience = max(leastPatience, r.route.Aim()/innerPatience)
+	}
 	for {
 		id, ok := r.pick()
 		if !ok {
 			// Nobody has room at this moment. Longer waits belong to the client.
-			if r.arrivals > 0 || time.Since(r.call.Arrived) > patience || r.turned >= mostTurned {
+			if !r.crowded {
+				r.crowded = true
+				r.o.mu.Lock()
+				r.service.gate.Room(false)
+				r.o.mu.Unlock()
+			}
+			if r.arrivals > 0 || time.Since(r.call.Arrived) > patience {
 				return r.giveUp("no server has room")
 			}
 			r.tried = r.tried[:0]
@@ -247,10 +314,15 @@
 		}
 		out, result := r.attempt(ctx, id)
 		r.o.mu.Lock()
-		r.service.picker.End(r.o.now(), id, result)
+		r.service.picker.End(r.o.now(), id, result, out.Waiting)
+		if r.arrivals == 0 && !r.crowded && out.Fate != wire.Outcome_UNSENT {
+			r.service.gate.Room(true)
+		}
 		r.o.mu.Unlock()
 		switch out.Fate {
 		case wire.Outcome_ANSWERED:
+			r.arrivals++
+			r.o.learn(r.route.Name, out.Called)
 			if a := r.final(out, id); a != nil {
 				return a
 			}
@@ -260,7 +332,7 @@
 			if ctx.Err() != nil {
 				return r.giveUp("no time left")
 			}
-			if r.turned >= mostTurned {
+			if time.Since(r.call.Arrived) > patience && r.turned >= mostTurned {
 				return r.giveUp("no server has room")
 			}
 			continue
@@ -308,13 +380,14 @@
 }
 
 // mayRepeat tells whether the request may reach one more server, and pays for it.
+// Where the gate has begun to refuse its like, repeats would only add to the load.
 func (r *request) mayRepeat() bool {
 	if r.arrivals >= max(1, r.route.MaxAttempts) {
 		return false
 	}
 	r.o.mu.Lock()
 	defer r.o.mu.Unlock()
-	return r.service.budget.Spend(r.o.now())
+	return r.service.gate.Chance(r.route.Priority) == 1 && r.service.budget.Spend(r.o.now())
 }
 
 // attempt asks the node beside a server to pass the request on.
@@ -331,7 +404,7 @@
 	c := r.call
 	q := &wire.Forward{
 		Member: id, Service: r.name, Method: c.Method, Target: c.Target, Body: c.Body, Caller: r.o.Backend,
-		Priority: uint32(r.route.Priority), Attempt: c.Headers.Get("Attempt-Id"), Repeat: r.ran,
+		Priority: r.rank, Attempt: c.Headers.Get("Attempt-Id"), Repeat: r.ran,
 		LeftMs: uint32(max(1, time.Until(r.until).Milliseconds())),
 	}
 	for _, h := range http1.EndToEnd(c.Headers, "time-budget", "target-instance", "caller-service") {
@@ -372,7 +445,6 @@
 func (r *request) final(out *wire.Outcome, id string) *Answer {
 	status := int(out.Status)
 	if status >= 500 && status != 504 && r.route.Kind == meshconfig.Repeatable {
-		r.arrivals++
 		r.ran = true
 		r.tried = append(r.tried, id)
 		if r.mayRepeat() {
