--- /dev/null
+++ b/internal/raft/sim_test.go
@@ -0,0 +1,537 @@
+package raft
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"google.golang.org/protobuf/proto"
+
+	"curlewring/internal/wire"
+)
+
+var (
+	seeds    = flag.Int("seeds", 40, "simulated worlds to play")
+	firstOne = flag.Uint64("seed", 1, "the first of them")
+	// Breaks of the harness's own, to see that the checker finds them.
+	loseVotes = flag.Bool("lose-votes", false, "do not put votes on disk")
+	keepID    = flag.Bool("keep-id", false, "let a wiped machine keep its identity and vote")
+)
+
+// disk is what a machine would find after a loss of power.
+type disk struct {
+	id      uint64
+	hard    *wire.HardState
+	snap    *wire.RaftSnapshot
+	entries []*wire.Entry
+}
+
+func (d *disk) save(o Output) {
+	if o.Snapshot != nil {
+		d.snap, d.entries = o.Snapshot, nil
+	}
+	if o.Hard != nil && !*loseVotes {
+		d.hard = o.Hard
+	}
+	for _, e := range o.Entries {
+		d.entries = append(d.entries[:e.Index-d.snap.GetIndex()-1], e)
+	}
+}
+
+// machine is a core machine: its disk, and while it runs its core and its state.
+type machine struct {
+	n       int
+	disk    disk
+	core    *Core
+	value   string // the register that the log keeps
+	applied uint64
+	skew    time.Duration // of its clock
+	frozen  time.Duration // until then
+	downTil time.Duration
+	heard   map[uint64]int // where a sender of messages stands
+	reads   map[uint64]*op
+	writes  map[uint64]*op // by index
+	inbox   []parcel
+	managed time.Duration
+}
+
+type parcel struct {
+	at   time.Duration
+	from int
+	m    *wire.Raft
+}
+
+// op is one call of a client.
+type op struct {
+	client     int
+	base, next string // a write; next empty: a read
+	term       uint64
+	call, ret  time.Duration
+	result     string // "ok", "stale", or what was read; empty: not known
+	value      string
+}
+
+type world struct {
+	rng      *rand.Rand
+	now      time.Duration
+	machines []*machine
+	cut      map[[2]int]bool
+	token    uint64
+	history  []*op
+	pending  map[int]*op // by client
+	lastSeen map[int]string
+	nextID   uint64
+	wipes    int
+}
+
+func (w *world) start(m *machine) {
+	if m.disk.id == 0 {
+		w.nextID++
+		m.disk.id = w.nextID
+	}
+	m.core = New(m.disk.id, m.disk.hard, m.disk.snap, slices.Clone(m.disk.entries), w.rng.Uint64(), w.now+m.skew)
+	m.value, m.applied = string(m.disk.snap.GetData()), m.disk.snap.GetIndex()
+	m.reads, m.writes, m.heard, m.inbox = map[uint64]*op{}, map[uint64]*op{}, map[uint64]int{}, nil
+}
+
+func (w *world) crash(m *machine, down time.Duration) {
+	m.core, m.downTil = nil, w.now+down
+}
+
+func (w *world) at(id uint64, from *machine) (int, bool) {
+	for i, m := range w.machines {
+		if m.disk.id == id {
+			return i, true
+		}
+	}
+	n, ok := from.heard[id]
+	return n, ok
+}
+
+// settle carries out a machine's output; it may lose power at any point.
+func (w *world) settle(m *machine) {
+	for m.core != nil {
+		o := m.core.Take()
+		if o.Empty() {
+			return
+		}
+		if w.rng.IntN(3000) == 0 {
+			w.crash(m, w.span(500, 3000)) // before the sync
+			return
+		}
+		m.disk.save(o)
+		if o.Snapshot != nil {
+			m.value, m.applied = string(o.Snapshot.Data), o.Snapshot.Index
+		}
+		if n := len(o.Entries); n > 0 {
+			m.core.Stable(o.Entries[n-1].Index)
+		}
+		if w.rng.IntN(3000) == 0 {
+			w.crash(m, w.span(500, 3000)) // after the sync, before anybody knows
+			return
+		}
+		for _, msg := range o.Messages {
+			to, ok := w.at(msg.To, m)
+			if !ok || w.cut[[2]int{m.n, to}] || w.rng.IntN(50) == 0 {
+				continue
+			}
+			for range 1 + w.rng.IntN(30)/29 { // now and then twice
+				w.machines[to].inbox = append(w.machines[to].inbox, parcel{w.now + w.span(1, 30), m.n, proto.CloneOf(msg)})
+			}
+		}
+		for _, e := range o.Committed {
+			w.apply(m, e)
+		}
+		for _, r := range o.Reads {
+			if op := m.reads[r.Token]; op != nil {
+				delete(m.reads, r.Token)
+				if r.OK && m.applied >= r.Index {
+					w.finish(op, m.value)
+				}
+			}
+		}
+		if m.core.Backlog() > 40 {
+			if s := m.core.Compact(m.applied, []byte(m.value)); s != nil {
+				m.disk.entries = m.disk.entries[s.Index-m.disk.snap.GetIndex():]
+				m.disk.snap = s
+			}
+		}
+	}
+}
+
+func (w *world) apply(m *machine, e *wire.Entry) {
+	if e.Index != m.applied+1 {
+		panic(fmt.Sprintf("machine %d applies %d after %d", m.n, e.Index, m.applied))
+	}
+	m.applied = e.Index
+	verdict := ""
+	if e.Kind == wire.Entry_COMMAND {
+		var put wire.PutConfig
+		if err := proto.Unmarshal(e.Data, &put); err != nil {
+			panic(err)
+		}
+		verdict = "stale"
+		if strconv.FormatUint(put.Base, 10) == m.value || put.Base == 0 && m.value == "" {
+			verdict, m.value = "ok", string(put.Body)
+		}
+	}
+	if op := m.writes[e.Index]; op != nil {
+		delete(m.writes, e.Index)
+		if op.term == e.Term {
+			w.finish(op, verdict)
+		}
+	}
+}
+
+func (w *world) finish(o *op, result string) {
+	if w.pending[o.client] == o {
+		o.ret, o.result = w.now, result
+		delete(w.pending, o.client)
+		if o.next == "" {
+			w.lastSeen[o.client] = result
+		} else if result == "ok" {
+			w.lastSeen[o.client] = o.next
+		}
+	}
+}
+
+func (w *world) span(low, high int) time.Duration {
+	return time.Duration(low+w.rng.IntN(high-low)) * time.Millisecond
+}
+
+// manage is the leader's upkeep of its members, as the control plane does it.
+func (w *world) manage(m *machine) {
+	now := w.now + m.skew
+	peers := m.core.Peers()
+	if !m.core.Leads() {
+		return
+	}
+	alive, voters := 0, 0
+	for _, p := range peers {
+		_, silent, ok := m.core.Lag(p.Id)
+		if p.Voter {
+			voters++
+			if p.Id == m.disk.id || ok && silent < 3*time.Second {
+				alive++
+			}
+		}
+	}
+	for _, other := range w.machines { // those that ask to join
+		if other.core != nil && !w.cut[[2]int{other.n, m.n}] &&
+			!slices.ContainsFunc(peers, func(p *wire.Peer) bool { return p.Id == other.disk.id }) {
+			m.heard[other.disk.id] = other.n
+			m.core.Change(now, append(slices.Clone(peers), &wire.Peer{Id: other.disk.id}))
+			return
+		}
+	}
+	for i, p := range peers {
+		lag, silent, ok := m.core.Lag(p.Id)
+		switch {
+		case !ok:
+		case !p.Voter && lag <= 8 && silent < time.Second:
+			next := slices.Clone(peers)
+			next[i] = &wire.Peer{Id: p.Id, Voter: true}
+			m.core.Change(now, next)
+			return
+		case p.Voter && silent > 3*time.Second && alive >= 3, !p.Voter && silent > 10*time.Second:
+			m.core.Change(now, slices.Delete(slices.Clone(peers), i, i+1))
+			return
+		}
+	}
+}
+
+// client begins a call at a machine, or gives one up.
+func (w *world) client(c int) {
+	if o := w.pending[c]; o != nil {
+		if w.now-o.call > 2*time.Second {
+			delete(w.pending, c) // it may still happen
+		}
+		return
+	}
+	var leaders []*machine // more than one may believe that it is
+	for _, m := range w.machines {
+		if m.core != nil && m.frozen <= w.now && m.core.Leads() {
+			leaders = append(leaders, m)
+		}
+	}
+	if len(leaders) == 0 {
+		return
+	}
+	m := leaders[w.rng.IntN(len(leaders))]
+	o := &op{client: c, call: w.now, ret: -1}
+	now := w.now + m.skew
+	if w.rng.IntN(2) == 0 {
+		w.token++
+		m.reads[w.token] = o
+		m.core.Read(now, w.token)
+	} else {
+		voters := 0
+		for _, p := range m.core.Peers() {
+			if p.Voter {
+				voters++
+			}
+		}
+		if voters < 3 {
+			return
+		}
+		w.nextID++
+		o.base, o.next = w.lastSeen[c], strconv.FormatUint(w.nextID, 10)
+		base, _ := strconv.ParseUint(o.base, 10, 64)
+		data, _ := proto.Marshal(&wire.PutConfig{Base: base, Body: []byte(o.next)})
+		index, term, err := m.core.Propose(now, data)
+		if err != nil {
+			return
+		}
+		o.term = term
+		m.writes[index] = o
+	}
+	w.pending[c] = o
+	w.history = append(w.history, o)
+}
+
+// trouble lets something fail now and then. No more is lost for good at a time
+// than may be: a disk goes only while all others are members with the whole log.
+func (w *world) trouble() {
+	any := w.rng.IntN(len(w.machines)) // the leader as often as any other
+	for i, m := range w.machines {
+		if m.core != nil && m.core.Leads() && w.rng.IntN(2) == 0 {
+			any = i
+		}
+	}
+	switch w.rng.IntN(1600) {
+	case 0, 1:
+		if m := w.machines[any]; m.core != nil {
+			w.crash(m, w.span(200, 4000))
+		}
+	case 2:
+		for _, m := range w.machines { // all power
+			w.crash(m, w.span(500, 1500))
+		}
+	case 3, 4:
+		a := any
+		for b := range w.machines { // one side hears, or nobody does
+			w.cut[[2]int{a, b}] = true
+			w.cut[[2]int{b, a}] = w.rng.IntN(3) > 0
+		}
+	case 5, 6, 7:
+		clear(w.cut)
+	case 8:
+		w.machines[any].frozen = w.now + w.span(500, 6000)
+	case 9:
+		w.machines[w.rng.IntN(len(w.machines))].skew += w.span(0, 3000)
+	case 10, 11:
+		m := w.machines[any]
+		for _, lead := range w.machines {
+			if m.core == nil || lead.core == nil || !lead.core.Leads() || !lead.core.Settled() {
+				continue
+			}
+			members := 0
+			for _, p := range lead.core.Peers() {
+				if i, ok := w.at(p.Id, lead); ok && p.Voter && w.machines[i].core != nil {
+					members++
+				}
+			}
+			// Two that lag at once would be more than one loss.
+			whole := true
+			for _, o := range w.machines {
+				if o != m && (o.core == nil || o.core.Commit() < lead.core.Commit() && o != lead) {
+					whole = false
+				}
+			}
+			if members == len(w.machines) && len(lead.core.Peers()) == len(w.machines) && whole {
+				id := m.disk.id
+				w.crash(m, w.span(100, 2000))
+				m.disk = disk{}
+				if *keepID {
+					m.disk.id = id
+				}
+				w.wipes++
+			}
+			return
+		}
+	}
+}
+
+// register is the history's model: a register with compare and set.
+var register = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, in, out any) (bool, any) {
+		o, result := in.(*op), out.(string)
+		switch {
+		case o.next == "":
+			return result == state.(string), state
+		case result == "ok":
+			return state.(string) == o.base, o.next
+		case result == "stale":
+			return state.(string) != o.base, state
+		}
+		if state.(string) == o.base { // not known: it may have been taken
+			return true, o.next
+		}
+		return true, state
+	},
+}
+
+func play(seed uint64, length time.Duration) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 3)), cut: map[[2]int]bool{}, pending: map[int]*op{}, lastSeen: map[int]string{}}
+	for i := range 3 + w.rng.IntN(2) {
+		m := &machine{n: i}
+		w.machines = append(w.machines, m)
+		if i == 0 {
+			w.nextID = 1
+			m.disk = disk{id: 1, hard: &wire.HardState{Term: 1}, snap: &wire.RaftSnapshot{
+				Term: 1, Index: 1, Peers: &wire.Peers{Peers: []*wire.Peer{{Id: 1, Voter: true}}}}}
+		}
+		w.start(m)
+	}
+	const step = 5 * time.Millisecond
+	for ; w.now < length; w.now += step {
+		calm := w.now > length-12*time.Second // so that what was acknowledged is read at the end
+		if calm {
+			clear(w.cut)
+		} else if w.now > 3*time.Second {
+			w.trouble()
+		}
+		for c := range 4 {
+			if w.rng.IntN(8) == 0 {
+				w.client(c)
+			}
+		}
+		for _, m := range w.machines {
+			if m.core == nil {
+				if w.now >= m.downTil {
+					w.start(m)
+				}
+				continue
+			}
+			if m.frozen > w.now {
+				continue
+			}
+			now := w.now + m.skew
+			due := m.inbox[:0:0]
+			rest := m.inbox[:0]
+			for _, p := range m.inbox {
+				if p.at <= w.now {
+					due = append(due, p)
+				} else {
+					rest = append(rest, p)
+				}
+			}
+			m.inbox = rest
+			for _, p := range due {
+				if !w.cut[[2]int{p.from, m.n}] && m.core != nil {
+					m.heard[p.m.From] = p.from
+					m.core.Step(now, p.m)
+				}
+			}
+			m.core.Tick(now)
+			if w.now-m.managed > 250*time.Millisecond {
+				m.managed = w.now
+				w.manage(m)
+			}
+			w.settle(m)
+		}
+	}
+	return w
+}
+
+// TestHistoriesAreLinearizable plays worlds with crashes, lost disks, cuts, frozen
+// machines and clocks that step, and checks what clients saw.
+func TestHistoriesAreLinearizable(t *testing.T) {
+	answered, wipes := 0, 0
+	for i := range *seeds {
+		seed := *firstOne + uint64(i)
+		w := play(seed, 45*time.Second)
+		var ops []porcupine.Operation
+		late := false
+		for _, o := range w.history {
+			ret := int64(o.ret)
+			if o.ret < 0 && o.next == "" {
+				continue // a read that was never answered says nothing
+			}
+			if o.ret < 0 {
+				ret = int64(time.Hour)
+			} else {
+				answered++
+				late = late || o.call > 38*time.Second
+			}
+			ops = append(ops, porcupine.Operation{ClientId: o.client, Input: o, Call: int64(o.call), Output: o.result, Return: ret})
+		}
+		wipes += w.wipes
+		if !late {
+			t.Errorf("seed %d: nothing was answered after the troubles had ended", seed)
+		}
+		if porcupine.CheckOperationsTimeout(register, ops, 20*time.Second) == porcupine.Illegal {
+			t.Errorf("seed %d: the history is not linearizable (go test -run Linearizable -seed %d -seeds 1)", seed, seed)
+		}
+	}
+	if answered < 50**seeds || *seeds >= 10 && wipes == 0 {
+		t.Errorf("%d calls answered and %d disks lost in %d worlds: hardly a test", answered, wipes, *seeds)
+	}
+	t.Logf("%d calls answered, %d disks lost", answered, wipes)
+}
+
+// TestElectionAfterLoss measures how long a core of three is without a leader
+// after it has lost its own.
+func TestElectionAfterLoss(t *testing.T) {
+	var times []time.Duration
+	for seed := range uint64(*seeds) {
+		w := &world{rng: rand.New(rand.NewPCG(seed, 9)), cut: map[[2]int]bool{}, pending: map[int]*op{}, lastSeen: map[int]string{}}
+		peers := &wire.Peers{}
+		for i := range uint64(3) {
+			peers.Peers = append(peers.Peers, &wire.Peer{Id: i + 1, Voter: true})
+		}
+		for i := range 3 {
+			m := &machine{n: i, disk: disk{id: uint64(i + 1), snap: &wire.RaftSnapshot{Term: 1, Index: 1, Peers: peers}}}
+			w.machines = append(w.machines, m)
+			w.start(m)
+		}
+		lost := time.Duration(0)
+		for ; w.now < 30*time.Second; w.now += time.Millisecond {
+			leads := -1
+			for _, m := range w.machines {
+				if m.core == nil {
+					continue
+				}
+				for len(m.inbox) > 0 && m.inbox[0].at <= w.now {
+					m.core.Step(w.now, m.inbox[0].m)
+					m.inbox = m.inbox[1:]
+				}
+				m.core.Tick(w.now)
+				for o := m.core.Take(); !o.Empty(); o = m.core.Take() {
+					m.disk.save(o)
+					if n := len(o.Entries); n > 0 {
+						m.core.Stable(o.Entries[n-1].Index)
+					}
+					for _, msg := range o.Messages {
+						to := w.machines[msg.To-1]
+						to.inbox = append(to.inbox, parcel{w.now + time.Millisecond, m.n, msg})
+					}
+				}
+				if m.core != nil && m.core.Leads() {
+					leads = m.n
+				}
+			}
+			if lost == 0 && leads >= 0 && w.now > 4*time.Second {
+				w.machines[leads].core, lost = nil, w.now
+			} else if lost > 0 && leads >= 0 {
+				times = append(times, w.now-lost)
+				break
+			}
+		}
+	}
+	slices.Sort(times)
+	if len(times) < *seeds {
+		t.Fatalf("%d of %d cores had a new leader", len(times), *seeds)
+	}
+	p50, p99 := times[len(times)/2], times[len(times)*99/100]
+	t.Logf("a new leader after %v (p50), %v (p99)", p50, p99)
+	if p99 > 3*time.Second {
+		t.Errorf("the 99th percentile is %v", p99)
+	}
+}
