Test the mesh's packages, and let a repeat wait for a server with room

Cause: a repeatable request whose first server broke off was given up at once where the other server had asked to be left alone for 60 ms. The new test of what becomes of requests showed it: 502 after one server, now 200 after two. Servers that a request has arrived at are never asked again; those that turned it away may be.

--- /dev/null
+++ b/decide/mesh_test.go
@@ -0,0 +1,157 @@
+package decide
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+)
+
+// settle brings a gate's r to a value, with one request left in flight.
+func settle(g *Gate, r float64) time.Duration {
+	now := time.Duration(0)
+	g.Begin(now)
+	for range 40 {
+		for range 20 {
+			g.Begin(now)
+			g.Done(now, time.Duration(r*float64(time.Second)), time.Second)
+		}
+		now += gatePeriod
+	}
+	g.Admit(now, 0)
+	return now
+}
+
+func TestCurvesAreStacked(t *testing.T) {
+	width := (gateTop - gateFoot) / 3
+	for _, c := range []struct{ r, high, middle, low float64 }{
+		{gateFoot - 0.1, 1, 1, 1},
+		{gateFoot + width/4, 1, 1, 0.75},
+		{gateFoot + width, 1, 1, 0},
+		{gateFoot + 1.5*width, 1, 0.5, 0},
+		{gateFoot + 2.75*width, 0.25, 0, 0},
+		{gateTop + 1, 0, 0, 0},
+	} {
+		g := NewGate(1, 0)
+		g.Priorities([]int{0, 2, 1, 2})
+		now := settle(g, c.r)
+		for p, want := range []float64{c.high, c.middle, c.low} {
+			if got := g.Chance(p); math.Abs(got-want) > 0.01 {
+				t.Errorf("r %.2f: priority %d has chance %.3f, want %.3f", g.Reading(), p, got, want)
+			}
+			in := 0
+			for range 2000 {
+				if g.Admit(now, p) {
+					in++
+				}
+			}
+			if math.Abs(float64(in)/2000-want) > 0.05 {
+				t.Errorf("r %.2f: %d of 2000 of priority %d are admitted, want %.2f", g.Reading(), in, p, want)
+			}
+		}
+	}
+}
+
+func TestGateWithNothingInFlight(t *testing.T) {
+	g := NewGate(1, 0)
+	g.Priorities([]int{0})
+	now := settle(g, 5)
+	if g.Admit(now, 0) {
+		t.Error("admitted at five aims")
+	}
+	r := g.Reading()
+	if g.Admit(now+10*gatePeriod, 0); g.Reading() != r {
+		t.Error("periods without outcomes moved r")
+	}
+	g.Done(now, time.Second, 0)
+	if !g.Admit(now, 0) {
+		t.Error("refused with nothing in flight")
+	}
+}
+
+// TestGraphsStayOutOfCrowdedServices: a graph of the lowest priority stays out where the service that it calls
+// has no room, while those of higher ones go on.
+func TestGraphsStayOutOfCrowdedServices(t *testing.T) {
+	g, behind := NewGate(1, 0), NewGate(2, 0)
+	for _, x := range []*Gate{g, behind} {
+		x.Priorities([]int{0, 1, 2})
+		x.Begin(0)
+	}
+	for i := range 200 {
+		behind.Room(i%3 > 0)
+	}
+	in := [3]int{}
+	for range 1000 {
+		for p := range in {
+			if g.Admit(0, p, behind) {
+				in[p]++
+			}
+		}
+	}
+	if in[0] != 1000 || in[1] < 900 || in[2] > 200 {
+		t.Errorf("admitted by priority: %v of 1000", in)
+	}
+}
+
+func TestPicks(t *testing.T) {
+	p := NewPicker("n", 1)
+	var list []Target
+	for i := range 4 {
+		list = append(list, Target{ID: fmt.Sprint("near", i), Near: true}, Target{ID: fmt.Sprint("far", i)})
+	}
+	p.List(list)
+	counts := map[string]int{}
+	for range 40 { // none ends: the load has to spread, over this zone first
+		id, ok := p.Pick(0, nil)
+		if !ok {
+			t.Fatal("no server")
+		}
+		counts[id]++
+		p.Begin(id)
+	}
+	near := counts["near0"] + counts["near1"] + counts["near2"] + counts["near3"]
+	if near <= 20 || near == 40 || counts["near0"] > near/2 {
+		t.Errorf("picked %v", counts)
+	}
+	// One that fails again and again is left alone, one with a queue comes last, one that is tried never.
+	for range ejectAfter {
+		p.End(0, "near0", Broken, false)
+	}
+	for _, id := range []string{"near1", "near2", "near3"} {
+		p.End(0, id, Served, true)
+	}
+	for range 50 {
+		if id, _ := p.Pick(0, []string{"far0"}); id == "far0" || id[0] == 'n' {
+			t.Errorf("picked %s", id)
+		}
+	}
+	p.List(list[:1])
+	if id, ok := p.Pick(0, nil); !ok || id != "near0" {
+		t.Errorf("the only server, though ejected, is better than none: %q, %v", id, ok)
+	}
+	if _, ok := p.Pick(0, []string{"near0"}); ok {
+		t.Error("a tried server was picked again")
+	}
+}
+
+func TestSubsetsAreSmall(t *testing.T) {
+	var list []Target
+	for i := range 100 {
+		list = append(list, Target{ID: fmt.Sprint(i), Near: i%3 == 0})
+	}
+	all := map[string]int{}
+	for n := range 60 {
+		p := NewPicker(fmt.Sprint("node", n), 1)
+		p.List(list)
+		if len(p.near)+len(p.far) != meshSubset || len(p.far) != meshFar {
+			t.Fatalf("%d near and %d far", len(p.near), len(p.far))
+		}
+		for _, s := range slices.Concat(p.near, p.far) {
+			all[s.ID]++
+		}
+	}
+	if len(all) < 70 {
+		t.Errorf("60 nodes use %d of 100 servers", len(all))
+	}
+}
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,132 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"curlewring/internal/wire"
+)
+
+// fleet plays groups in simulated time; a message takes no time, or gets lost.
+type fleet struct {
+	t      *testing.T
+	rng    *rand.Rand
+	now    time.Duration
+	groups map[string]*Group
+	loss   float64
+	cut    func(a, b string) bool
+}
+
+func (f *fleet) reach(from, to string) bool {
+	return f.groups[to] != nil && (f.cut == nil || !f.cut(from, to)) && f.rng.Float64() >= f.loss
+}
+
+func (f *fleet) exchange(from, to string, p *wire.Probe) bool {
+	if !f.reach(from, to) {
+		return false
+	}
+	g := f.groups[to]
+	g.Hear(f.now, p.From)
+	g.Hear(f.now, p.News...)
+	reached := true
+	if p.Target != nil {
+		reached = f.exchange(to, p.Target.Name, &wire.Probe{From: g.Self()})
+	}
+	f.groups[from].Hear(f.now, g.Answer(p.Whole)...)
+	return reached
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += 50 * time.Millisecond {
+		for i := range len(f.groups) + 8 { // in one order, so that runs repeat
+			g := f.groups[fmt.Sprint("n", i)]
+			if g == nil {
+				continue
+			}
+			todo := g.Tick(f.now)
+			for len(todo) > 0 {
+				a := todo[0]
+				to := a.Target
+				if a.Helper != "" {
+					to = a.Helper
+				}
+				todo = append(todo[1:], g.Probed(f.now, a, f.exchange(g.Self().Name, to, a.Probe))...)
+			}
+		}
+	}
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{t: t, rng: rand.New(rand.NewPCG(1, 2)), groups: map[string]*Group{}}
+	for i := range n {
+		name := fmt.Sprint("n", i)
+		f.groups[name] = New(&wire.Member{Name: name, Address: name, Life: 1}, uint64(i), 0)
+	}
+	for i := 1; i < n; i++ {
+		f.exchange(fmt.Sprint("n", i), "n0", &wire.Probe{From: f.groups[fmt.Sprint("n", i)].Self(), Whole: true})
+	}
+	return f
+}
+
+func (f *fleet) want(n int, when string) {
+	f.t.Helper()
+	for name, g := range f.groups {
+		alive := 0
+		for _, m := range g.Members() {
+			if m.State == wire.Member_ALIVE {
+				alive++
+			}
+		}
+		if alive != n {
+			f.t.Errorf("%s: %s knows %d alive, want %d", when, name, alive, n)
+		}
+	}
+}
+
+func TestDeathIsKnownToAll(t *testing.T) {
+	f := newFleet(t, 20)
+	f.run(5 * time.Second)
+	f.want(20, "at first")
+	delete(f.groups, "n7")
+	f.run(20 * time.Second)
+	f.want(19, "after a death")
+	for name, g := range f.groups {
+		if g.Gone(f.now, "n7") == 0 {
+			t.Errorf("%s does not hold n7 for gone", name)
+		}
+	}
+	// A new life is known again, though all have heard of the death.
+	f.groups["n7"] = New(&wire.Member{Name: "n7", Address: "n7", Life: 2}, 77, f.now)
+	f.exchange("n7", "n0", &wire.Probe{From: f.groups["n7"].Self(), Whole: true})
+	f.run(10 * time.Second)
+	f.want(20, "after its return")
+	g := f.groups["n3"]
+	g.Leave()
+	f.exchange("n3", "n4", &wire.Probe{From: g.Self(), News: []*wire.Member{g.Self()}})
+	delete(f.groups, "n3")
+	f.run(8 * time.Second)
+	f.want(19, "after it left")
+}
+
+// TestLossAndCutsAreNoDeath: third parties vouch for a node that some can't reach,
+// and a node refutes what is said of it.
+func TestLossAndCutsAreNoDeath(t *testing.T) {
+	f := newFleet(t, 12)
+	f.loss = 0.05
+	f.cut = func(a, b string) bool { return a == "n1" && b == "n2" || a == "n2" && b == "n1" }
+	f.run(60 * time.Second)
+	dead := 0
+	for _, g := range f.groups {
+		dead += len(f.groups) - len(g.Members())
+	}
+	if dead > 0 {
+		t.Errorf("%d times a living node was taken for dead", dead)
+	}
+	g := f.groups["n5"]
+	f.loss, f.cut = 0, nil
+	f.groups["n0"].Hear(f.now, &wire.Member{Name: "n5", Address: "n5", Life: 1, Incarnation: g.Self().Incarnation, State: wire.Member_SUSPECT})
+	f.run(10 * time.Second)
+	f.want(12, "after a slander")
+}
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -198,20 +198,20 @@
 
 // request is one request on its way.
 type request struct {
-	o        *Outbound
-	call     *Call
-	route    *meshconfig.Route
-	world    *World
-	name     string // of the service
-	service  *service
-	until    time.Time
-	inner    bool     // a call of a graph that was admitted
-	rank     uint32   // its place in the queues of servers; 0 is the highest
-	arrivals int      // servers that it has reached
-	ran      bool     // it may have run
-	tried    []string // servers not to be asked again
-	turned   int
-	crowded  bool // at some moment no server had room
+	o       *Outbound
+	call    *Call
+	route   *meshconfig.Route
+	world   *World
+	name    string // of the service
+	service *service
+	until   time.Time
+	inner   bool     // a call of a graph that was admitted
+	rank    uint32   // its place in the queues of servers; 0 is the highest
+	reached []string // servers that it has arrived at
+	ran     bool     // it may have run
+	tried   []string // servers not to be asked again
+	turned  int
+	crowded bool // at some moment no server had room
 }
 
 // Handle gives one request its final answer.
@@ -274,7 +274,7 @@
 	if r.inner { // its time is part of its graph's
 		aim = 0
 	}
-	if r.arrivals == 0 && !r.ran { // no server had a part in its time
+	if len(r.reached) == 0 && !r.ran { // no server had a part in its time
 		aim = 0
 	}
 	s.gate.Done(o.now(), time.Since(c.Arrived), aim)
@@ -291,6 +291,7 @@
 		// Its graph is lost with it, but one that waits holds a slot of its caller.
 		patience = max(leastPatience, r.route.Aim()/innerPatience)
 	}
+	since := r.call.Arrived // of the wait for a server
 	for {
 		id, ok := r.pick()
 		if !ok {
@@ -301,10 +302,10 @@
 				r.service.gate.Room(false)
 				r.o.mu.Unlock()
 			}
-			if r.arrivals > 0 || time.Since(r.call.Arrived) > patience {
+			if time.Since(since) > patience {
 				return r.giveUp("no server has room")
 			}
-			r.tried = r.tried[:0]
+			r.tried = append(r.tried[:0], r.reached...) // those that turned it away may have room by now
 			select {
 			case <-time.After(fullPause):
 				continue
@@ -315,37 +316,38 @@
 		out, result := r.attempt(ctx, id)
 		r.o.mu.Lock()
 		r.service.picker.End(r.o.now(), id, result, out.Waiting)
-		if r.arrivals == 0 && !r.crowded && out.Fate != wire.Outcome_UNSENT {
+		if len(r.reached) == 0 && !r.crowded && out.Fate != wire.Outcome_UNSENT {
 			r.service.gate.Room(true)
 		}
 		r.o.mu.Unlock()
 		switch out.Fate {
 		case wire.Outcome_ANSWERED:
-			r.arrivals++
+			r.reach(id)
 			r.o.learn(r.route.Name, out.Called)
-			if a := r.final(out, id); a != nil {
+			if a := r.final(out); a != nil {
 				return a
 			}
+			since = time.Now()
 		case wire.Outcome_UNSENT:
 			r.turned++
 			r.tried = append(r.tried, id)
 			if ctx.Err() != nil {
 				return r.giveUp("no time left")
 			}
-			if time.Since(r.call.Arrived) > patience && r.turned >= mostTurned {
+			if time.Since(since) > patience && r.turned >= mostTurned {
 				return r.giveUp("no server has room")
 			}
 			continue
 		case wire.Outcome_UNRUN:
-			r.arrivals++
-			r.tried = append(r.tried, id)
+			r.reach(id)
+			since = time.Now()
 			if !r.mayRepeat() {
 				return r.giveUp("the servers have no room")
 			}
 		case wire.Outcome_BROKEN, wire.Outcome_LATE:
-			r.arrivals++
+			r.reach(id)
 			r.ran = true
-			r.tried = append(r.tried, id)
+			since = time.Now()
 			if ctx.Err() != nil {
 				return text(504, "no answer in time")
 			}
@@ -359,6 +361,12 @@
 	}
 }
 
+// reach books a server that the request has arrived at: it gets no second try.
+func (r *request) reach(id string) {
+	r.reached = append(r.reached, id)
+	r.tried = append(r.tried, id)
+}
+
 // giveUp is the answer to a request for which there is no further attempt.
 func (r *request) giveUp(why string) *Answer {
 	if r.ran {
@@ -382,7 +390,7 @@
 // mayRepeat tells whether the request may reach one more server, and pays for it.
 // Where the gate has begun to refuse its like, repeats would only add to the load.
 func (r *request) mayRepeat() bool {
-	if r.arrivals >= max(1, r.route.MaxAttempts) {
+	if len(r.reached) >= max(1, r.route.MaxAttempts) {
 		return false
 	}
 	r.o.mu.Lock()
@@ -442,11 +450,10 @@
 
 // final makes the client's answer of a server's, or nil where another attempt is
 // better.
-func (r *request) final(out *wire.Outcome, id string) *Answer {
+func (r *request) final(out *wire.Outcome) *Answer {
 	status := int(out.Status)
 	if status >= 500 && status != 504 && r.route.Kind == meshconfig.Repeatable {
 		r.ran = true
-		r.tried = append(r.tried, id)
 		if r.mayRepeat() {
 			return nil
 		}
--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,292 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"curlewring/internal/meshconfig"
+	"curlewring/internal/rpc"
+	"curlewring/internal/wire"
+)
+
+// bed is one node with both sides, and stand-ins for two servers.
+type bed struct {
+	t        testing.TB
+	in       *Inbound
+	out      *Outbound
+	front    string
+	mu       sync.Mutex
+	arrivals map[string][]string // servers, by Attempt-Id
+	headers  map[string]http.Header
+}
+
+// app is a server's stand-in: what it does with a request is written in the path.
+func (b *bed) app(name string, gate chan struct{}) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("Attempt-Id")
+		b.mu.Lock()
+		b.arrivals[id] = append(b.arrivals[id], name)
+		first := len(b.arrivals[id]) == 1
+		b.headers[id] = r.Header.Clone()
+		b.mu.Unlock()
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("Attempt-Id", id)
+		switch do := r.URL.Path; {
+		case strings.Contains(do, "wait"):
+			<-gate
+		case strings.Contains(do, "full") && first:
+			w.Header().Set("Not-Executed", "1")
+			w.WriteHeader(503)
+			return
+		case strings.Contains(do, "torn") && first:
+			w.Header().Set("Content-Length", "100")
+			io.WriteString(w, "part")
+			return
+		case strings.Contains(do, "bare"):
+			io.WriteString(w, "no seal")
+			return
+		case strings.Contains(do, "busy"):
+			w.WriteHeader(429)
+			return
+		}
+		w.Header().Set("Server-Seal", "seal")
+		fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
+	})}
+	go s.Serve(l)
+	b.t.Cleanup(func() { s.Close() })
+	return l.Addr().String()
+}
+
+func newBed(t testing.TB, gate chan struct{}) *bed {
+	b := &bed{t: t, arrivals: map[string][]string{}, headers: map[string]http.Header{}}
+	log := slog.New(slog.DiscardHandler)
+	ctx, cancel := context.WithCancel(context.Background())
+	b.in = NewInbound(time.Hour, time.Second, log)
+	nodes, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clients, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := rpc.NewServer(log)
+	server.Handle("forward", rpc.Unary(b.in.Forward))
+	b.out = &Outbound{Node: "n", Zone: "z", Backend: "own", Ratio: 1, Window: 10 * time.Second, Pool: rpc.NewPool(ctx), Log: log, Graph: b.in.Graph}
+	b.out.Start(1)
+	b.out.Share(1000)
+	front := &Front{Handle: b.out.Handle, Bounds: b.out.Bounds, Log: log}
+	var running sync.WaitGroup
+	running.Go(func() { server.Serve(ctx, nodes) })
+	running.Go(func() { front.Serve(ctx, clients) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	b.front = clients.Addr().String()
+
+	route := func(prefix, kind string) map[string]any {
+		return map[string]any{"name": prefix, "hostname": "h.example", "path_prefix": prefix, "route_type": kind,
+			"timeout_ms": 20000, "target_latency_ms": 10000, "priority": 1, "backend": "s", "max_attempts": 2}
+	}
+	body, err := msgpack.Marshal(map[string]any{"revision": 1, "backend_table": []map[string]any{{"name": "s"}},
+		"route_table": []map[string]any{route("/safe/", "idempotent"), route("/once/", "non_idempotent")}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	config, err := meshconfig.Parse(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &World{Config: config, Servers: map[string]*wire.Server{}}
+	for _, id := range []string{"i-1", "i-2"} {
+		b.in.Beat(Beat{ID: id, Service: "s", Address: b.app(id, gate), Zone: "z", Slots: 8}, time.Now())
+		w.Servers[id] = &wire.Server{Member: id, Service: "s", Address: nodes.Addr().String(), Zone: "z"}
+	}
+	b.out.Update(w)
+	return b
+}
+
+func (b *bed) ask(method, path, id, body string, more ...string) (int, string, http.Header) {
+	b.t.Helper()
+	req, err := http.NewRequest(method, "http://"+b.front+path, strings.NewReader(body))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Time-Budget", "15000")
+	for i := 0; i+1 < len(more); i += 2 {
+		req.Header.Set(more[i], more[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		b.t.Fatalf("%s: %v", path, err)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		b.t.Fatalf("%s: %v", path, err)
+	}
+	return resp.StatusCode, string(answer), resp.Header
+}
+
+func (b *bed) servers(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.arrivals[id])
+}
+
+func TestWhatBecomesOfRequests(t *testing.T) {
+	b := newBed(t, nil)
+	for i, c := range []struct {
+		method, path, body string
+		status, arrivals   int
+		answer             string
+	}{
+		{"GET", "/safe/x?a=%41&b", "", 200, 1, "GET /safe/x?a=%41&b "},
+		{"POST", "/once/x", "payload", 200, 1, "POST /once/x payload"},
+		{"GET", "/none/x", "", 404, 0, "no route\n"},
+		{"POST", "/once/full", "p", 200, 2, "POST /once/full p"}, // not run, so another may have it
+		{"GET", "/safe/torn", "", 200, 2, "GET /safe/torn "},
+		{"POST", "/once/torn", "p", 502, 1, "the server gave no proper answer\n"}, // it may have run
+		{"POST", "/once/bare", "p", 502, 1, "the server gave no proper answer\n"},
+		{"POST", "/once/busy", "p", 502, 1, "the server failed\n"}, // 429 would be a promise that nobody made
+	} {
+		id := fmt.Sprint("id", i)
+		status, answer, _ := b.ask(c.method, c.path, id, c.body)
+		if status != c.status || answer != c.answer || b.servers(id) != c.arrivals {
+			t.Errorf("%s %s: %d %q after %d servers, want %d %q after %d", c.method, c.path, status, answer, b.servers(id), c.status, c.answer, c.arrivals)
+		}
+	}
+	b.ask("GET", "/safe/h", "idh", "", "Caller-Service", "liar", "Target-Instance", "x", "Connection", "X-Hop", "X-Hop", "1", "X-Kept", "2")
+	b.mu.Lock()
+	h := b.headers["idh"]
+	b.mu.Unlock()
+	if h.Get("Caller-Service") != "own" || !strings.HasPrefix(h.Get("Target-Instance"), "i-") || h.Get("X-Hop") != "" || h.Get("X-Kept") != "2" {
+		t.Errorf("the server got %v", h)
+	}
+}
+
+// TestDrainedServersGetNothing: after the bound nothing passes, and where no server
+// is left the refusal says when to come back.
+func TestDrainedServersGetNothing(t *testing.T) {
+	b := newBed(t, nil)
+	b.in.Drain = 0
+	for _, beat := range b.in.Servers() {
+		beat.Draining, beat.Seq = true, 1
+		b.in.Beat(beat, time.Now().Add(-time.Second))
+		beat.Draining, beat.Seq = false, 2 // it never comes back from that
+		b.in.Beat(beat, time.Now())
+	}
+	req := time.Now()
+	status, _, h := b.ask("POST", "/once/x", "d", "p", "Time-Budget", "300")
+	if status != 503 || h.Get("Retry-After") == "" || b.servers("d") != 0 {
+		t.Errorf("%d %v after %d servers in %v", status, h, b.servers("d"), time.Since(req))
+	}
+	if b.in.Deregister("i-1"); b.in.Beat(Beat{ID: "i-1", Seq: 9}, time.Now()) {
+		t.Error("a life that has ended was taken back")
+	}
+}
+
+// TestPipelining sends requests behind each other of which the first is held up:
+// the others run meanwhile, and the answers keep their order.
+func TestPipelining(t *testing.T) {
+	gate := make(chan struct{})
+	b := newBed(t, gate)
+	nc, err := net.Dial("tcp", b.front)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	for i, path := range []string{"/safe/wait", "/safe/1", "/safe/2"} {
+		fmt.Fprintf(nc, "GET %s HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: p%d\r\nTime-Budget: 15000\r\n\r\n", path, i)
+	}
+	for b.servers("p1") == 0 || b.servers("p2") == 0 {
+		time.Sleep(time.Millisecond) // until they have run, the first being held
+	}
+	close(gate)
+	r := bufio.NewReader(nc)
+	for _, want := range []string{"GET /safe/wait ", "GET /safe/1 ", "GET /safe/2 "} {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, _ := io.ReadAll(resp.Body); string(body) != want {
+			t.Errorf("%q, want %q", body, want)
+		}
+	}
+	fmt.Fprintf(nc, "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n")
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil || resp.StatusCode != 400 || !resp.Close {
+		t.Errorf("%v, %v", resp, err)
+	}
+}
+
+func TestInnerCallsAreTold(t *testing.T) {
+	gate := make(chan struct{})
+	b := newBed(t, gate)
+	done := make(chan struct{})
+	go func() { defer close(done); b.ask("GET", "/safe/wait", "graph1", "") }()
+	for b.servers("graph1") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for id, want := range map[string]bool{"graph1.abc": true, "graph1-x.y": true, "graph1": false, "graph1abc": false, "graph2.abc": false, ".": false} {
+		if _, inner, _ := b.in.Graph(id, "s"); inner != want {
+			t.Errorf("%s: inner is %v", id, inner)
+		}
+	}
+	close(gate)
+	<-done
+	if _, inner, _ := b.in.Graph("graph1.abc", "s"); inner {
+		t.Error("a call of a run that has ended passes for an inner one")
+	}
+}
+
+// TestQueue fills a server's slots: higher priorities go first, the lowest lose
+// their places, and those who are turned away have reached no server.
+func TestQueue(t *testing.T) {
+	m := &local{in: NewInbound(time.Hour, time.Second, slog.New(slog.DiscardHandler)), Beat: Beat{Slots: 2}}
+	m.inflight = 2
+	low, lower := m.enqueue(3), m.enqueue(4)
+	high := m.enqueue(1)
+	if high == nil || <-lower.verdict || m.enqueue(3) != nil {
+		t.Fatal("the lowest did not lose its place, or one of the same priority did")
+	}
+	m.next(time.Now())
+	if !<-high.verdict || len(low.verdict) != 0 {
+		t.Error("the highest did not go first")
+	}
+}
+
+func BenchmarkRequest(b *testing.B) {
+	bed := newBed(b, nil)
+	nc, err := net.Dial("tcp", bed.front)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer nc.Close()
+	r := bufio.NewReader(nc)
+	msg := []byte("GET /safe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: p\r\nTime-Budget: 15000\r\n\r\n")
+	b.ReportAllocs()
+	for b.Loop() {
+		nc.Write(msg)
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+	}
+}
--- /dev/null
+++ b/internal/rpc/rpc_test.go
@@ -0,0 +1,142 @@
+package rpc
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"curlewring/internal/wire"
+)
+
+func serve(t testing.TB) (addr string, pool *Pool, hold chan struct{}) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	hold = make(chan struct{})
+	s := NewServer(slog.New(slog.DiscardHandler))
+	s.Handle("echo", Unary(func(_ context.Context, q *wire.Forward) (*wire.Outcome, error) {
+		return &wire.Outcome{Body: q.Body}, nil
+	}))
+	s.Handle("hang", Unary(func(ctx context.Context, _ *wire.Ask) (*wire.Ask, error) {
+		<-ctx.Done()
+		close(hold)
+		return nil, ctx.Err()
+	}))
+	s.Handle("flood", func(st *Stream) error { // more than the credit, to one that does not read
+		if err := st.Recv(new(wire.Ask)); err != nil {
+			return err
+		}
+		for {
+			if err := st.Send(&wire.Outcome{Body: make([]byte, 16<<10)}); err != nil {
+				return err
+			}
+		}
+	})
+	ended := make(chan struct{})
+	go func() { defer close(ended); s.Serve(ctx, l) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	return l.Addr().String(), NewPool(ctx), hold
+}
+
+func TestCalls(t *testing.T) {
+	addr, pool, hold := serve(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	for _, size := range []int{0, 1, mostChunk, 3 * window} {
+		out := new(wire.Outcome)
+		if err := pool.Call(ctx, addr, "echo", &wire.Forward{Body: make([]byte, size)}, out); err != nil || len(out.Body) != size {
+			t.Errorf("%d bytes: %d came back, %v", size, len(out.Body), err)
+		}
+	}
+	if err := pool.Call(ctx, addr, "nothing", &wire.Ask{}, new(wire.Ask)); !IsPeer(err) {
+		t.Errorf("an unknown method: %v", err)
+	}
+	short, stop := context.WithCancel(ctx)
+	go func() {
+		s, err := pool.Open(short, addr, "hang", &wire.Ask{})
+		if err == nil {
+			stop()
+			s.Recv(new(wire.Ask))
+			s.Close()
+		}
+	}()
+	select {
+	case <-hold: // the other side hears that nobody waits
+	case <-ctx.Done():
+		t.Error("a call that was called off runs on")
+	}
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	free.Close()
+	if err := pool.Call(ctx, free.Addr().String(), "echo", &wire.Forward{}, new(wire.Outcome)); !errors.Is(err, ErrUnsent) {
+		t.Errorf("nobody there: %v, want ErrUnsent", err)
+	}
+}
+
+// TestSlowReaderHoldsUpItsStreamAlone leaves a flood unread beside calls on the
+// same connection.
+func TestSlowReaderHoldsUpItsStreamAlone(t *testing.T) {
+	addr, pool, _ := serve(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	flood, err := pool.Open(ctx, addr, "flood", &wire.Ask{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer flood.Close()
+	for range 200 {
+		if err := pool.Call(ctx, addr, "echo", &wire.Forward{Body: []byte("x")}, new(wire.Outcome)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	flood.mu.Lock()
+	held := 0
+	for _, m := range flood.messages {
+		held += len(m)
+	}
+	flood.mu.Unlock()
+	if held > window {
+		t.Errorf("%d unread bytes are held, over the window of %d", held, window)
+	}
+}
+
+// TestPeersThatSpeakNoProtocol must cost nothing but their connection.
+func TestPeersThatSpeakNoProtocol(t *testing.T) {
+	addr, pool, _ := serve(t)
+	for name, bytes := range map[string][]byte{
+		"HTTP":            []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+		"absurd length":   binary.BigEndian.AppendUint32(nil, 1<<31),
+		"a frame of junk": append(binary.BigEndian.AppendUint32(nil, 8), "\xff\xff\xff\xff\xff\xff\xff\xff"...),
+	} {
+		nc, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc.Write(bytes)
+		nc.SetReadDeadline(time.Now().Add(20 * time.Second))
+		if _, err := io.ReadAll(nc); err != nil && !strings.Contains(err.Error(), "reset") {
+			t.Errorf("%s: the connection stays: %v", name, err)
+		}
+		nc.Close()
+	}
+	torn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	torn.Write([]byte{0, 0, 0, 9, 1})
+	torn.Close()
+	if err := pool.Call(context.Background(), addr, "echo", &wire.Forward{}, new(wire.Outcome)); err != nil {
+		t.Errorf("after all that: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,137 @@
+package store
+
+import (
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"curlewring/internal/wire"
+)
+
+func open(t testing.TB, dir string) *Store {
+	t.Helper()
+	s, err := Open(dir, rand.New(rand.NewPCG(1, uint64(len(dir)))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func entries(term uint64, from, to uint64) (list []*wire.Entry) {
+	for i := from; i <= to; i++ {
+		list = append(list, &wire.Entry{Term: term, Index: i, Data: []byte("data")})
+	}
+	return list
+}
+
+func save(t *testing.T, s *Store, b Batch) {
+	t.Helper()
+	if err := s.Save(b); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestWhatIsSavedIsFound(t *testing.T) {
+	dir := t.TempDir()
+	s := open(t, dir)
+	id := s.ID
+	if !s.Fresh || id == 0 {
+		t.Fatalf("fresh %v, identity %d", s.Fresh, id)
+	}
+	save(t, s, Batch{Hard: &wire.HardState{Term: 2, Vote: 9}, Entries: entries(1, 1, 9)})
+	save(t, s, Batch{Entries: entries(2, 5, 6)}) // replaces 5 to 9
+	save(t, s, Batch{Snapshot: &wire.RaftSnapshot{Term: 1, Index: 3, Data: []byte("s")}})
+	s.Close()
+	s = open(t, dir)
+	if s.Fresh || s.ID != id || s.Hard.GetVote() != 9 || s.Snapshot.GetIndex() != 3 {
+		t.Fatalf("%+v", s)
+	}
+	if len(s.Entries) != 3 || s.Entries[0].Index != 4 || s.Entries[2].Index != 6 || s.Entries[2].Term != 2 {
+		t.Fatalf("%v", s.Entries)
+	}
+	s.Entries = nil
+	save(t, s, Batch{Whole: true, Snapshot: &wire.RaftSnapshot{Term: 3, Index: 5, Data: []byte("t")}})
+	s.Close()
+	s = open(t, dir)
+	defer s.Close()
+	if s.Snapshot.Index != 5 || len(s.Entries) != 0 {
+		t.Fatalf("a leader's snapshot left %v", s.Entries)
+	}
+}
+
+// TestTornFiles cuts or fills the files of a store in every way that a loss of
+// power may, and some more: it opens with a prefix of what was synced, or begins
+// anew under another identity and says so. It never shows anything else.
+func TestTornFiles(t *testing.T) {
+	origin := t.TempDir()
+	s := open(t, origin)
+	id := s.ID
+	for i := uint64(1); i <= 40; i++ {
+		save(t, s, Batch{Entries: entries(1, i, i)})
+	}
+	s.Close()
+	files, err := os.ReadDir(filepath.Join(origin, "log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	anew, kept := 0, 0
+	for _, f := range files {
+		whole, err := os.ReadFile(filepath.Join(origin, "log", f.Name()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, part := range []int{0, len(whole) / 3, len(whole) - 1} {
+			dir := t.TempDir()
+			if err := os.CopyFS(dir, os.DirFS(origin)); err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(filepath.Join(dir, "log", f.Name()), whole[:max(0, part)], 0o644); err != nil {
+				t.Fatal(err)
+			}
+			s, err := Open(dir, rand.New(rand.NewPCG(5, 5)))
+			if err != nil {
+				t.Errorf("%s cut to %d: %v", f.Name(), part, err)
+				continue
+			}
+			for i, e := range s.Entries {
+				if e.Index != uint64(i+1) || string(e.Data) != "data" {
+					t.Errorf("%s cut to %d: entry %v at %d", f.Name(), part, e, i)
+				}
+			}
+			if s.ID != id {
+				anew++
+				if s.Damaged == nil && !s.Fresh {
+					t.Errorf("%s cut to %d: another identity without a word", f.Name(), part)
+				}
+			} else {
+				kept++
+			}
+			s.Close()
+		}
+	}
+	if anew == 0 || kept == 0 {
+		t.Errorf("%d begun anew, %d kept: hardly a test", anew, kept)
+	}
+}
+
+func TestASecondFolderThatIsNoFolder(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "x")
+	os.WriteFile(file, nil, 0o644)
+	if _, err := Open(file, rand.New(rand.NewPCG(1, 1))); err == nil || strings.Contains(err.Error(), "\n") {
+		t.Errorf("%v", err)
+	}
+}
+
+func BenchmarkAppend(b *testing.B) {
+	s := open(b, b.TempDir())
+	defer s.Close()
+	i := uint64(0)
+	for b.Loop() {
+		i++
+		if err := s.Save(Batch{Entries: entries(1, i, i)}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
