Send nothing to a machine without a sign of life, and give operators a tool

A node now asks a connection that was silent for 250 ms for a sign of life first; without one the request is unsent and another server is picked. Silent peers go after 1.8 s, not 4. ivydeckctl checks, compares, reads and applies configurations and looks into a stopped store.

--- /dev/null
+++ b/cmd/ivydeckctl/main.go
@@ -0,0 +1,161 @@
+// Command ivydeckctl is the operator's tool of the mesh.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+
+	"github.com/alecthomas/kong"
+
+	"curlewring/internal/meshconfig"
+	"curlewring/internal/operator"
+	"curlewring/internal/program"
+	"curlewring/internal/store"
+)
+
+type commands struct {
+	Version kong.VersionFlag `help:"Print the version and exit."`
+	Config  struct {
+		Check checkCmd `cmd:"" help:"Say what is wrong with a configuration."`
+		Diff  diffCmd  `cmd:"" help:"List what differs between two configurations."`
+		Read  readCmd  `cmd:"" help:"Print the configuration in force."`
+		Apply applyCmd `cmd:"" help:"Send a configuration to the core."`
+	} `cmd:"" help:"Configurations: .toml, .yaml, .json, or MessagePack."`
+	Store struct {
+		Inspect inspectCmd `cmd:"" help:"Print what the folder of a stopped core machine holds; nothing is changed."`
+	} `cmd:"" help:"The disk of a core machine."`
+}
+
+type checkCmd struct {
+	File string `arg:"" type:"existingfile"`
+}
+
+func (c *checkCmd) Run() error {
+	_, config, err := operator.Load(c.File)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: revision %d, %d routes, %d backends, no fault found\n", c.File, config.Revision, len(config.Routes), len(config.Backends))
+	return nil
+}
+
+type diffCmd struct {
+	A string `arg:"" type:"existingfile"`
+	B string `arg:"" type:"existingfile"`
+}
+
+func (c *diffCmd) Run() error {
+	_, a, err := operator.Load(c.A)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.A, err)
+	}
+	_, b, err := operator.Load(c.B)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.B, err)
+	}
+	for _, line := range operator.Diff(a, b) {
+		fmt.Println(line)
+	}
+	return nil
+}
+
+type coreFlags struct {
+	Core []string `help:"Addresses of core machines." required:"" placeholder:"HOST:PORT"`
+}
+
+func (f *coreFlags) core() *operator.Core { return &operator.Core{Addresses: f.Core} }
+
+type readCmd struct {
+	coreFlags
+	Output string `help:"json or table." enum:"json,table" default:"table"`
+}
+
+func (c *readCmd) Run(ctx context.Context) error {
+	_, config, err := c.core().Read(ctx)
+	if err != nil {
+		return err
+	}
+	if config == nil {
+		return errors.New("no configuration yet")
+	}
+	return show(config, c.Output)
+}
+
+func show(config *meshconfig.Config, output string) error {
+	if output == "json" {
+		enc := json.NewEncoder(os.Stdout)
+		enc.SetIndent("", "  ")
+		return enc.Encode(config)
+	}
+	fmt.Printf("revision %d\n%-32s %-15s %8s %8s %8s  %s\n", config.Revision, "place", "type", "priority", "aim ms", "limit ms", "to")
+	for _, r := range config.Routes {
+		to := []string{r.Backend}
+		for _, w := range r.Backends {
+			to = append(to, fmt.Sprintf("%s:%g", w.Backend, w.Weight))
+		}
+		fmt.Printf("%-32s %-15s %8d %8g %8g  %s\n", r.Host+r.Prefix, r.Kind, r.Priority, r.AimMs, r.TimeoutMs, strings.Trim(strings.Join(to, " "), " "))
+	}
+	return nil
+}
+
+type applyCmd struct {
+	coreFlags
+	File string `arg:"" type:"existingfile"`
+	Base int64  `help:"Revision that it builds on; the one in force where it is not given." default:"-1"`
+}
+
+func (c *applyCmd) Run(ctx context.Context) error {
+	body, config, err := operator.Load(c.File)
+	if err != nil {
+		return err
+	}
+	base := uint64(c.Base)
+	if c.Base < 0 {
+		_, current, err := c.core().Read(ctx)
+		if err != nil {
+			return err
+		}
+		if base = 0; current != nil {
+			base = current.Revision
+		}
+	}
+	if err := c.core().Apply(ctx, base, body); err != nil {
+		return err
+	}
+	fmt.Printf("revision %d is in force\n", config.Revision)
+	return nil
+}
+
+type inspectCmd struct {
+	Dir string `arg:"" type:"existingdir" help:"The machine's data_dir."`
+}
+
+func (c *inspectCmd) Run() error {
+	s, err := store.Inspect(c.Dir)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("identity %016x\nterm %d, vote %016x\nsnapshot at %d, %d bytes\nentries %d\n", s.ID, s.Hard.GetTerm(), s.Hard.GetVote(),
+		s.Snapshot.GetIndex(), len(s.Snapshot.GetData()), len(s.Entries))
+	for _, p := range s.Snapshot.GetPeers().GetPeers() {
+		fmt.Printf("member at the snapshot: %016x at %s, voter %v\n", p.Id, p.Address, p.Voter)
+	}
+	return nil
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	var args commands
+	k := kong.Parse(&args, kong.Name("ivydeckctl"), kong.Description("The operator's tool of the ivydeck mesh."),
+		kong.Vars{"version": "ivydeckctl " + program.Version}, kong.BindTo(ctx, (*context.Context)(nil)))
+	if err := k.Run(); err != nil {
+		fmt.Fprintf(os.Stderr, "ivydeckctl: %v\n", err)
+		os.Exit(1)
+	}
+}
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -419,7 +419,11 @@
 		q.Headers = append(q.Headers, &wire.Header{Name: h.Name, Value: h.Value})
 	}
 	out := new(wire.Outcome)
-	if err := r.o.Pool.Call(ctx, server.Address, "forward", q, out); err != nil {
+	err := r.o.Pool.Live(ctx, server.Address)
+	if err == nil {
+		err = r.o.Pool.Call(ctx, server.Address, "forward", q, out)
+	}
+	if err != nil {
 		switch {
 		case errors.Is(err, rpc.ErrUnsent):
 			return unsent(false, "%v", err), decide.Unconnected
--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -32,8 +32,10 @@
 	mostMessage  = 72 << 20 // bytes of a whole message
 	mostStreams  = 4096     // open on one connection
 	mostHeld     = 128 << 20
-	pingEvery    = time.Second
-	silentFor    = 4 * time.Second // a peer that says nothing for so long is given up
+	pingEvery    = 600 * time.Millisecond
+	silentFor    = 1800 * time.Millisecond // a peer that says nothing for so long is given up
+	freshFor     = 250 * time.Millisecond  // a sign of life counts for so long
+	signWait     = 250 * time.Millisecond  // for one that was asked for
 	writeWait    = 3 * time.Second
 	mostPatience = 24 * time.Hour // of a caller that gives none: one that subscribes
 )
@@ -56,6 +58,7 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	heard   atomic.Int64 // when something last came, unix ms of the local steady clock
+	waiting atomic.Int32 // goroutines in live
 	writeMu sync.Mutex
 	out     []byte // reused; guarded by writeMu
 
@@ -63,6 +66,7 @@
 	streams map[uint32]*Stream
 	next    uint32
 	closed  bool
+	sign    chan struct{} // closed and replaced with the next frame, where someone waits
 }
 
 var start = time.Now()
@@ -70,7 +74,7 @@
 func steadyMs() int64 { return time.Since(start).Milliseconds() }
 
 func newConn(parent context.Context, nc net.Conn, server *Server) *conn {
-	c := &conn{nc: nc, server: server, streams: map[uint32]*Stream{}, next: 1}
+	c := &conn{nc: nc, server: server, streams: map[uint32]*Stream{}, next: 1, sign: make(chan struct{})}
 	c.ctx, c.cancel = context.WithCancelCause(parent)
 	c.heard.Store(steadyMs())
 	// Pings and deadlines of writes find a silent peer; the kernel's probes would
@@ -146,6 +150,12 @@
 			return fmt.Errorf("a frame from %s: %w", c.nc.RemoteAddr(), err)
 		}
 		c.heard.Store(steadyMs())
+		if c.waiting.Load() > 0 {
+			c.mu.Lock()
+			close(c.sign)
+			c.sign = make(chan struct{})
+			c.mu.Unlock()
+		}
 		if err := c.handle(&f); err != nil {
 			return err
 		}
@@ -221,3 +231,29 @@
 		}
 	}
 }
+
+// live reports whether the peer has lately given a sign of life, and asks for
+// one where it has not.
+func (c *conn) live(ctx context.Context) bool {
+	if steadyMs()-c.heard.Load() < freshFor.Milliseconds() {
+		return true
+	}
+	c.waiting.Add(1)
+	defer c.waiting.Add(-1)
+	c.mu.Lock()
+	sign := c.sign
+	c.mu.Unlock()
+	if c.write(&wire.Frame{Kind: wire.Frame_PING}) != nil {
+		return false
+	}
+	timer := time.NewTimer(signWait)
+	defer timer.Stop()
+	select {
+	case <-sign:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-c.ctx.Done():
+	}
+	return false
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -205,6 +205,20 @@
 	context.AfterFunc(c.ctx, func() { nc.Close() })
 }
 
+// Live returns an error that is ErrUnsent unless a peer has given a sign of life
+// within the last moments. What may not be sent twice is better not sent at all
+// to a machine that has just lost its power.
+func (p *Pool) Live(ctx context.Context, addr string) error {
+	c, err := p.get(ctx, addr)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnsent, err)
+	}
+	if !c.live(ctx) {
+		return fmt.Errorf("%w: no sign of life from %s", ErrUnsent, addr)
+	}
+	return nil
+}
+
 // Open begins a stream with its first message. An error that is ErrUnsent
 // means that the peer has not had the message.
 func (p *Pool) Open(ctx context.Context, addr, method string, req proto.Message) (*Stream, error) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -159,6 +159,31 @@
 	return s.Storage.SetMeta(fd)
 }
 
+// Inspect loads the folder of a stopped machine and changes nothing in it.
+func Inspect(dir string) (*Store, error) {
+	dir = filepath.Join(dir, "log")
+	files, err := storage.OpenFile(dir, true)
+	if err != nil {
+		return nil, fmt.Errorf("store: %s: %w", dir, err)
+	}
+	defer files.Close()
+	o := options()
+	o.ReadOnly = true
+	db, err := leveldb.Open(files, o)
+	if err != nil {
+		return nil, fmt.Errorf("store: %s: %w", dir, err)
+	}
+	defer db.Close()
+	s := &Store{dir: dir, db: db, files: files}
+	if _, err := db.Get(keyID, nil); err != nil {
+		return nil, fmt.Errorf("store: %s: no identity: %w", dir, err)
+	}
+	if err := s.load(nil); err != nil {
+		return nil, fmt.Errorf("store: %s: %w", dir, err)
+	}
+	return s, nil
+}
+
 // get reads a message; ok is false where there is none.
 func (s *Store) get(key []byte, m proto.Message) (ok bool, err error) {
 	data, err := s.db.Get(key, nil)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -51,6 +51,14 @@
 	if len(s.Entries) != 3 || s.Entries[0].Index != 4 || s.Entries[2].Index != 6 || s.Entries[2].Term != 2 {
 		t.Fatalf("%v", s.Entries)
 	}
+	s.Close()
+	if seen, err := Inspect(dir); err != nil || seen.ID != id || len(seen.Entries) != 3 {
+		t.Fatalf("inspected: %+v, %v", seen, err)
+	}
+	if _, err := Inspect(t.TempDir()); err == nil {
+		t.Error("an empty folder was inspected")
+	}
+	s = open(t, dir)
 	s.Entries = nil
 	save(t, s, Batch{Whole: true, Snapshot: &wire.RaftSnapshot{Term: 3, Index: 5, Data: []byte("t")}})
 	s.Close()
