Read nothing more on connections of a node that is about to end

The front is now stopped 1.6 s before the grace time is over: idle connections close at once, busy ones with their last answer. The list learns of the drain with the signal, not at the next tick. Ruled out: a kill at the end of the grace time, a lost answer. TestStop holds a node that ends to it.

--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -27,7 +27,8 @@
 	upkeepEvery = 500 * time.Millisecond
 	fenceWait   = 6 * time.Second // after which a node starts by what a relay told it
 	clientsGo   = 2500 * time.Millisecond
-	leaveMargin = 700 * time.Millisecond // before the platform kills the process
+	stopMargin  = 1600 * time.Millisecond // before the platform kills the process: no further request is begun
+	leaveMargin = 600 * time.Millisecond  // the same: the process ends
 	callWait    = time.Second
 )
 
@@ -326,14 +327,19 @@
 	began := time.Now()
 	n.leaving.Store(true)
 	n.front.Leave()
+	n.inbound.Poke() // the list has to say so
 	n.log.Info("data.leaving")
-	deadline := n.set.Load().Bounds.Grace - leaveMargin
-	for time.Since(began) < deadline {
-		if time.Since(began) >= clientsGo && n.front.Pending() == 0 && n.inbound.Busy() == 0 {
-			break
-		}
+	grace := n.set.Load().Bounds.Grace
+	calm := func() bool { return n.front.Pending() == 0 && n.inbound.Busy() == 0 }
+	for time.Since(began) < grace-stopMargin && !(time.Since(began) >= clientsGo && calm()) {
 		time.Sleep(50 * time.Millisecond)
 	}
+	// Some clients come to the end, where few other nodes are ready. What they send
+	// from here on is not read, and goes elsewhere.
+	n.front.Stop()
+	for time.Since(began) < grace-leaveMargin && !calm() {
+		time.Sleep(20 * time.Millisecond)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
 	n.gossip.Leave(ctx)
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -59,6 +59,9 @@
 	Log    *slog.Logger
 
 	leaving atomic.Bool
+	mu      sync.Mutex
+	stopped bool
+	clients map[*client]bool
 	open    atomic.Int64 // connections
 	pending atomic.Int64 // requests
 	held    atomic.Int64
@@ -67,6 +70,45 @@
 // Leave makes every connection end with the next answer that has nothing behind it.
 func (f *Front) Leave() { f.leaving.Store(true) }
 
+// Stop begins no further request: connections without one are closed at once, so
+// that clients turn elsewhere with what they send, and the others with their last
+// answer.
+func (f *Front) Stop() {
+	f.leaving.Store(true)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stopped = true
+	for c := range f.clients {
+		c.mu.Lock()
+		c.closing = c.closing || c.pending == 0
+		idle := c.pending == 0
+		c.mu.Unlock()
+		if idle {
+			c.stop()
+		}
+	}
+}
+
+// enter books a connection, unless the front has been stopped.
+func (f *Front) enter(c *client) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopped {
+		return false
+	}
+	if f.clients == nil {
+		f.clients = map[*client]bool{}
+	}
+	f.clients[c] = true
+	return true
+}
+
+func (f *Front) exit(c *client) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.clients, c)
+}
+
 // Pending is the number of requests without an answer.
 func (f *Front) Pending() int64 { return f.pending.Load() }
 
@@ -122,6 +164,12 @@
 func (f *Front) serve(parent context.Context, nc net.Conn) {
 	ctx, cancel := context.WithCancel(parent)
 	c := &client{f: f, nc: nc, ctx: ctx, cancel: cancel}
+	if !f.enter(c) {
+		cancel()
+		nc.Close()
+		return
+	}
+	defer f.exit(c)
 	defer context.AfterFunc(parent, func() { nc.SetDeadline(time.Now().Add(lingerFor)) })()
 	var running sync.WaitGroup
 	places := make(chan struct{}, mostPending)
@@ -224,7 +272,7 @@
 func (c *client) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
+	if c.closing || c.stopped {
 		return false
 	}
 	c.pending++
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -117,7 +117,7 @@
 		m.drained = now
 		in.Log.Info("server.draining", "member", b.ID)
 	}
-	in.poke()
+	in.Poke()
 	return true
 }
 
@@ -129,10 +129,11 @@
 		m.end()
 		in.Log.Info("server.left", "member", id)
 	}
-	in.poke()
+	in.Poke()
 }
 
-func (in *Inbound) poke() {
+// Poke makes Changed tell.
+func (in *Inbound) Poke() {
 	select {
 	case in.changed <- struct{}{}:
 	default:
@@ -165,7 +166,7 @@
 		if !m.gone && silent > beatsMissed*in.Heartbeat+time.Second && now.Sub(m.answered) > in.Heartbeat {
 			in.Log.Warn("server.silent", "member", id, "for", silent)
 			m.end()
-			in.poke()
+			in.Poke()
 		}
 		keep := m.idle[:0]
 		for _, c := range m.idle {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -26,6 +26,7 @@
 	in       *Inbound
 	out      *Outbound
 	front    string
+	clients  *Front
 	mu       sync.Mutex
 	arrivals map[string][]string // servers, by Attempt-Id
 	headers  map[string]http.Header
@@ -91,6 +92,7 @@
 	b.out.Start(1)
 	b.out.Share(1000)
 	front := &Front{Handle: b.out.Handle, Bounds: b.out.Bounds, Log: log}
+	b.clients = front
 	var running sync.WaitGroup
 	running.Go(func() { server.Serve(ctx, nodes) })
 	running.Go(func() { front.Serve(ctx, clients) })
@@ -235,6 +237,48 @@
 	}
 }
 
+// TestStop: a node that ends answers what it has read, and reads nothing more.
+func TestStop(t *testing.T) {
+	gate := make(chan struct{})
+	b := newBed(t, gate)
+	dial := func() (net.Conn, *bufio.Reader) {
+		nc, err := net.Dial("tcp", b.front)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		nc.SetDeadline(time.Now().Add(20 * time.Second))
+		return nc, bufio.NewReader(nc)
+	}
+	const ask = "GET /safe/%s HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: %s\r\nTime-Budget: 15000\r\n\r\n"
+	idle, idleReader := dial()
+	fmt.Fprintf(idle, ask, "x", "i")
+	if resp, err := http.ReadResponse(idleReader, nil); err != nil || resp.Close {
+		t.Fatalf("%v, %v", resp, err)
+	} else if _, err := io.ReadAll(resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	busy, busyReader := dial()
+	fmt.Fprintf(busy, ask, "wait", "w")
+	for b.servers("w") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b.clients.Stop()
+	if _, err := idleReader.ReadByte(); err == nil || strings.Contains(err.Error(), "timeout") {
+		t.Errorf("an idle connection stays: %v", err)
+	}
+	close(gate)
+	resp, err := http.ReadResponse(busyReader, nil)
+	if err != nil || resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("what was read got %v, %v", resp, err)
+	}
+	late, lateReader := dial()
+	fmt.Fprintf(late, ask, "x", "late")
+	if _, err := lateReader.ReadByte(); err == nil || b.servers("late") != 0 {
+		t.Errorf("a request was taken after the end: %v", err)
+	}
+}
+
 func TestInnerCallsAreTold(t *testing.T) {
 	gate := make(chan struct{})
 	b := newBed(t, gate)
