--- a/decide/mesh.go
+++ b/decide/mesh.go
@@ -13,7 +13,7 @@
 	gatePeriod = 500 * time.Millisecond // between two readings of r
 	gateFoot   = 0.8                    // r, in aims, below which the lowest priority is let in whole
 	gateTop    = 2.0                    // r, in aims, at which even the highest is shut out
-	gateCrowd  = 1.0                    // part of the stack shut where no request finds room at once
+	gateCrowd  = 0.6                    // part of the stack shut where no request finds room at once
 	gateRoom   = 24                     // requests over which that is averaged
 	gateMemory = 8                      // outcomes over which r is averaged
 	meshSubset = 8                      // servers of a service that a node keeps to ...
