Adopt the listed server of this machine until its first beat

Cause: a node that starts anew turned requests away for up to 1.5 s, until its server spoke, though the list names it. It serves the listed one at once; Target-Instance makes another life refuse.

--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -286,6 +286,13 @@
 			n.log.Info("config.applied", "revision", config.Revision, "number", state.Number)
 		}
 	}
+	if set := n.set.Load(); time.Since(n.began) < 2*set.Heartbeat {
+		for _, s := range state.Servers {
+			if s.Node == set.Node && s.Service == set.Backend && !s.Draining {
+				n.inbound.Adopt(proxy.Beat{ID: s.Member, Service: s.Service, Address: set.App, Zone: s.Zone, Slots: int(s.Slots)}, time.Now())
+			}
+		}
+	}
 	silent := map[string]bool{}
 	for _, m := range n.gossip.Members() {
 		silent[m.Name] = m.State != wire.Member_ALIVE
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -121,6 +121,18 @@
 	return true
 }
 
+// Adopt takes over a server that the list has for this machine, until it speaks
+// for itself: a process that starts anew need not wait for the next beat. What it
+// is sent names the life that is meant, so that another at its address turns it away.
+func (in *Inbound) Adopt(b Beat, now time.Time) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.members[b.ID] == nil && len(in.members) == 0 && b.Slots > 0 {
+		in.members[b.ID] = &local{in: in, Beat: b, beatAt: now, answered: now}
+		in.Log.Info("server.adopted", "member", b.ID)
+	}
+}
+
 // Deregister takes a server's last word.
 func (in *Inbound) Deregister(id string) {
 	in.mu.Lock()
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -203,6 +203,21 @@
 	}
 }
 
+// TestAdopt: a process that starts anew serves the listed server at once, until
+// another life speaks from its address.
+func TestAdopt(t *testing.T) {
+	in := NewInbound(time.Hour, time.Second, slog.New(slog.DiscardHandler))
+	in.Adopt(Beat{ID: "i-1", Service: "s", Address: "a", Slots: 4}, time.Now())
+	in.Adopt(Beat{ID: "i-0", Service: "s", Address: "a", Slots: 4}, time.Now())
+	if got := in.Servers(); len(got) != 1 || got[0].ID != "i-1" {
+		t.Fatalf("%v", got)
+	}
+	in.Beat(Beat{ID: "i-2", Service: "s", Address: "a", Slots: 4, Seq: 1}, time.Now())
+	if got := in.Servers(); len(got) != 1 || got[0].ID != "i-2" {
+		t.Errorf("%v", got)
+	}
+}
+
 // TestPipelining sends requests behind each other of which the first is held up:
 // the others run meanwhile, and the answers keep their order.
 func TestPipelining(t *testing.T) {
