--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"curlewring/decide"
+	"curlewring/internal/sock"
 )
 
 const mostBody = 64 << 10
@@ -192,16 +193,7 @@
 }
 
 // alive tells whether an idle connection has nothing to read, not even its end.
-func (c *conn) alive() bool {
-	quiet := false
-	err := c.raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && quiet
-}
+func (c *conn) alive() bool { return sock.Quiet(c.raw) }
 
 // dial opens a connection to a server.
 func (u *upstream) dial(ctx context.Context, p *peer, until time.Duration) (*conn, error) {
--- a/internal/proxy/appconn.go
+++ b/internal/proxy/appconn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"curlewring/internal/http1"
+	"curlewring/internal/sock"
 )
 
 const (
@@ -40,7 +41,7 @@
 		c := m.idle[n-1]
 		m.idle = m.idle[:n-1]
 		m.in.mu.Unlock()
-		if now.Before(c.until) && c.quiet() {
+		if now.Before(c.until) && sock.Quiet(c.raw) {
 			return c, nil
 		}
 		c.nc.Close()
@@ -71,18 +72,6 @@
 	m.idle = append(m.idle, c)
 }
 
-// quiet tells whether an idle connection has nothing to read, not even its end.
-func (c *appConn) quiet() bool {
-	quiet := false
-	err := c.raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && quiet
-}
-
 // read reads a whole answer.
 func (c *appConn) read(method string) (*http1.Response, []byte, error) {
 	limits := http1.Limits{Head: serverHead, Body: serverBody}
