--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -77,3 +77,29 @@
 
 // Charge books what can't be helped any more, such as the calls of a repeat.
 func (b *Budget) Charge(now time.Duration, n float64) { b.spent[b.roll(now)] += n }
+
+// youngFor is how long any process waits for word of the others.
+const youngFor = 3 * time.Second
+
+// Shares splits the slack by the nodes that may have spent of it.
+type Shares struct {
+	Slack  float64 // of all nodes together
+	Window time.Duration
+	Known  bool // the process is the first of its node: there was no life before it
+
+	nodes int // most known of late
+	at    time.Duration
+}
+
+// Part returns a node's part of the slack. age is the process's, nodes the number
+// of those known now, this one among them. All that were lately there count, as
+// they may have spent theirs.
+func (s *Shares) Part(age time.Duration, nodes int) float64 {
+	if nodes >= s.nodes || age-s.at > 2*s.Window {
+		s.nodes, s.at = nodes, age
+	}
+	if age < youngFor || !s.Known && age < s.Window {
+		return 0 // what the last life spent, or others of a larger share, is not known
+	}
+	return s.Slack / float64(max(1, s.nodes))
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -449,7 +449,7 @@
 	defer cancel()
 	c := &change{result: make(chan error, 1)}
 	n.do(func() {
-		if n.core.Leads() && n.voters() < n.fewest() {
+		if n.core.Leads() && raft.Voters(n.core.Peers()) < n.fewest() {
 			c.result <- errYoung
 			return
 		}
@@ -480,16 +480,6 @@
 	return min(2*set.Tolerated+1, len(set.Seeds))
 }
 
-func (n *Node) voters() int {
-	v := 0
-	for _, p := range n.core.Peers() {
-		if p.Voter {
-			v++
-		}
-	}
-	return v
-}
-
 // read waits until all that was acknowledged before the call is in the state
 // here, and then looks at the state in the loop.
 func (n *Node) read(ctx context.Context, look func()) error {
@@ -644,19 +634,12 @@
 			c <- &wire.JoinedCore{Leader: n.leader().GetAddress()}
 			return
 		}
-		peers := slices.Clone(n.core.Peers())
-		if i := slices.IndexFunc(peers, func(q *wire.Peer) bool { return q.Id == p.Id }); i >= 0 {
-			if peers[i].Address == p.Address && peers[i].Control == p.Control {
-				c <- &wire.JoinedCore{Member: true}
-				return
-			}
-			peers[i] = &wire.Peer{Id: p.Id, Address: p.Address, Control: p.Control, Voter: peers[i].Voter}
-		} else {
-			peers = append(peers, &wire.Peer{Id: p.Id, Address: p.Address, Control: p.Control})
-		}
-		if err := n.core.Change(n.now(), peers); err == nil {
-			n.log.Info("core.join", "address", p.Address, "identity", fmt.Sprintf("%016x", p.Id))
+		move, member := n.core.Joining(p)
+		if member {
+			c <- &wire.JoinedCore{Member: true}
+			return
 		}
+		n.move(move)
 		c <- &wire.JoinedCore{}
 	})
 	select {
@@ -668,10 +651,6 @@
 }
 
 const (
-	learnerLag   = 32              // entries, with which a learner becomes a voter
-	deadFor      = 6 * time.Second // silence after which a voter may be taken out
-	learnerFor   = 30 * time.Second
-	mostVoters   = 7
 	nodeGoneFor  = 1500 * time.Millisecond
 	unknownAfter = 10 * time.Second
 )
@@ -689,54 +668,20 @@
 		n.wasLead, n.ledSince = true, n.now()
 		n.log.Info("core.leads", "term", n.core.Term(), "members", len(n.core.Peers()))
 	}
-	n.manageMembers()
+	n.move(n.core.Tend(n.fewest()))
 	n.manageServers()
 }
 
-// manageMembers makes learners voters, and takes out voters that are gone once
-// enough others are there: first in, then out, one at a time.
-func (n *Node) manageMembers() {
-	peers := n.core.Peers()
-	alive := 0
-	for _, p := range peers {
-		if _, silent, ok := n.core.Lag(p.Id); p.Voter && (p.Id == n.store.ID || ok && silent < deadFor) {
-			alive++
-		}
-	}
-	change := func(next []*wire.Peer, event string, p *wire.Peer) {
-		if err := n.core.Change(n.now(), next); err == nil {
-			n.log.Info(event, "address", p.Address, "identity", fmt.Sprintf("%016x", p.Id))
-		}
+// move proposes a change of the members; another one under way comes first.
+func (n *Node) move(m raft.Move) {
+	if m.Next == nil {
+		return
 	}
-	for i, p := range peers {
-		lag, silent, ok := n.core.Lag(p.Id)
-		if !ok {
-			continue
-		}
-		without := slices.Delete(slices.Clone(peers), i, i+1)
-		switch {
-		case !p.Voter && lag <= learnerLag && silent < time.Second && n.voters() < mostVoters:
-			next := slices.Clone(peers)
-			next[i] = &wire.Peer{Id: p.Id, Address: p.Address, Control: p.Control, Voter: true}
-			change(next, "core.voter", p)
-			return
-		case !p.Voter && silent > learnerFor:
-			change(without, "core.forget", p)
-			return
-		case p.Voter && superseded(p, peers), p.Voter && silent > deadFor && alive >= n.fewest():
-			change(without, "core.remove", p)
-			return
-		}
+	if err := n.core.Change(n.now(), m.Next); err == nil {
+		n.log.Info(m.Event, "address", m.Peer.Address, "identity", fmt.Sprintf("%016x", m.Peer.Id))
 	}
 }
 
-// superseded tells whether another voter has a member's address: the disk that the
-// identity stood for is gone. To wait for its silence would leave the core short of
-// one more loss for as long.
-func superseded(p *wire.Peer, peers []*wire.Peer) bool {
-	return slices.ContainsFunc(peers, func(q *wire.Peer) bool { return q.Voter && q.Id != p.Id && q.Address == p.Address })
-}
-
 // manageServers takes servers off the list whose machines are gone.
 func (n *Node) manageServers() {
 	var gone []string
--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"curlewring/internal/budget"
+	"curlewring/internal/entry"
 	"curlewring/internal/gossip"
 	"curlewring/internal/meshconfig"
 	"curlewring/internal/nodefile"
@@ -40,6 +42,7 @@
 	gossip   *gossip.Gossip
 	hub      *relay.Hub
 	follower *relay.Follower
+	place    relay.Place // the follower's own
 	front    *proxy.Front
 	outbound *proxy.Outbound
 	inbound  *proxy.Inbound
@@ -47,10 +50,9 @@
 	workers  sync.WaitGroup
 
 	leaving atomic.Bool
-	fenced  atomic.Bool // the news are as new as what was acknowledged before the start
-	served  atomic.Bool // there is a configuration and a server
-	nodes   int         // most data nodes known of late; the upkeep's own
-	nodesAt time.Time
+	fenced  atomic.Bool   // the news are as new as what was acknowledged before the start
+	served  atomic.Bool   // there is a configuration and a server
+	shares  budget.Shares // the upkeep's own
 
 	parsed   []byte // what config was parsed from
 	config   *meshconfig.Config
@@ -66,9 +68,11 @@
 	rng := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), rand.Uint64()))
 	n := &Node{log: log, began: time.Now(), pool: rpc.NewPool(life)}
 	n.set.Store(set)
+	n.shares.Known = set.Bootstrap
 	n.gossip = gossip.New(&wire.Member{
 		Name: set.Node, Address: set.Internal(), Zone: set.Zone, Life: uint64(time.Now().UnixMilli()),
 	}, rng.Uint64(), n.pool, func() []string { return n.set.Load().SeedNodes() }, log)
+	n.place = relay.Place{Self: set.Node, Zone: set.Zone}
 	n.hub = relay.NewHub(func() time.Duration { return n.follower.Age() })
 	n.follower = &relay.Follower{Node: set.Node, Hub: n.hub, Pool: n.pool, Parents: n.parents, Log: log}
 	n.inbound = proxy.NewInbound(set.Bounds.Drain, set.Heartbeat, log)
@@ -158,7 +162,7 @@
 // the start the seeds.
 func (n *Node) parents() []string {
 	set := n.set.Load()
-	list := relay.Parents(set.Node, set.Zone, n.gossip.Members())
+	list := n.place.Parents(n.gossip.Version(), n.gossip.Members)
 	if len(list) == 0 {
 		return set.SeedNodes()
 	}
@@ -293,39 +297,21 @@
 			}
 		}
 	}
-	silent := map[string]bool{}
-	for _, m := range n.gossip.Members() {
-		silent[m.Name] = m.State != wire.Member_ALIVE
-	}
-	w := &proxy.World{Config: n.config, Servers: map[string]*wire.Server{}}
-	for _, s := range state.Servers {
-		if !s.Draining && !silent[s.Node] && n.gossip.Gone(s.Node) == 0 {
-			w.Servers[s.Member] = s
-		}
-	}
+	w := entry.NewWorld(n.config, state, n.gossip.Members(), func(node string) bool { return n.gossip.Gone(node) > 0 })
 	n.outbound.Update(w)
 	n.served.Store(n.config != nil && len(state.Servers) > 0)
 }
 
-// share sets this node's part of the retry slack. All that were lately there
-// count, as they may have spent theirs.
+// share sets this node's part of the retry slack.
 func (n *Node) share() {
-	set := n.set.Load()
 	nodes := 0
 	for _, m := range n.gossip.Members() {
 		if !m.Core {
 			nodes++
 		}
 	}
-	if nodes >= n.nodes || time.Since(n.nodesAt) > 2*set.Bounds.RetryWindow {
-		n.nodes, n.nodesAt = nodes, time.Now()
-	}
-	age := time.Since(n.began)
-	if age < 3*time.Second || !set.Bootstrap && age < set.Bounds.RetryWindow {
-		n.outbound.Share(0) // what the last life spent, or others of a larger share, is not known
-		return
-	}
-	n.outbound.Share(set.Bounds.RetrySlack / float64(max(1, n.nodes)))
+	n.shares.Slack, n.shares.Window = n.set.Load().Bounds.RetrySlack, n.set.Load().Bounds.RetryWindow
+	n.outbound.Share(n.shares.Part(time.Since(n.began), nodes))
 }
 
 // leave ends the node's part in the mesh in order: no new work, answers to all
--- a/internal/data/servers.go
+++ b/internal/data/servers.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
-	"google.golang.org/protobuf/proto"
 
 	"curlewring/internal/proxy"
+	"curlewring/internal/station"
 	"curlewring/internal/wire"
 )
 
@@ -123,34 +123,8 @@
 // difference is what has to change in the list.
 func (n *Node) difference() []*wire.Command {
 	set := n.set.Load()
-	listed := map[string]*wire.Server{}
-	for _, s := range n.hub.State().Servers {
-		if s.Node == set.Node {
-			listed[s.Member] = s
-		}
-	}
-	var todo []*wire.Command
-	for _, b := range n.inbound.Servers() {
-		want := &wire.Server{
-			Member: b.ID, Service: b.Service, Node: set.Node, Address: set.Internal(), Zone: set.Zone,
-			Slots: uint32(b.Slots), Draining: b.Draining || n.leaving.Load(),
-		}
-		if !proto.Equal(want, listed[b.ID]) {
-			todo = append(todo, &wire.Command{What: &wire.Command_Server{Server: want}})
-		}
-		delete(listed, b.ID)
-	}
-	if time.Since(n.began) < 2*set.Heartbeat { // its server may not have called yet
-		return todo
-	}
-	var gone []string
-	for id := range listed {
-		gone = append(gone, id)
-	}
-	if len(gone) > 0 {
-		todo = append(todo, &wire.Command{What: &wire.Command_Remove{Remove: &wire.RemoveServers{Members: gone}}})
-	}
-	return todo
+	m := station.Machine{Node: set.Node, Address: set.Internal(), Zone: set.Zone, Leaving: n.leaving.Load()}
+	return station.Difference(m, n.inbound.Servers(), n.hub.State().Servers, time.Since(n.began) < 2*set.Heartbeat)
 }
 
 func (n *Node) proposeCommand(ctx context.Context, cmd *wire.Command) bool {
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,155 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"curlewring/decide"
+	"curlewring/internal/meshconfig"
+	"curlewring/internal/wire"
+)
+
+const ms = time.Millisecond
+
+func table(t *testing.T, servers int) *Table {
+	t.Helper()
+	route := func(name, kind string) map[string]any {
+		return map[string]any{"name": name, "hostname": "h", "path_prefix": "/" + name + "/", "route_type": kind,
+			"timeout_ms": 2000, "target_latency_ms": 200, "priority": 1, "backend": "s", "max_attempts": 3}
+	}
+	body, err := msgpack.Marshal(map[string]any{"revision": 1, "backend_table": []map[string]any{{"name": "s"}},
+		"route_table": []map[string]any{route("safe", "idempotent"), route("once", "non_idempotent")}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	config, err := meshconfig.Parse(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &World{Config: config, Servers: map[string]*wire.Server{}}
+	for i := range servers {
+		id := fmt.Sprint("i", i)
+		w.Servers[id] = &wire.Server{Member: id, Service: "s"}
+	}
+	tab := NewTable(Options{Node: "n", Ratio: 1, Window: time.Second, Seed: 1})
+	tab.Update(0, w)
+	tab.Share(100)
+	return tab
+}
+
+func (t *Table) enter(test *testing.T, path string) *Request {
+	test.Helper()
+	route := t.World().Config.Find("h", path)
+	r, refused := t.Enter(0, Entrant{Route: route, Service: t.Choose(route), Until: 2 * time.Second})
+	if refused != nil {
+		test.Fatalf("refused: %v", refused)
+	}
+	return r
+}
+
+// TestTries: what may have run is repeated only where that does no harm, and what
+// has not run goes to another server, or is given back with a time to return.
+func TestTries(t *testing.T) {
+	answered := func(status int32) *wire.Outcome {
+		return &wire.Outcome{Fate: wire.Outcome_ANSWERED, Status: status}
+	}
+	fate := func(f wire.Outcome_Fate) *wire.Outcome { return &wire.Outcome{Fate: f} }
+	for _, c := range []struct {
+		name, path string
+		outs       []*wire.Outcome
+		pass       bool
+		status     int
+		promise    bool
+	}{
+		{"an answer", "/once/", []*wire.Outcome{answered(200)}, true, 0, false},
+		{"not run", "/once/", []*wire.Outcome{fate(wire.Outcome_UNRUN), answered(200)}, true, 0, false},
+		{"turned away", "/once/", []*wire.Outcome{fate(wire.Outcome_UNSENT), fate(wire.Outcome_UNSENT), answered(200)}, true, 0, false},
+		{"never run", "/once/", []*wire.Outcome{fate(wire.Outcome_UNRUN), fate(wire.Outcome_UNRUN), fate(wire.Outcome_UNRUN)}, false, 503, true},
+		{"broken once", "/once/", []*wire.Outcome{fate(wire.Outcome_BROKEN)}, false, 502, false},
+		{"late once", "/once/", []*wire.Outcome{fate(wire.Outcome_LATE)}, false, 504, false},
+		{"not run, then broken", "/once/", []*wire.Outcome{fate(wire.Outcome_UNRUN), fate(wire.Outcome_BROKEN)}, false, 502, false},
+		{"broken, repeated", "/safe/", []*wire.Outcome{fate(wire.Outcome_BROKEN), answered(200)}, true, 0, false},
+		{"broken, then not run", "/safe/", []*wire.Outcome{fate(wire.Outcome_BROKEN), fate(wire.Outcome_UNRUN), fate(wire.Outcome_UNRUN)}, false, 502, false},
+		{"an error, repeated", "/safe/", []*wire.Outcome{answered(500), answered(200)}, true, 0, false},
+		{"an error", "/once/", []*wire.Outcome{answered(500)}, true, 0, false},
+		{"a promise that nobody made", "/once/", []*wire.Outcome{answered(429)}, false, 502, false},
+		{"no more tries", "/safe/", []*wire.Outcome{fate(wire.Outcome_BROKEN), fate(wire.Outcome_LATE), fate(wire.Outcome_BROKEN)}, false, 502, false},
+	} {
+		r := table(t, 6).enter(t, c.path)
+		asked := map[string]bool{}
+		var final *Final
+		pass := false
+		for i, out := range c.outs {
+			step := r.Next(time.Duration(i) * ms)
+			if step.Server == "" || asked[step.Server] {
+				t.Fatalf("%s: try %d goes to %q after %v: %v", c.name, i, step.Server, asked, step.Final)
+			}
+			asked[step.Server] = true
+			if final, pass = r.Done(time.Duration(i)*ms, step.Server, out, Result(out)); (final != nil || pass) != (i == len(c.outs)-1) {
+				t.Fatalf("%s: over after %d tries: %v, %v", c.name, i+1, final, pass)
+			}
+		}
+		if pass != c.pass || !pass && (final.Status != c.status || (final.After > 0) != c.promise) {
+			t.Errorf("%s: %v, passed %v", c.name, final, pass)
+		}
+	}
+}
+
+// TestNoServer: a request that finds no room is given up well before its time.
+func TestNoServer(t *testing.T) {
+	r := table(t, 0).enter(t, "/once/")
+	now := time.Duration(0)
+	for step := r.Next(now); step.Final == nil; step = r.Next(now) {
+		if step.Wait <= 0 {
+			t.Fatalf("at %v: %+v", now, step)
+		}
+		now += step.Wait
+	}
+	if now > 100*ms {
+		t.Errorf("given up after %v", now)
+	}
+	if f := r.Next(now).Final; f.Status != 503 || f.After <= 0 {
+		t.Errorf("%+v", f)
+	}
+	late := table(t, 2).enter(t, "/safe/")
+	id := late.Next(0).Server
+	out := &wire.Outcome{Fate: wire.Outcome_LATE}
+	if f, _ := late.Done(2*time.Second, id, out, Result(out)); f == nil || f.Status != 504 {
+		t.Errorf("at its deadline: %v", f)
+	}
+}
+
+// TestGraphsLookAhead: a route whose runs call a service that has no room is kept
+// out at its entry; calls inside pass.
+func TestGraphsLookAhead(t *testing.T) {
+	tab := table(t, 4)
+	route := tab.World().Config.Find("h", "/safe/")
+	for range 40 {
+		tab.learn(route.Name, []*wire.Called{{Service: "s", Times: 2}})
+	}
+	if len(tab.behind(route)) != 1 {
+		t.Fatalf("%d services behind", len(tab.behind(route)))
+	}
+	tab.enter(t, "/safe/") // one in flight: else all are admitted
+	for range 400 {
+		tab.services["s"].gate.Room(false)
+	}
+	refused, inner := 0, 0
+	for range 200 {
+		if _, f := tab.Enter(0, Entrant{Route: route, Service: "s", Until: time.Second}); f != nil {
+			refused++
+		}
+		if _, f := tab.Enter(0, Entrant{Route: route, Service: "s", Until: time.Second, Inner: true}); f != nil {
+			inner++
+		}
+	}
+	if refused == 0 || inner > 0 {
+		t.Errorf("%d entries and %d inner calls refused", refused, inner)
+	}
+	if got := Result(&wire.Outcome{Fate: wire.Outcome_UNSENT, Gone: true}); got != decide.NotSent {
+		t.Errorf("%v", got)
+	}
+}
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,218 @@
+package entry
+
+import (
+	"time"
+
+	"curlewring/decide"
+	"curlewring/internal/meshconfig"
+	"curlewring/internal/wire"
+)
+
+const (
+	fullPause     = 15 * time.Millisecond // between looks for a server with room
+	patiencePart  = 5                     // a request without a server is given up after this part of its aim
+	innerPatience = 5                     // the same of a call of a graph
+	leastPatience = 30 * time.Millisecond
+	mostTurned    = 12 // servers asked that turned one request away
+)
+
+// Entrant is a request as it comes to the node.
+type Entrant struct {
+	Route   *meshconfig.Route
+	Service string // as Choose drew it
+	Arrived time.Duration
+	Until   time.Duration // it must have its answer by then
+	Inner   bool          // a call of a graph that was admitted
+	Again   bool          // a call that the run of a repeat makes
+}
+
+// Final is an answer that the node gives of its own.
+type Final struct {
+	Status int
+	Why    string
+	After  time.Duration // positive: it has not run and never will; come back after this
+}
+
+// Request is one request on its way.
+type Request struct {
+	Entrant
+	Rank uint32 // its place in the queues of servers; 0 is the highest
+
+	table   *Table
+	service *service
+	since   time.Duration // of the wait for a server
+	reached []string      // servers that it has arrived at
+	ran     bool          // it may have run
+	tried   []string      // servers not to be asked again
+	turned  int
+	crowded bool // at some moment no server had room
+}
+
+// Choose draws the service for a request among those that share its route.
+func (t *Table) Choose(route *meshconfig.Route) string { return route.Service(t.rng.Float64()) }
+
+// Enter gives the verdict on a request. A nil Final admits it: Next says what to
+// do, until Leave.
+func (t *Table) Enter(now time.Duration, e Entrant) (*Request, *Final) {
+	s := t.services[e.Service]
+	if s == nil {
+		return nil, &Final{503, "no such service", 500 * time.Millisecond}
+	}
+	s.budget.Request(now)
+	if e.Again { // calls of a repeat are repeats at the service that is called
+		s.budget.Charge(now, 1)
+	}
+	if !e.Inner && !s.gate.Admit(now, e.Route.Priority, t.behind(e.Route)...) {
+		return nil, &Final{503, "overload", s.gate.RetryAfter(e.Route.Aim())}
+	}
+	s.gate.Begin(now)
+	return &Request{Entrant: e, Rank: uint32(e.Route.Priority), table: t, service: s, since: e.Arrived}, nil
+}
+
+// Leave books the end of an admitted request.
+func (r *Request) Leave(now time.Duration) {
+	aim := r.Route.Aim()
+	if r.Inner { // its time is part of its graph's
+		aim = 0
+	}
+	if len(r.reached) == 0 && !r.ran { // no server had a part in its time
+		aim = 0
+	}
+	r.service.gate.Done(now, now-r.Arrived, aim)
+}
+
+// Step is what to do next with a request: give its Final answer, send it to a
+// Server and say with Done what came of it, or Wait and ask again.
+type Step struct {
+	Final  *Final
+	Server string
+	Wait   time.Duration
+}
+
+// Repeat tells whether an earlier try may have run.
+func (r *Request) Repeat() bool { return r.ran }
+
+// Tries is the number of servers that it has arrived at.
+func (r *Request) Tries() int { return len(r.reached) }
+
+// Next returns the next step.
+func (r *Request) Next(now time.Duration) Step {
+	if now >= r.Until {
+		return Step{Final: r.giveUp("no server in time")}
+	}
+	if id, ok := r.service.picker.Pick(now, r.tried); ok {
+		r.service.picker.Begin(id)
+		return Step{Server: id}
+	}
+	// Nobody has room at this moment. Longer waits belong to the client.
+	if !r.crowded {
+		r.crowded = true
+		r.service.gate.Room(false)
+	}
+	if now-r.since > r.patience() {
+		return Step{Final: r.giveUp("no server has room")}
+	}
+	r.tried = append(r.tried[:0], r.reached...) // those that turned it away may have room by now
+	return Step{Wait: min(fullPause, r.Until-now)}
+}
+
+// patience is how long a request waits for a server.
+func (r *Request) patience() time.Duration {
+	if r.Inner {
+		// Its graph is lost with it, but one that waits holds a slot of its caller.
+		return max(leastPatience, r.Route.Aim()/innerPatience)
+	}
+	return max(leastPatience, r.Route.Aim()/patiencePart)
+}
+
+// Done takes what came of a try. It returns the final answer, or none where Next
+// goes on; pass: the server's own answer is the final one.
+func (r *Request) Done(now time.Duration, id string, out *wire.Outcome, result decide.Result) (final *Final, pass bool) {
+	r.service.picker.End(now, id, result, out.Waiting)
+	if len(r.reached) == 0 && !r.crowded && out.Fate != wire.Outcome_UNSENT {
+		r.service.gate.Room(true)
+	}
+	if out.Fate == wire.Outcome_UNSENT {
+		r.turned++
+		r.tried = append(r.tried, id)
+		if now-r.since > r.patience() && r.turned >= mostTurned {
+			return r.giveUp("no server has room"), false
+		}
+		return nil, false
+	}
+	r.reached = append(r.reached, id) // it gets no second try there
+	r.tried = append(r.tried, id)
+	r.since = now
+	switch out.Fate {
+	case wire.Outcome_ANSWERED:
+		r.table.learn(r.Route.Name, out.Called)
+		return r.answered(now, int(out.Status))
+	case wire.Outcome_UNRUN:
+		if !r.mayRepeat(now) {
+			return r.giveUp("the servers have no room"), false
+		}
+	default: // BROKEN, LATE, and what a later version may say
+		r.ran = true
+		if now >= r.Until {
+			return &Final{Status: 504, Why: "no answer in time"}, false
+		}
+		if r.Route.Kind != meshconfig.Repeatable || !r.mayRepeat(now) {
+			if out.Fate == wire.Outcome_LATE {
+				return &Final{Status: 504, Why: "no answer in time"}, false
+			}
+			return &Final{Status: 502, Why: "the server gave no proper answer"}, false
+		}
+	}
+	return nil, false
+}
+
+// answered makes the client's answer of a server's, unless another try is better.
+func (r *Request) answered(now time.Duration, status int) (final *Final, pass bool) {
+	if status >= 500 && status != 504 && r.Route.Kind == meshconfig.Repeatable {
+		r.ran = true
+		if r.mayRepeat(now) {
+			return nil, false
+		}
+	}
+	switch status {
+	case 408, 421, 429, 503: // as the client reads them, these promise that it has not run
+		return &Final{Status: 502, Why: "the server failed"}, false
+	}
+	return nil, true
+}
+
+// giveUp is the answer to a request for which there is no further try.
+func (r *Request) giveUp(why string) *Final {
+	if r.ran {
+		return &Final{Status: 502, Why: why}
+	}
+	return &Final{503, why, r.service.gate.RetryAfter(r.Route.Aim())}
+}
+
+// mayRepeat tells whether the request may reach one more server, and pays for it.
+// Where the gate has begun to refuse its like, repeats would only add to the load.
+func (r *Request) mayRepeat(now time.Duration) bool {
+	return len(r.reached) < max(1, r.Route.MaxAttempts) &&
+		r.service.gate.Chance(r.Route.Priority) == 1 && r.service.budget.Spend(now)
+}
+
+// Result is what the outcome of a try says of the server.
+func Result(out *wire.Outcome) decide.Result {
+	switch out.Fate {
+	case wire.Outcome_ANSWERED:
+		if out.Status >= 500 {
+			return decide.Errored
+		}
+		return decide.Served
+	case wire.Outcome_UNSENT:
+		if out.Gone {
+			return decide.NotSent
+		}
+		return decide.Full
+	case wire.Outcome_UNRUN:
+		return decide.Full
+	case wire.Outcome_LATE:
+		return decide.TimedOut
+	}
+	return decide.Broken
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -13,11 +13,7 @@
 	"curlewring/internal/wire"
 )
 
-const (
-	joinEvery = 300 * time.Millisecond // while nobody is known
-	syncEvery = 5 * time.Second        // whole views are exchanged, which joins what was cut apart
-	mostAway  = 32                     // probes under way
-)
+const mostAway = 32 // probes under way
 
 // Gossip is one node's part in knowing all others.
 type Gossip struct {
@@ -48,7 +44,8 @@
 	s.Handle("probe", rpc.Unary(g.probed))
 }
 
-// Members returns the nodes that are not dead, this one among them.
+// Members returns the nodes that are not dead, this one among them. The list and
+// what it holds are not to be changed.
 func (g *Gossip) Members() []*wire.Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -84,7 +81,7 @@
 	g.mu.Unlock()
 	told := 0
 	for _, m := range members {
-		if m.Name != self.Name && told < 4 && g.exchange(ctx, m.Address, &wire.Probe{From: self, News: []*wire.Member{self}}) {
+		if m.Name != self.Name && told < 4 && g.exchange(ctx, m.Address, &wire.Probe{From: self, News: []*wire.Member{self}}, membership.ProbeWait) {
 			told++
 		}
 	}
@@ -95,56 +92,24 @@
 	defer g.calls.Wait()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	var synced time.Duration
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
 		}
-		now := g.now()
+		now, seeds := g.now(), g.seeds()
 		g.mu.Lock()
-		actions := g.group.Tick(now)
-		alone := len(g.group.Members()) < 2
+		actions := g.group.Tick(now, seeds)
 		next := g.group.Next() - now
 		g.mu.Unlock()
 		for _, a := range actions {
 			g.send(ctx, a)
 		}
-		if alone || now-synced >= syncEvery {
-			synced = now
-			g.sync(ctx)
-		}
-		if alone {
-			next = min(next, joinEvery)
-		}
 		timer.Reset(max(next, 10*time.Millisecond))
 	}
 }
 
-// sync exchanges whole views with one of the seeds, in turn.
-func (g *Gossip) sync(ctx context.Context) {
-	seeds := g.seeds()
-	if len(seeds) == 0 {
-		return
-	}
-	g.mu.Lock()
-	self := g.group.Self()
-	g.mu.Unlock()
-	at := int(time.Now().UnixNano()/int64(time.Millisecond)) % len(seeds)
-	for i := range seeds {
-		addr := seeds[(at+i)%len(seeds)]
-		if addr == self.Address {
-			continue
-		}
-		g.start(func() { g.exchange(ctx, addr, &wire.Probe{From: self, Whole: true}) })
-		if len(seeds) > 1 && i == 0 {
-			continue // two, in case that one is down
-		}
-		return
-	}
-}
-
 // start runs a call, unless too many are under way.
 func (g *Gossip) start(f func()) {
 	select {
@@ -160,7 +125,7 @@
 
 func (g *Gossip) send(ctx context.Context, a membership.Action) {
 	g.start(func() {
-		reached := g.exchange(ctx, a.Address, a.Probe)
+		reached := g.exchange(ctx, a.Address, a.Probe, a.Wait())
 		if ctx.Err() != nil {
 			return
 		}
@@ -175,11 +140,7 @@
 
 // exchange sends a probe and takes in the answer. It reports whether the target
 // was reached.
-func (g *Gossip) exchange(ctx context.Context, addr string, p *wire.Probe) bool {
-	wait := membership.ProbeWait
-	if p.Target != nil {
-		wait *= 2
-	}
+func (g *Gossip) exchange(ctx context.Context, addr string, p *wire.Probe, wait time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	answer := new(wire.Probed)
@@ -215,9 +176,9 @@
 		g.mu.Lock()
 		self := g.group.Self()
 		g.mu.Unlock()
-		reached = g.exchange(ctx, p.Target.Address, &wire.Probe{From: self})
+		reached = g.exchange(ctx, p.Target.Address, &wire.Probe{From: self}, membership.ProbeWait)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return &wire.Probed{Reached: reached, News: g.group.Answer(p.Whole)}, nil
+	return &wire.Probed{Reached: reached, News: g.group.Answer(p)}, nil
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -34,7 +34,7 @@
 	if p.Target != nil {
 		reached = f.exchange(to, p.Target.Name, &wire.Probe{From: g.Self()})
 	}
-	f.groups[from].Hear(f.now, g.Answer(p.Whole)...)
+	f.groups[from].Hear(f.now, g.Answer(p)...)
 	return reached
 }
 
@@ -45,15 +45,15 @@
 			if g == nil {
 				continue
 			}
-			if f.now%(5*time.Second) == 0 && f.groups["n0"] != nil && i > 0 { // as the driver does with seeds
-				f.exchange(g.Self().Name, "n0", &wire.Probe{From: g.Self(), Whole: true})
-			}
-			todo := g.Tick(f.now)
+			todo := g.Tick(f.now, []string{"n0"})
 			for len(todo) > 0 {
 				a := todo[0]
 				to := a.Target
-				if a.Helper != "" {
+				switch {
+				case a.Helper != "":
 					to = a.Helper
+				case to == "":
+					to = a.Address
 				}
 				todo = append(todo[1:], g.Probed(f.now, a, f.exchange(g.Self().Name, to, a.Probe))...)
 			}
--- a/internal/proxy/appconn.go
+++ b/internal/proxy/appconn.go
@@ -29,25 +29,25 @@
 }
 
 // connect returns the idle connection that was used last, or a new one.
-func (m *local) connect(ctx context.Context, until time.Time) (*appConn, error) {
+func (a *app) connect(ctx context.Context, until time.Time) (*appConn, error) {
 	now := time.Now()
 	for {
-		m.in.mu.Lock()
-		n := len(m.idle)
+		a.in.mu.Lock()
+		n := len(a.idle)
 		if n == 0 {
-			m.in.mu.Unlock()
+			a.in.mu.Unlock()
 			break
 		}
-		c := m.idle[n-1]
-		m.idle = m.idle[:n-1]
-		m.in.mu.Unlock()
+		c := a.idle[n-1]
+		a.idle = a.idle[:n-1]
+		a.in.mu.Unlock()
 		if now.Before(c.until) && sock.Quiet(c.raw) {
 			return c, nil
 		}
 		c.nc.Close()
 	}
 	dialer := net.Dialer{Timeout: min(dialServer, time.Until(until)), KeepAlive: -1}
-	nc, err := dialer.DialContext(ctx, "tcp", m.Address)
+	nc, err := dialer.DialContext(ctx, "tcp", a.address)
 	if err != nil {
 		return nil, err
 	}
@@ -60,16 +60,16 @@
 }
 
 // keep puts a connection back.
-func (m *local) keep(c *appConn) {
+func (a *app) keep(c *appConn) {
 	c.nc.SetDeadline(time.Time{}) // once past, it would fail the look that connect takes
 	c.until = time.Now().Add(c.idle)
-	m.in.mu.Lock()
-	defer m.in.mu.Unlock()
-	if m.gone || len(m.idle) >= m.Slots {
+	a.in.mu.Lock()
+	defer a.in.mu.Unlock()
+	if a.closed || len(a.idle) >= a.slots {
 		c.nc.Close()
 		return
 	}
-	m.idle = append(m.idle, c)
+	a.idle = append(a.idle, c)
 }
 
 // read reads a whole answer.
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -1,134 +1,129 @@
 package proxy
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"log/slog"
 	"os"
-	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"curlewring/internal/http1"
+	"curlewring/internal/station"
 	"curlewring/internal/wire"
 )
 
 const (
-	queueFactor  = 1                      // requests that wait for each slot, at most
-	stallAfter   = 700 * time.Millisecond // without any answer, with several under way, a server hangs
-	stallCalls   = 3
-	trialEvery   = 500 * time.Millisecond
-	failsOut     = 3  // in a row, after which only trials go to a server
-	beatsMissed  = 3  // after which a server is taken for gone
-	mostCalled   = 16 // services that are told apart in the calls of one run
-	serverHead   = 64 << 10
-	serverBody   = 64 << 20
-	dialServer   = 300 * time.Millisecond
-	innerRank    = 0                    // Forward.priority of inner calls; others have theirs and one
-	leastLeft    = 5 * time.Millisecond // below this a request is not begun
-	defaultSlots = 8
+	serverHead = 64 << 10
+	serverBody = 64 << 20
+	dialServer = 300 * time.Millisecond
+	leastLeft  = 5 * time.Millisecond // below this a request is not begun
 )
 
 // Beat is what a server says of itself.
-type Beat struct {
-	ID, Service, Address, Zone string
-	Slots                      int
-	Draining                   bool
-	Seq                        uint64
-}
+type Beat = station.Beat
+
+// ticket is a request that may have to wait; its verdict comes once.
+type ticket struct{ verdict chan bool }
 
 // Inbound stands beside a server. It alone speaks to it, so it knows what the
-// server holds, and can turn a request away before the server has seen it.
+// server holds, and can turn a request away before the server has seen it. It is
+// the driver of package station.
 type Inbound struct {
-	Drain     time.Duration // from the acknowledgement of a drain mark on nothing may arrive
-	Heartbeat time.Duration
-	Log       *slog.Logger
+	Log *slog.Logger
+
+	began   time.Time
+	changed chan struct{} // has room for one: what Servers returns has changed
 
 	mu      sync.Mutex
-	members map[string]*local
-	runs    map[string]*run // by the Attempt-Ids at servers here
-	changed chan struct{}   // has room for one: what Servers returns has changed
+	station *station.Station[*ticket]
+	apps    map[string]*app // by member, those in service
+}
+
+// app is where a life of a server is reached.
+type app struct {
+	in      *Inbound
+	address string
+	slots   int
+	idle    []*appConn
+	closed  bool
 }
 
-// NewInbound returns an Inbound without servers.
+// NewInbound returns an Inbound without servers. After drain from the
+// acknowledgement of a drain mark nothing arrives; servers speak every heartbeat.
 func NewInbound(drain, heartbeat time.Duration, log *slog.Logger) *Inbound {
-	return &Inbound{Drain: drain, Heartbeat: heartbeat, Log: log, members: map[string]*local{}, runs: map[string]*run{}, changed: make(chan struct{}, 1)}
+	return &Inbound{
+		Log: log, began: time.Now(), changed: make(chan struct{}, 1),
+		station: station.New[*ticket](drain, heartbeat), apps: map[string]*app{},
+	}
 }
 
 // Changed tells when Servers may return something else.
 func (in *Inbound) Changed() <-chan struct{} { return in.changed }
 
-// local is one life of a server on this machine.
-type local struct {
-	Beat
-	in      *Inbound
-	beatAt  time.Time
-	drained time.Time // when its drain mark was first acknowledged
-	gone    bool
+func (in *Inbound) now() time.Duration { return time.Since(in.began) }
+
+// tell hands out verdicts. Each ticket gets one, for which it has room.
+func tell(verdicts []station.Verdict[*ticket]) {
+	for _, v := range verdicts {
+		v.Ticket.verdict <- v.Go
+	}
+}
 
-	inflight int
-	queue    []*waiter // in the order in which they are to be served
-	many     time.Time // since when several are under way
-	answered time.Time // when it last answered anything
-	fails    int
-	trialAt  time.Time
-	idle     []*appConn
+// open keeps an app for a life in service. Called with mu held.
+func (in *Inbound) open(b Beat) {
+	a := in.apps[b.ID]
+	if a == nil {
+		a = &app{in: in}
+		in.apps[b.ID] = a
+	}
+	if server, ok := in.station.Server(b.ID); ok {
+		a.address, a.slots = server.Address, server.Slots
+	}
 }
 
-// waiter is a request that waits for a slot.
-type waiter struct {
-	priority uint32
-	verdict  chan bool // true: go
+// shut closes the connections to a life that has ended. Called with mu held.
+func (in *Inbound) shut(id string) {
+	if a := in.apps[id]; a != nil {
+		delete(in.apps, id)
+		a.closed = true
+		for _, c := range a.idle {
+			c.nc.Close()
+		}
+		a.idle = nil
+	}
 }
 
-// Beat takes a server's word. It reports false for one that came late.
+// Beat takes a server's word. It reports false for one of a life that has ended.
 func (in *Inbound) Beat(b Beat, now time.Time) bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	m := in.members[b.ID]
-	if m == nil {
-		if len(in.members) >= 64 {
-			return false
-		}
-		m = &local{in: in, answered: now}
-		in.members[b.ID] = m
-		in.Log.Info("server.new", "member", b.ID, "service", b.Service, "address", b.Address)
-		// A new life at the same address has ended the one before.
-		for id, old := range in.members {
-			if id != b.ID && old.Address == b.Address && !old.gone {
-				old.end()
-			}
-		}
-	} else if b.Seq < m.Seq || m.gone {
-		return !m.gone
-	}
-	if b.Slots <= 0 {
-		b.Slots = defaultSlots
+	h := in.station.Beat(now.Sub(in.began), b)
+	tell(h.Verdicts)
+	for _, id := range h.Ended {
+		in.shut(id)
 	}
-	if m.Draining && !b.Draining {
-		b.Draining = true // it never comes back from that
+	if h.New {
+		in.Log.Info("server.new", "member", b.ID, "service", b.Service, "address", b.Address)
 	}
-	m.Beat, m.beatAt = b, now
-	if b.Draining && m.drained.IsZero() {
-		m.drained = now
+	if h.Drains {
 		in.Log.Info("server.draining", "member", b.ID)
 	}
-	in.Poke()
-	return true
+	if h.OK {
+		in.open(b)
+		in.Poke()
+	}
+	return h.OK
 }
 
-// Adopt takes over a server that the list has for this machine, until it speaks
-// for itself: a process that starts anew need not wait for the next beat. What it
-// is sent names the life that is meant, so that another at its address turns it away.
+// Adopt takes over a server that the list has for this machine; see station.
 func (in *Inbound) Adopt(b Beat, now time.Time) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if in.members[b.ID] == nil && len(in.members) == 0 && b.Slots > 0 {
-		in.members[b.ID] = &local{in: in, Beat: b, beatAt: now, answered: now}
+	if in.station.Adopt(now.Sub(in.began), b) {
+		in.open(b)
 		in.Log.Info("server.adopted", "member", b.ID)
 	}
 }
@@ -137,8 +132,10 @@
 func (in *Inbound) Deregister(id string) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if m := in.members[id]; m != nil && !m.gone {
-		m.end()
+	ended, verdicts := in.station.Deregister(id)
+	tell(verdicts)
+	if ended {
+		in.shut(id)
 		in.Log.Info("server.left", "member", id)
 	}
 	in.Poke()
@@ -152,43 +149,28 @@
 	}
 }
 
-// end takes a life out of service. Called with mu held.
-func (m *local) end() {
-	m.gone = true
-	for _, w := range m.queue {
-		w.verdict <- false
-	}
-	m.queue = nil
-	for _, c := range m.idle {
-		c.nc.Close()
-	}
-	m.idle = nil
-}
-
-// Sweep takes servers that have been silent for long for gone, and forgets
-// lives that ended.
+// Sweep takes servers that have been silent for long for gone, and closes
+// connections that have been idle for long.
 func (in *Inbound) Sweep(now time.Time) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	for id, m := range in.members {
-		silent := now.Sub(m.beatAt)
-		if m.gone && silent > 2*time.Minute {
-			delete(in.members, id)
-		}
-		if !m.gone && silent > beatsMissed*in.Heartbeat+time.Second && now.Sub(m.answered) > in.Heartbeat {
-			in.Log.Warn("server.silent", "member", id, "for", silent)
-			m.end()
-			in.Poke()
-		}
-		keep := m.idle[:0]
-		for _, c := range m.idle {
+	silent, verdicts := in.station.Sweep(now.Sub(in.began))
+	tell(verdicts)
+	for _, id := range silent {
+		in.Log.Warn("server.silent", "member", id)
+		in.shut(id)
+		in.Poke()
+	}
+	for _, a := range in.apps {
+		keep := a.idle[:0]
+		for _, c := range a.idle {
 			if now.Before(c.until) {
 				keep = append(keep, c)
 			} else {
 				c.nc.Close()
 			}
 		}
-		m.idle = keep
+		a.idle = keep
 	}
 }
 
@@ -196,61 +178,21 @@
 func (in *Inbound) Servers() []Beat {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	var list []Beat
-	for _, m := range in.members {
-		if !m.gone {
-			list = append(list, m.Beat)
-		}
-	}
-	slices.SortFunc(list, func(a, b Beat) int { return strings.Compare(a.ID, b.ID) })
-	return list
+	return in.station.Servers()
 }
 
 // Busy is the number of requests that servers here hold.
 func (in *Inbound) Busy() int {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	n := 0
-	for _, m := range in.members {
-		n += m.inflight + len(m.queue)
-	}
-	return n
-}
-
-// run is a request that a server here works on.
-type run struct {
-	repeat bool
-	called []*wire.Called
+	return in.station.Busy()
 }
 
-// Graph tells whether a request with this Attempt-Id is a call that a run on this
-// machine makes, and whether that run is a repeat; the call is booked for the
-// run. Servers give their calls ids that begin with the id of the run; whoever
-// can name a run that is in flight here has been admitted with it. One who makes
-// up an id is a new entry.
+// Graph tells whether a request is a call of a run in flight here; see station.
 func (in *Inbound) Graph(attempt, service string) (inner, repeat bool) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	for i := len(attempt) - 1; i > 0; i-- {
-		c := attempt[i]
-		if c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' {
-			continue
-		}
-		r := in.runs[attempt[:i]]
-		if r == nil {
-			continue
-		}
-		at := slices.IndexFunc(r.called, func(c *wire.Called) bool { return c.Service == service })
-		if at < 0 && len(r.called) < mostCalled {
-			at = len(r.called)
-			r.called = append(r.called, &wire.Called{Service: service})
-		}
-		if at >= 0 {
-			r.called[at].Times++
-		}
-		return true, r.repeat
-	}
-	return false, false
+	return in.station.Graph(attempt, service)
 }
 
 func unsent(gone bool, format string, args ...any) *wire.Outcome {
@@ -260,168 +202,83 @@
 // Forward passes a request to the server that it names, or turns it away.
 func (in *Inbound) Forward(ctx context.Context, q *wire.Forward) (*wire.Outcome, error) {
 	until := time.Now().Add(time.Duration(q.LeftMs) * time.Millisecond)
+	ask := station.Ask{Member: q.Member, Service: q.Service, Attempt: q.Attempt, Priority: q.Priority, Repeat: q.Repeat}
+	t := &ticket{make(chan bool, 1)}
 	in.mu.Lock()
-	m := in.members[q.Member]
-	if refusal := m.takes(q, time.Now()); refusal != nil {
-		in.mu.Unlock()
-		return refusal, nil
-	}
-	if m.inflight < m.Slots && len(m.queue) == 0 {
-		m.begin(time.Now())
-		in.mu.Unlock()
-	} else {
-		w := m.enqueue(q.Priority)
-		in.mu.Unlock()
-		if w == nil {
-			return &wire.Outcome{Fate: wire.Outcome_UNSENT, Why: "no room", Waiting: true}, nil
-		}
-		if refusal := m.await(ctx, w, until); refusal != nil {
-			return refusal, nil
-		}
-	}
-	in.mu.Lock()
-	in.runs[q.Attempt] = &run{repeat: q.Repeat}
-	in.mu.Unlock()
-	out := m.send(ctx, q, until)
-	in.mu.Lock()
-	if r := in.runs[q.Attempt]; r != nil {
-		out.Called = r.called
-		delete(in.runs, q.Attempt)
-	}
-	m.finish(out, time.Now())
-	out.Waiting = len(m.queue) > 0 || m.inflight >= m.Slots
+	place, why, verdicts := in.station.Arrive(in.now(), ask, t)
+	tell(verdicts)
+	a := in.apps[q.Member]
 	in.mu.Unlock()
-	return out, nil
-}
-
-// takes tells why a life may not be sent a request; nil: it may. Called with mu held.
-func (m *local) takes(q *wire.Forward, now time.Time) *wire.Outcome {
-	switch {
-	case m == nil || m.gone:
-		return unsent(true, "no server %s here", q.Member)
-	case m.Service != q.Service:
-		return unsent(true, "%s serves %s", q.Member, m.Service)
-	case !m.drained.IsZero() && now.Sub(m.drained) > m.in.Drain/2:
-		// Its last requests stay well within the bound, which runs from the
-		// acknowledgement to the arrival.
-		return unsent(true, "%s is draining", q.Member)
-	case m.hangs(now):
-		if now.Sub(m.trialAt) < trialEvery {
-			return unsent(false, "%s does not answer", q.Member)
+	switch place {
+	case station.Gone:
+		return unsent(true, "%s", why), nil
+	case station.Hangs:
+		return unsent(false, "%s", why), nil
+	case station.Full:
+		return &wire.Outcome{Fate: wire.Outcome_UNSENT, Why: why, Waiting: true}, nil
+	case station.Queue:
+		if why := in.await(ctx, ask, t, until); why != "" {
+			return unsent(false, "%s", why), nil
 		}
-		m.trialAt = now
 	}
-	return nil
-}
-
-// hangs tells whether a server has stopped answering.
-func (m *local) hangs(now time.Time) bool {
-	if m.fails >= failsOut {
-		return true
-	}
-	since := m.answered
-	if m.many.After(since) {
-		since = m.many
+	out := a.send(ctx, q, until)
+	end := station.Failed
+	switch {
+	case out.Fate == wire.Outcome_ANSWERED || out.Fate == wire.Outcome_UNRUN:
+		end = station.Answered
+	case out.Why == calledOff:
+		end = station.CalledOff
 	}
-	return m.inflight >= stallCalls && now.Sub(since) > stallAfter
-}
-
-func (m *local) begin(now time.Time) {
-	m.inflight++
-	if m.inflight == stallCalls {
-		m.many = now
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	called, waiting, verdicts := in.station.Finish(in.now(), q.Member, q.Attempt, end)
+	tell(verdicts)
+	out.Waiting = waiting
+	for _, c := range called {
+		out.Called = append(out.Called, &wire.Called{Service: c.Service, Times: c.Times})
 	}
+	return out, nil
 }
 
-// enqueue gives a request a place behind those of its priority and above. Where
-// there is none, the last in the queue loses its own to a higher one.
-func (m *local) enqueue(priority uint32) *waiter {
-	if len(m.queue) >= m.Slots*queueFactor {
-		last := m.queue[len(m.queue)-1]
-		if last.priority <= priority {
-			return nil
-		}
-		m.queue = m.queue[:len(m.queue)-1]
-		last.verdict <- false
-	}
-	w := &waiter{priority: priority, verdict: make(chan bool, 1)}
-	at, _ := slices.BinarySearchFunc(m.queue, priority, func(q *waiter, p uint32) int {
-		return cmp.Or(cmp.Compare(q.priority, p), -1)
-	})
-	m.queue = slices.Insert(m.queue, at, w)
-	return w
-}
+// calledOff is the end of a request that its sender no longer wants.
+const calledOff = "called off"
 
-// await waits for a slot.
-func (m *local) await(ctx context.Context, w *waiter, until time.Time) *wire.Outcome {
+// await waits for a slot; it says why there is none.
+func (in *Inbound) await(ctx context.Context, ask station.Ask, t *ticket, until time.Time) (why string) {
 	timer := time.NewTimer(time.Until(until) - leastLeft)
 	defer timer.Stop()
-	why := "no room"
 	select {
-	case ok := <-w.verdict:
-		if ok {
-			return nil
+	case ok := <-t.verdict:
+		if !ok {
+			return "no room"
 		}
-		return unsent(false, "%s", why)
+		in.mu.Lock()
+		defer in.mu.Unlock()
+		in.station.Run(ask)
+		return ""
 	case <-ctx.Done():
-		why = "called off"
+		why = calledOff
 	case <-timer.C:
 		why = "no slot in time"
 	}
-	m.in.mu.Lock()
-	defer m.in.mu.Unlock()
-	if at := slices.Index(m.queue, w); at >= 0 {
-		m.queue = slices.Delete(m.queue, at, at+1)
-	} else if ok := <-w.verdict; ok { // it came at the same moment
-		m.next(time.Now())
-	}
-	return unsent(false, "%s", why)
-}
-
-// next gives a slot that has become free to the first in the queue. Called with mu held.
-func (m *local) next(now time.Time) {
-	m.inflight--
-	for len(m.queue) > 0 && m.inflight < m.Slots {
-		w := m.queue[0]
-		m.queue = m.queue[1:]
-		if m.gone || !m.drained.IsZero() && now.Sub(m.drained) > m.in.Drain*3/4 {
-			w.verdict <- false
-			continue
-		}
-		m.begin(now)
-		w.verdict <- true
-	}
-}
-
-// finish books what became of a request. Called with mu held.
-func (m *local) finish(out *wire.Outcome, now time.Time) {
-	switch out.Fate {
-	case wire.Outcome_ANSWERED, wire.Outcome_UNRUN:
-		m.answered, m.fails = now, 0
-	case wire.Outcome_BROKEN, wire.Outcome_LATE, wire.Outcome_UNSENT:
-		if out.Why != "called off" {
-			m.fails++
-		}
-	}
-	m.next(now)
-	if m.hangs(now) { // those who wait are better served elsewhere
-		for _, w := range m.queue {
-			w.verdict <- false
-		}
-		m.queue = nil
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if !in.station.Leave(ask.Member, t) && <-t.verdict { // the slot came at the same moment
+		tell(in.station.Release(in.now(), ask.Member))
 	}
+	return why
 }
 
 // send makes one attempt at the server.
-func (m *local) send(ctx context.Context, q *wire.Forward, until time.Time) *wire.Outcome {
-	c, err := m.connect(ctx, until)
+func (a *app) send(ctx context.Context, q *wire.Forward, until time.Time) *wire.Outcome {
+	c, err := a.connect(ctx, until)
 	if err != nil {
 		return unsent(false, "connecting: %v", err)
 	}
 	left := time.Until(until)
 	if left < leastLeft || ctx.Err() != nil {
-		m.keep(c)
-		return unsent(false, "called off")
+		a.keep(c)
+		return unsent(false, calledOff)
 	}
 	headers := make(http1.Headers, 0, len(q.Headers)+3)
 	for _, h := range q.Headers {
@@ -450,7 +307,7 @@
 		out := &wire.Outcome{Fate: wire.Outcome_BROKEN, Why: err.Error()}
 		switch {
 		case ctx.Err() != nil:
-			out.Why = "called off"
+			out.Why = calledOff
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			out.Fate = wire.Outcome_LATE
 		}
@@ -458,7 +315,7 @@
 	}
 	if clean && !resp.Close && c.r.Buffered() == 0 {
 		c.answered(resp)
-		m.keep(c)
+		a.keep(c)
 	} else {
 		c.nc.Close()
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -73,11 +73,13 @@
 	return l.Addr().String()
 }
 
-func newBed(t testing.TB, gate chan struct{}) *bed {
+func newBed(t testing.TB, gate chan struct{}) *bed { return newBedFor(t, gate, time.Hour) }
+
+func newBedFor(t testing.TB, gate chan struct{}, drain time.Duration) *bed {
 	b := &bed{t: t, arrivals: map[string][]string{}, headers: map[string]http.Header{}}
 	log := slog.New(slog.DiscardHandler)
 	ctx, cancel := context.WithCancel(context.Background())
-	b.in = NewInbound(time.Hour, time.Second, log)
+	b.in = NewInbound(drain, time.Second, log)
 	nodes, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -185,8 +187,7 @@
 // TestDrainedServersGetNothing: after the bound nothing passes, and where no server
 // is left the refusal says when to come back.
 func TestDrainedServersGetNothing(t *testing.T) {
-	b := newBed(t, nil)
-	b.in.Drain = 0
+	b := newBedFor(t, nil, 0)
 	for _, beat := range b.in.Servers() {
 		beat.Draining, beat.Seq = true, 1
 		b.in.Beat(beat, time.Now().Add(-time.Second))
@@ -314,22 +315,6 @@
 	}
 }
 
-// TestQueue fills a server's slots: higher priorities go first, the lowest lose
-// their places, and those who are turned away have reached no server.
-func TestQueue(t *testing.T) {
-	m := &local{in: NewInbound(time.Hour, time.Second, slog.New(slog.DiscardHandler)), Beat: Beat{Slots: 2}}
-	m.inflight = 2
-	low, lower := m.enqueue(3), m.enqueue(4)
-	high := m.enqueue(1)
-	if high == nil || <-lower.verdict || m.enqueue(3) != nil {
-		t.Fatal("the lowest did not lose its place, or one of the same priority did")
-	}
-	m.next(time.Now())
-	if !<-high.verdict || len(low.verdict) != 0 {
-		t.Error("the highest did not go first")
-	}
-}
-
 func BenchmarkRequest(b *testing.B) {
 	bed := newBed(b, nil)
 	nc, err := net.Dial("tcp", bed.front)
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -42,30 +42,17 @@
 
 // Run follows one parent after another until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	for next := 0; ctx.Err() == nil; {
-		parents := f.Parents()
-		if len(parents) == 0 {
-			pause(ctx, 100*time.Millisecond)
-			continue
-		}
-		addr := parents[next%len(parents)]
-		began := time.Now()
-		why := f.follow(ctx, addr, next%len(parents) == 0)
-		if ctx.Err() != nil {
-			return
-		}
-		f.Log.Debug("relay.parent", "address", addr, "why", why)
-		switch {
-		case why == again:
-			next = 0
+	began := time.Now()
+	var climb Climb
+	for ctx.Err() == nil {
+		addr, wait := climb.Next(time.Since(began), f.Parents())
+		if addr == "" {
+			pause(ctx, wait)
 			continue
-		case time.Since(began) > 5*time.Second:
-			next = 0
-		default:
-			next++
 		}
-		if next%len(parents) == 0 {
-			pause(ctx, 100*time.Millisecond)
+		why := f.follow(ctx, &climb, addr, began)
+		if ctx.Err() == nil {
+			f.Log.Debug("relay.parent", "address", addr, "why", why)
 		}
 	}
 }
@@ -79,13 +66,11 @@
 	}
 }
 
-// again is the end of a subscription that has to be renewed at once.
-const again = "again"
-
 // follow takes news of one parent until that fails, and says why it did.
-func (f *Follower) follow(ctx context.Context, addr string, best bool) string {
+func (f *Follower) follow(ctx context.Context, climb *Climb, addr string, began time.Time) (why string) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer func() { climb.Ended(time.Since(began), why) }()
 	// The stream has no deadline of its own: silence ends it.
 	watchdog := time.AfterFunc(Silence, cancel)
 	defer watchdog.Stop()
@@ -94,32 +79,22 @@
 		return err.Error()
 	}
 	defer s.Close()
-	began := time.Now()
 	for {
 		feed := new(wire.Feed)
 		if err := s.Recv(feed); err != nil {
 			return err.Error()
 		}
 		watchdog.Reset(Silence)
-		age := time.Duration(feed.AgeMs) * time.Millisecond
-		if age > Stale && time.Since(began) > Beat {
-			return "the parent is out of touch"
-		}
-		if feed.Whole != nil {
-			f.Hub.Load(feed.Whole)
-		}
-		if !f.Hub.Add(feed.Items...) {
-			return again
-		}
-		if feed.Head == f.Hub.Number() { // else it says nothing of what is newest here
-			f.fresh(age)
+		now := time.Since(began)
+		if why := climb.Judge(now, feed); why != "" {
+			return why
 		}
-		f.Hub.Deeper(feed.Depth)
-		if !best && time.Since(began) > 3*time.Second {
-			return again // back to its place in the tree
+		fresh, ok := f.Hub.Take(feed)
+		if fresh {
+			f.fresh(time.Duration(feed.AgeMs) * time.Millisecond)
 		}
-		if best && len(f.Parents()) > 0 && f.Parents()[0] != addr {
-			return again // its place has moved
+		if !ok || climb.Moves(now, f.Parents()) {
+			return Again
 		}
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,39 +33,58 @@
 	return h.Sum64()
 }
 
+// Place keeps what Parents says, as long as the members stay.
+type Place struct {
+	Self, Zone string
+
+	version uint64
+	parents []string
+}
+
+// Parents returns what Parents does for a version of the members.
+func (p *Place) Parents(version uint64, members func() []*wire.Member) []string {
+	if p.version != version || p.parents == nil {
+		p.version, p.parents = version, Parents(p.Self, p.Zone, members())
+	}
+	return p.parents
+}
+
 // Parents returns the addresses that a node should follow, the best first: its
 // place in the zone's tree, then the core machines, those of its zone first.
 func Parents(self string, zone string, members []*wire.Member) []string {
-	var mates, core []*wire.Member
+	type place struct {
+		rank uint64
+		m    *wire.Member
+	}
+	byRank := func(a, b place) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.m.Name, b.m.Name)) }
+	var mates, core []place
+	own := rank(self)
 	for _, m := range members {
 		switch {
 		case m.Core:
-			core = append(core, m)
+			// Each zone begins with another core machine, where none stands in it.
+			core = append(core, place{rank(m.Name) ^ own, m})
 		case m.Zone == zone && (m.State == wire.Member_ALIVE || m.Name == self):
-			mates = append(mates, m)
+			mates = append(mates, place{rank(m.Name), m})
 		}
 	}
-	byRank := func(a, b *wire.Member) int {
-		return cmp.Or(cmp.Compare(rank(a.Name), rank(b.Name)), cmp.Compare(a.Name, b.Name))
-	}
 	slices.SortFunc(mates, byRank)
-	// Each zone begins with another core machine, where none stands in it.
-	own := rank(self)
-	slices.SortFunc(core, func(a, b *wire.Member) int {
-		near := func(m *wire.Member) int {
-			if m.Zone == zone {
+	slices.SortFunc(core, byRank)
+	slices.SortStableFunc(core, func(a, b place) int {
+		far := func(p place) int {
+			if p.m.Zone == zone {
 				return 0
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(near(a), near(b)), cmp.Compare(rank(a.Name)^own, rank(b.Name)^own))
+		return cmp.Compare(far(a), far(b))
 	})
 	var out []string
-	if i := slices.IndexFunc(mates, func(m *wire.Member) bool { return m.Name == self }); i > 0 {
-		out = append(out, mates[(i-1)/Fanout].Address)
+	if i := slices.IndexFunc(mates, func(p place) bool { return p.m.Name == self }); i > 0 {
+		out = append(out, mates[(i-1)/Fanout].m.Address)
 	}
-	for _, m := range core {
-		out = append(out, m.Address)
+	for _, p := range core {
+		out = append(out, p.m.Address)
 	}
 	return out
 }
@@ -149,15 +168,30 @@
 	return true
 }
 
-// Deeper sets this node's place below the core.
-func (h *Hub) Deeper(parent uint32) {
+// Take takes in what a parent has sent. It reports false where items are missing:
+// the subscription has to be renewed. fresh tells that the parent knows nothing
+// newer than what is here, so that its age is the age of this node's news too.
+func (h *Hub) Take(f *wire.Feed) (fresh, ok bool) {
+	if f.Whole != nil {
+		h.Load(f.Whole)
+	}
+	ok = h.Add(f.Items...)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.depth = f.Depth + 1
+	return ok && f.Head == h.view.Number, ok
+}
+
+// Depth is this node's place below the core, whose machines are at 0.
+func (h *Hub) Depth() uint32 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.depth = parent + 1
+	return h.depth
 }
 
-// since returns what a child lacks.
-func (h *Hub) since(have uint64) (*wire.Feed, <-chan struct{}) {
+// Since returns what a child lacks, and a channel that is closed at the next
+// change.
+func (h *Hub) Since(have uint64) (*wire.Feed, <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	f := &wire.Feed{Head: h.view.Number, Depth: h.depth}
@@ -181,7 +215,7 @@
 	tick := time.NewTicker(Beat)
 	defer tick.Stop()
 	for {
-		f, changed := h.since(have)
+		f, changed := h.Since(have)
 		f.AgeMs = uint32(min(h.Age(), time.Hour).Milliseconds())
 		if err := s.Send(f); err != nil {
 			return err
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -111,13 +111,13 @@
 	if h.Load(&wire.State{Number: 3}) || h.Load(&wire.State{Number: 2}) || h.State().Config[0] != 3 {
 		t.Errorf("went back to %v", h.State())
 	}
-	if f, _ := h.since(1); len(f.Items) != 2 || f.Whole != nil || f.Head != 3 {
+	if f, _ := h.Since(1); len(f.Items) != 2 || f.Whole != nil || f.Head != 3 {
 		t.Errorf("%v", f)
 	}
 	if !h.Load(&wire.State{Number: 9}) {
 		t.Error("a newer state was not taken")
 	}
-	if f, _ := h.since(3); f.Whole == nil {
+	if f, _ := h.Since(3); f.Whole == nil {
 		t.Error("items that are not kept were promised")
 	}
 }
--- /dev/null
+++ b/internal/station/register.go
@@ -0,0 +1,47 @@
+package station
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"curlewring/internal/wire"
+)
+
+// Machine is where the servers of a station are registered.
+type Machine struct {
+	Node, Address, Zone string // Address: where the node beside them listens
+	Leaving             bool   // the node goes, so its servers take nothing new
+}
+
+// Difference is what has to change in the core's list, so that it says of a
+// machine what stands there. A node that has just started keeps what is listed:
+// its server may not have called yet.
+func Difference(m Machine, servers []Beat, listed []*wire.Server, started bool) []*wire.Command {
+	old := map[string]*wire.Server{}
+	for _, s := range listed {
+		if s.Node == m.Node {
+			old[s.Member] = s
+		}
+	}
+	var todo []*wire.Command
+	for _, b := range servers {
+		want := &wire.Server{
+			Member: b.ID, Service: b.Service, Node: m.Node, Address: m.Address, Zone: m.Zone,
+			Slots: uint32(b.Slots), Draining: b.Draining || m.Leaving,
+		}
+		if !proto.Equal(want, old[b.ID]) {
+			todo = append(todo, &wire.Command{What: &wire.Command_Server{Server: want}})
+		}
+		delete(old, b.ID)
+	}
+	if started || len(old) == 0 {
+		return todo
+	}
+	var gone []string
+	for id := range old {
+		gone = append(gone, id)
+	}
+	slices.Sort(gone)
+	return append(todo, &wire.Command{What: &wire.Command_Remove{Remove: &wire.RemoveServers{Members: gone}}})
+}
--- /dev/null
+++ b/internal/station/station_test.go
@@ -0,0 +1,173 @@
+package station
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func with(slots int, drain time.Duration) *Station[string] {
+	s := New[string](drain, time.Second)
+	s.Beat(0, Beat{ID: "i", Service: "s", Address: "a", Slots: slots})
+	return s
+}
+
+func ask(id string, priority uint32) Ask {
+	return Ask{Member: "i", Service: "s", Attempt: id, Priority: priority}
+}
+
+// TestQueue fills a server's slots: higher priorities go first, the lowest lose
+// their places, and those who are turned away have reached no server.
+func TestQueue(t *testing.T) {
+	s := with(2, time.Hour)
+	for i, c := range []struct {
+		priority uint32
+		place    Place
+		out      string // who loses its place
+	}{{3, Slot, ""}, {3, Slot, ""}, {3, Queue, ""}, {4, Queue, ""}, {1, Queue, "3"}, {3, Full, ""}, {3, Full, ""}} {
+		place, _, v := s.Arrive(0, ask(fmt.Sprint(i), c.priority), fmt.Sprint(i))
+		if place != c.place || c.out != "" && (len(v) != 1 || v[0] != Verdict[string]{c.out, false}) || c.out == "" && len(v) > 0 {
+			t.Errorf("request %d: %v, %v", i, place, v)
+		}
+	}
+	if _, waiting, v := s.Finish(ms, "i", "0", Answered); !waiting || !slices.Equal(v, []Verdict[string]{{"4", true}}) {
+		t.Errorf("the highest did not go first: %v", v)
+	}
+	if !s.Leave("i", "2") || s.Leave("i", "4") {
+		t.Error("one that waits could not leave, or one that runs could")
+	}
+}
+
+func TestDrain(t *testing.T) {
+	s := with(1, 100*ms)
+	s.Arrive(0, ask("runs", 0), "runs")
+	s.Arrive(0, ask("waits", 0), "waits")
+	if h := s.Beat(10*ms, Beat{ID: "i", Service: "s", Address: "a", Slots: 1, Draining: true, Seq: 1}); !h.Drains {
+		t.Error("the mark was not taken")
+	}
+	s.Beat(20*ms, Beat{ID: "i", Service: "s", Address: "a", Slots: 1, Seq: 2}) // it never comes back from that
+	if place, _, _ := s.Arrive(70*ms, ask("late", 0), "late"); place != Gone {
+		t.Errorf("past half of the bound: %v", place)
+	}
+	if _, _, v := s.Finish(95*ms, "i", "runs", Answered); !slices.Equal(v, []Verdict[string]{{"waits", false}}) {
+		t.Errorf("close to the bound: %v", v)
+	}
+}
+
+// TestHanging: a server that answers nothing gets a trial now and then, and its
+// queue is sent elsewhere; with the first answer it is back.
+func TestHanging(t *testing.T) {
+	s := with(8, time.Hour)
+	for i := range 4 {
+		s.Arrive(0, ask(fmt.Sprint(i), 0), fmt.Sprint(i))
+	}
+	now := stallAfter + 100*ms
+	if place, _, _ := s.Arrive(now, ask("trial", 0), "trial"); place != Slot {
+		t.Errorf("the trial: %v", place)
+	}
+	if place, _, _ := s.Arrive(now+ms, ask("x", 0), "x"); place != Hangs {
+		t.Errorf("right behind the trial: %v", place)
+	}
+	s.Finish(now+2*ms, "i", "trial", Answered)
+	if place, _, _ := s.Arrive(now+3*ms, ask("y", 0), "y"); place != Slot {
+		t.Errorf("after an answer: %v", place)
+	}
+	for i := range failsOut {
+		s.Finish(now+4*ms, "i", fmt.Sprint(i), Failed)
+	}
+	s.Arrive(now+time.Second, ask("trial2", 0), "trial2")
+	if place, _, _ := s.Arrive(now+time.Second, ask("z", 0), "z"); place != Hangs {
+		t.Errorf("after %d failures: %v", failsOut, place)
+	}
+}
+
+func TestLives(t *testing.T) {
+	s := New[string](time.Hour, time.Second)
+	if !s.Adopt(0, Beat{ID: "old", Service: "s", Address: "a", Slots: 1}) || s.Adopt(0, Beat{ID: "x", Service: "s", Address: "a", Slots: 1}) {
+		t.Error("adopting works once, and only before any beat")
+	}
+	s.Arrive(0, Ask{Member: "old", Service: "s", Attempt: "1"}, "1")
+	s.Arrive(0, Ask{Member: "old", Service: "s", Attempt: "2"}, "2")
+	h := s.Beat(ms, Beat{ID: "new", Service: "s", Address: "a", Slots: 1})
+	if !slices.Equal(h.Ended, []string{"old"}) || !slices.Equal(h.Verdicts, []Verdict[string]{{"2", false}}) {
+		t.Errorf("a new life at the address: %+v", h)
+	}
+	if place, _, _ := s.Arrive(ms, Ask{Member: "old", Service: "s"}, "3"); place != Gone {
+		t.Errorf("the old life: %v", place)
+	}
+	if place, _, _ := s.Arrive(ms, Ask{Member: "new", Service: "other"}, "4"); place != Gone {
+		t.Errorf("another service: %v", place)
+	}
+	if h := s.Beat(2*ms, Beat{ID: "old", Seq: 9}); h.OK {
+		t.Error("a life that has ended was taken back")
+	}
+	if silent, _ := s.Sweep(10 * time.Second); !slices.Equal(silent, []string{"new"}) || len(s.Servers()) != 0 {
+		t.Errorf("after ten seconds of silence: %v, %v", silent, s.Servers())
+	}
+}
+
+// TestAccounts plays random events: each request that waits gets one verdict or
+// leaves, and no server ever holds more than its slots.
+func TestAccounts(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		s := with(3, 400*ms)
+		waiting, running := map[string]bool{}, map[string]bool{}
+		tell := func(vs []Verdict[string]) {
+			for _, v := range vs {
+				if !waiting[v.Ticket] {
+					t.Fatalf("seed %d: a verdict on %s, which does not wait", seed, v.Ticket)
+				}
+				delete(waiting, v.Ticket)
+				if v.Go {
+					running[v.Ticket] = true
+				}
+			}
+		}
+		now := time.Duration(0)
+		any := func(m map[string]bool) string {
+			return slices.Min(append(slices.Collect(func(yield func(string) bool) {
+				for k := range m {
+					if !yield(k) {
+						return
+					}
+				}
+			}), "~"))
+		}
+		for i := range 400 {
+			now += time.Duration(rng.IntN(40)) * ms
+			id := fmt.Sprint(i)
+			switch rng.IntN(6) {
+			case 0, 1, 2:
+				place, _, v := s.Arrive(now, ask(id, uint32(rng.IntN(4))), id)
+				tell(v)
+				waiting[id], running[id] = place == Queue, place == Slot
+				if place != Queue {
+					delete(waiting, id)
+				}
+				if place != Slot {
+					delete(running, id)
+				}
+			case 3, 4:
+				if id := any(running); id != "~" {
+					delete(running, id)
+					_, _, v := s.Finish(now, "i", id, End(rng.IntN(3)))
+					tell(v)
+				}
+			default:
+				if id := any(waiting); id != "~" && s.Leave("i", id) {
+					delete(waiting, id)
+				} else if rng.IntN(40) == 0 {
+					s.Beat(now, Beat{ID: "i", Service: "s", Address: "a", Slots: 3, Draining: true, Seq: uint64(i)})
+				}
+			}
+			if inflight, queued := s.Load("i"); inflight != len(running) || queued != len(waiting) || inflight > 3 {
+				t.Fatalf("seed %d, event %d: %d at the server and %d waiting, want %d and %d", seed, i, inflight, queued, len(running), len(waiting))
+			}
+		}
+	}
+}
