Take a server back that was silent and speaks again

Cause: a server whose process stands still for over 4 s is taken for gone, and was then treated as a life that has ended: every later beat got 409, and the server had no work until it was started anew. Change: station tells silence from an end; the next beat of the same life brings it back, unless another life has its address. The test fails without the change.

--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -108,6 +108,9 @@
 	if h.New {
 		in.Log.Info("server.new", "member", b.ID, "service", b.Service, "address", b.Address)
 	}
+	if h.Back {
+		in.Log.Info("server.back", "member", b.ID)
+	}
 	if h.Drains {
 		in.Log.Info("server.draining", "member", b.ID)
 	}
--- a/internal/station/station.go
+++ b/internal/station/station.go
@@ -82,6 +82,7 @@
 	drained   bool
 	drainedAt time.Duration // when its drain mark was first acknowledged
 	gone      bool
+	silent    bool // it is gone for its silence alone, which its next beat ends
 
 	inflight int
 	queue    []waiter[T]   // in the order in which they are to be served
@@ -112,6 +113,7 @@
 type Heard[T comparable] struct {
 	OK       bool     // false: the life has ended, or the beat came late
 	New      bool     // a life that was not known
+	Back     bool     // a life that was taken for gone, for its silence
 	Drains   bool     // its drain mark is new
 	Ended    []string // lives that this one has ended, having their address
 	Verdicts []Verdict[T]
@@ -129,14 +131,22 @@
 		s.lives[b.ID] = m
 		// A new life at the same address has ended the one before.
 		for _, id := range s.ids() {
-			if old := s.lives[id]; id != b.ID && old.Address == b.Address && !old.gone {
+			old := s.lives[id]
+			if id == b.ID || old.Address != b.Address {
+				continue
+			}
+			old.silent = false
+			if !old.gone {
 				h.Ended = append(h.Ended, id)
 				h.Verdicts = append(h.Verdicts, old.end()...)
 			}
 		}
-	} else if b.Seq < m.Seq || m.gone {
+	} else if b.Seq < m.Seq || m.gone && !m.silent {
 		h.OK = !m.gone
 		return h
+	} else if m.silent { // it was held up, and is the life that it was
+		h.Back = true
+		m.gone, m.silent, m.fails, m.answered = false, false, 0, now
 	}
 	if b.Slots <= 0 {
 		b.Slots = defaultSlots
@@ -163,10 +173,15 @@
 
 // Deregister takes a server's last word.
 func (s *Station[T]) Deregister(id string) (ended bool, v []Verdict[T]) {
-	if m := s.lives[id]; m != nil && !m.gone {
-		return true, m.end()
+	m := s.lives[id]
+	if m == nil {
+		return false, nil
+	}
+	m.silent = false
+	if m.gone {
+		return false, nil
 	}
-	return false, nil
+	return true, m.end()
 }
 
 // end takes a life out of service.
@@ -206,6 +221,7 @@
 		if !m.gone && silence > beatsMissed*s.heartbeat+time.Second && now-m.answered > s.heartbeat {
 			silent = append(silent, id)
 			v = append(v, m.end()...)
+			m.silent = true
 		}
 	}
 	return silent, v
--- a/internal/station/station_test.go
+++ b/internal/station/station_test.go
@@ -108,6 +108,15 @@
 	if silent, _ := s.Sweep(10 * time.Second); !slices.Equal(silent, []string{"new"}) || len(s.Servers()) != 0 {
 		t.Errorf("after ten seconds of silence: %v, %v", silent, s.Servers())
 	}
+	// It was only held up: its beat brings it back, unless another has its address.
+	if h := s.Beat(11*time.Second, Beat{ID: "new", Service: "s", Address: "a", Slots: 1, Seq: 5}); !h.OK || !h.Back || len(s.Servers()) != 1 {
+		t.Errorf("the beat after a long silence: %+v, %v", h, s.Servers())
+	}
+	s.Sweep(20 * time.Second)
+	s.Beat(21*time.Second, Beat{ID: "newer", Service: "s", Address: "a", Slots: 1})
+	if h := s.Beat(22*time.Second, Beat{ID: "new", Service: "s", Address: "a", Slots: 1, Seq: 9}); h.OK {
+		t.Error("a life came back whose address another has")
+	}
 }
 
 // TestAccounts plays random events: each request that waits gets one verdict or
