--- a/cmd/ivydeckctl/main.go
+++ b/cmd/ivydeckctl/main.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"strings"
 
 	"github.com/alecthomas/kong"
@@ -177,13 +176,5 @@
 }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
-	var args commands
-	k := kong.Parse(&args, kong.Name("ivydeckctl"), kong.Description("The operator's tool of the ivydeck mesh."),
-		kong.Vars{"version": "ivydeckctl " + program.Version}, kong.BindTo(ctx, (*context.Context)(nil)))
-	if err := k.Run(); err != nil {
-		fmt.Fprintf(os.Stderr, "ivydeckctl: %v\n", err)
-		os.Exit(1)
-	}
+	program.Tool("ivydeckctl", "The operator's tool of the ivydeck mesh.", new(commands))
 }
--- /dev/null
+++ b/cmd/meshlab/main.go
@@ -0,0 +1,232 @@
+// Command meshlab plays whole meshes in simulated time, and compares them.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/alecthomas/kong"
+	"github.com/schollz/progressbar/v3"
+
+	"curlewring/internal/lab"
+	"curlewring/internal/program"
+)
+
+type commands struct {
+	Version kong.VersionFlag `help:"Print the version and exit."`
+	Run     runCmd           `cmd:"" help:"Play a world once."`
+	Sweep   sweepCmd         `cmd:"" help:"Play a world with some settings and many seeds."`
+	Compare compareCmd       `cmd:"" help:"Compare two worlds, paired by seed."`
+	Report  reportCmd        `cmd:"" help:"Write a page about the results in a folder."`
+	Demo    demoCmd          `cmd:"" help:"Start a small mesh of real processes on loopback, and send it traffic."`
+}
+
+type runCmd struct {
+	World string   `arg:"" type:"existingfile"`
+	Seed  uint64   `default:"1" help:"Of the random numbers; the same seed plays the same."`
+	Set   []string `placeholder:"KEY=VALUE" help:"Set a key of the world, such as nodes=30 or route.0.rate=90."`
+	Out   string   `placeholder:"DIR" help:"Keep the result here."`
+}
+
+// load reads a world and sets keys in it.
+func load(path string, set []string) (*lab.World, error) {
+	w, err := lab.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	for _, s := range set {
+		key, value, ok := strings.Cut(s, "=")
+		if !ok {
+			return nil, fmt.Errorf("%q is not KEY=VALUE", s)
+		}
+		if w, err = w.Vary(key, value); err != nil {
+			return nil, fmt.Errorf("%s: %w", s, err)
+		}
+	}
+	return w, nil
+}
+
+func (c *runCmd) Run() error {
+	w, err := load(c.World, c.Set)
+	if err != nil {
+		return err
+	}
+	r := lab.Play(w, c.Seed)
+	fmt.Printf("%s, seed %d: worth %.4f of %d requests; %.3f refused, %.4f failed\n", r.World, r.Seed, r.Total.Worth, r.Total.Asked,
+		float64(r.Total.Refused)/float64(max(1, r.Total.Asked)), float64(r.Total.Failed)/float64(max(1, r.Total.Asked)))
+	for _, route := range w.Routes {
+		if x, ok := r.Routes[route.Name]; ok {
+			fmt.Printf("  %-16s worth %.4f, p50 %.1f ms, p99 %.1f ms, refused %d, failed %d\n", route.Name, x.Worth, x.P50Ms, x.P99Ms, x.Refused, x.Failed)
+		}
+	}
+	fmt.Printf("  repeats %d, at most %.2f of the shared budget\n", r.Repeats, r.Budget)
+	fmt.Printf("  news: p50 %.1f ms, p99 %.1f ms, at most %.1f ms, %d deep\n", r.LagP50Ms, r.LagP99Ms, r.LagMaxMs, r.Depth)
+	fmt.Printf("  changes: %d acknowledged, p50 %.1f ms, at most %.1f ms; %d elections, %.2f s without a leader\n", r.Acks, r.AckP50Ms, r.AckMaxMs, r.Elections, r.LeaderlessS)
+	fmt.Printf("  a node and second: %.1f probes, %.0f bytes of them, %.0f bytes of news; the busiest machine sends %.0f bytes a second\n",
+		r.ProbesS, r.ProbeBytesS, r.FeedBytesS, r.BusiestBps)
+	fmt.Printf("  fingerprint %s\n", r.Fingerprint)
+	if c.Out != "" {
+		if err := lab.Save(c.Out, []*lab.Result{r}); err != nil {
+			return err
+		}
+	}
+	if len(r.Faults) == 0 {
+		return nil
+	}
+	fmt.Println(strings.Join(r.Recent, "\n"))
+	n := 0
+	small := lab.Shrink(w, c.Seed, func(*lab.World) { n++ })
+	text, err := small.Text()
+	if err != nil {
+		return err
+	}
+	file := fmt.Sprintf("%s-broken-%d.toml", r.World, c.Seed)
+	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
+		return err
+	}
+	return fmt.Errorf("broken with seed %d: %s (shrunk in %d plays to %.1f s and %d troubles: %s)",
+		c.Seed, strings.Join(r.Faults, "; "), n, small.Seconds, len(small.Troubles), file)
+}
+
+type sweepCmd struct {
+	World string   `arg:"" type:"existingfile"`
+	Vary  string   `placeholder:"KEY=A,B,C" help:"Play once with each of these values."`
+	Set   []string `placeholder:"KEY=VALUE" help:"Set a key of the world in all plays."`
+	Seeds int      `default:"20" help:"Plays of each value."`
+	Seed  uint64   `default:"1" help:"The first of them."`
+	Out   string   `placeholder:"DIR" help:"Keep the results here."`
+}
+
+func play(jobs []lab.Job) []*lab.Result {
+	bar := progressbar.NewOptions(len(jobs), progressbar.OptionSetWriter(os.Stderr), progressbar.OptionShowCount(),
+		progressbar.OptionClearOnFinish(), progressbar.OptionSetDescription("plays"))
+	results := lab.Sweep(jobs, func() { bar.Add(1) })
+	bar.Finish()
+	return results
+}
+
+func jobs(w *lab.World, varied string, first uint64, n int) (list []lab.Job) {
+	for i := range n {
+		list = append(list, lab.Job{World: w, Seed: first + uint64(i), Varied: varied})
+	}
+	return list
+}
+
+// faults reports what went wrong, as an error.
+func faults(results []*lab.Result) error {
+	var errs []error
+	for _, r := range results {
+		if len(r.Faults) > 0 {
+			errs = append(errs, fmt.Errorf("%s %s broken with seed %d: %s", r.World, r.Varied, r.Seed, r.Faults[0]))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func (c *sweepCmd) Run() error {
+	w, err := load(c.World, c.Set)
+	if err != nil {
+		return err
+	}
+	var all []lab.Job
+	if c.Vary == "" {
+		all = jobs(w, "", c.Seed, c.Seeds)
+	} else {
+		key, values, ok := strings.Cut(c.Vary, "=")
+		if !ok {
+			return fmt.Errorf("--vary %q is not KEY=A,B,C", c.Vary)
+		}
+		for _, v := range strings.Split(values, ",") {
+			x, err := w.Vary(key, v)
+			if err != nil {
+				return err
+			}
+			all = append(all, jobs(x, key+"="+v, c.Seed, c.Seeds)...)
+		}
+	}
+	results := play(all)
+	fmt.Printf("%-24s", "")
+	for _, f := range lab.Figures {
+		fmt.Printf(" %20s", f.Name)
+	}
+	fmt.Println()
+	for i := 0; i < len(results); i += c.Seeds {
+		name := results[i].Varied
+		if name == "" {
+			name = results[i].World
+		}
+		fmt.Printf("%-24s", name)
+		for _, f := range lab.Figures {
+			var x []float64
+			for _, r := range results[i : i+c.Seeds] {
+				x = append(x, f.Of(r))
+			}
+			fmt.Printf(" %20s", lab.Average(x))
+		}
+		fmt.Println()
+	}
+	if c.Out != "" {
+		if err := lab.Save(c.Out, results); err != nil {
+			return err
+		}
+	}
+	return faults(results)
+}
+
+type compareCmd struct {
+	A     string   `arg:"" type:"existingfile"`
+	B     string   `arg:"" type:"existingfile"`
+	Set   []string `placeholder:"KEY=VALUE" help:"Set a key in B; A and B may be the same file."`
+	Seeds int      `default:"20" help:"Plays of each."`
+	Seed  uint64   `default:"1" help:"The first of them."`
+}
+
+func (c *compareCmd) Run() error {
+	a, err := load(c.A, nil)
+	if err != nil {
+		return err
+	}
+	b, err := load(c.B, c.Set)
+	if err != nil {
+		return err
+	}
+	results := play(append(jobs(a, "A", c.Seed, c.Seeds), jobs(b, "B", c.Seed, c.Seeds)...))
+	lines, err := lab.Compare(results[:c.Seeds], results[c.Seeds:])
+	if err != nil {
+		return err
+	}
+	fmt.Println(strings.Join(lines, "\n"))
+	return faults(results)
+}
+
+type reportCmd struct {
+	Dir string `arg:"" type:"existingdir"`
+}
+
+func (c *reportCmd) Run() error {
+	results, err := lab.Read(c.Dir)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(c.Dir, "report.html")
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := lab.Report(f, results); err != nil {
+		f.Close()
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	fmt.Println(path)
+	return nil
+}
+
+func main() {
+	program.Tool("meshlab", "Plays ivydeck meshes in simulated time.", new(commands))
+}
--- /dev/null
+++ b/internal/lab/core.go
@@ -0,0 +1,415 @@
+package lab
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"curlewring/internal/catalog"
+	"curlewring/internal/membership"
+	"curlewring/internal/raft"
+	"curlewring/internal/relay"
+	"curlewring/internal/simdisk"
+	"curlewring/internal/wire"
+)
+
+const (
+	answerWithin = 900 * time.Millisecond
+	manageEvery  = 250 * time.Millisecond
+	nodeGoneFor  = 1500 * time.Millisecond
+	compactAfter = 512
+)
+
+// core is a core machine: the consensus on its disk, and the root of the relays.
+type core struct {
+	machine
+	peerView
+	s     *sim
+	disk  simdisk.Disk
+	stall time.Duration // until then the disk takes nothing
+
+	raft    *raft.Core
+	catalog *catalog.Catalog
+	applied uint64
+	changes map[uint64]*change
+	reads   map[uint64]func(bool)
+	token   uint64
+	busy    bool // a sync is under way
+	inbox   []func()
+	managed time.Duration
+	leads   bool
+	timer   time.Duration // when the loop runs next by itself
+}
+
+type change struct {
+	term   uint64
+	result func(error)
+}
+
+func (c *core) start() {
+	s := c.s
+	s.lives++
+	c.life, c.up, c.powered = s.lives, true, true
+	if c.disk.ID == 0 {
+		for c.disk.ID == 0 {
+			c.disk.ID = s.rng.Uint64()
+		}
+		if c == s.cores[0] && !s.begun { // the first of all begins the core by itself
+			s.begun = true
+			c.catalog = catalog.New()
+			data, err := c.catalog.Snapshot()
+			s.must(err)
+			c.disk.Hard = &wire.HardState{Term: 1}
+			c.disk.Snap = &wire.RaftSnapshot{Term: 1, Index: 1, Data: data, Peers: &wire.Peers{Peers: []*wire.Peer{c.peer(true)}}}
+		}
+	}
+	c.catalog = catalog.New()
+	if c.disk.Snap != nil {
+		s.must(c.catalog.Restore(c.disk.Snap.Data))
+	}
+	c.raft = raft.New(c.disk.ID, c.disk.Hard, c.disk.Snap, append([]*wire.Entry(nil), c.disk.Entries...), s.rng.Uint64(), s.now)
+	c.applied = c.disk.Snap.GetIndex()
+	c.changes, c.reads, c.inbox, c.busy, c.leads, c.timer = map[uint64]*change{}, map[uint64]func(bool){}, nil, false, false, 0
+	c.hub = relay.NewHub(func() time.Duration { return c.raft.Touch(s.now) })
+	c.hub.Load(c.catalog.State())
+	c.peerView.start(s, &c.machine, nil)
+	c.loop(c.life)
+	c.askToJoin(c.life)
+}
+
+func (c *core) peer(voter bool) *wire.Peer {
+	return &wire.Peer{Id: c.disk.ID, Address: c.name, Control: c.name, Voter: voter}
+}
+
+func (c *core) stop(power bool) {
+	if c.up {
+		c.s.down(&c.machine, power)
+		c.disk.Crash(c.s.rng)
+		c.lose()
+	}
+}
+
+// lose notes that the machine leads no longer.
+func (c *core) lose() {
+	if c.leads {
+		c.leads = false
+		c.s.m.lostLeader(c.s.now, slices.ContainsFunc(c.s.cores, func(o *core) bool { return o.leads }))
+	}
+}
+
+// do runs f in the machine's loop.
+func (c *core) do(f func()) {
+	c.inbox = append(c.inbox, f)
+	if !c.busy {
+		c.turn()
+	}
+}
+
+// loop lets the machine run when its core wants to.
+func (c *core) loop(life uint64) {
+	if !c.up || c.life != life {
+		return
+	}
+	if !c.busy {
+		c.turn()
+	}
+	c.s.at(max(c.s.now+time.Millisecond, min(c.raft.Next(), c.s.now+manageEvery)), func() { c.loop(life) })
+}
+
+// turn takes in what has come, and carries out what the core asks for.
+func (c *core) turn() {
+	now := c.s.now
+	for len(c.inbox) > 0 {
+		f := c.inbox[0]
+		c.inbox = c.inbox[1:]
+		f()
+	}
+	c.raft.Tick(now)
+	if now-c.managed >= manageEvery {
+		c.managed = now
+		c.manage()
+	}
+	c.flush()
+}
+
+// flush is the driver's: disk first, then messages, then what is committed.
+func (c *core) flush() {
+	o := c.raft.Take()
+	if o.Empty() {
+		return
+	}
+	if o.Snapshot == nil && o.Hard == nil && len(o.Entries) == 0 {
+		c.finish(o)
+		c.flush()
+		return
+	}
+	c.busy = true
+	c.disk.Write(o)
+	life := c.life
+	took := max(0, c.stall-c.s.now) + ms(c.s.w.SyncMs*(0.5+c.s.rng.Float64()))
+	c.s.after(took, func() {
+		if !c.up || c.life != life {
+			return
+		}
+		c.disk.Sync()
+		c.busy = false
+		if o.Snapshot != nil {
+			c.s.must(c.catalog.Restore(o.Snapshot.Data))
+			c.applied = o.Snapshot.Index
+			c.hub.Load(c.catalog.State())
+			c.s.told(&c.peerView)
+		}
+		if n := len(o.Entries); n > 0 {
+			c.raft.Stable(o.Entries[n-1].Index)
+		}
+		c.finish(o)
+		c.turn()
+	})
+}
+
+func (c *core) finish(o raft.Output) {
+	for _, m := range o.Messages {
+		to := c.s.coreByID(m.To)
+		if to == nil {
+			continue
+		}
+		c.s.stream(&c.machine, &to.machine, proto.Size(m)+rpcBytes, c.s.lastOf(c, to), func() {
+			to.do(func() { to.raft.Step(c.s.now, m) })
+		})
+	}
+	for _, e := range o.Committed {
+		c.apply(e)
+	}
+	for _, r := range o.Reads {
+		if f := c.reads[r.Token]; f != nil {
+			delete(c.reads, r.Token)
+			f(r.OK)
+		}
+	}
+	if c.raft.Backlog() >= compactAfter {
+		data, err := c.catalog.Snapshot()
+		c.s.must(err)
+		if snap := c.raft.Compact(c.applied, data); snap != nil {
+			c.disk.Compact(snap)
+		}
+	}
+	c.s.m.disk = max(c.s.m.disk, c.disk.Bytes())
+}
+
+func (c *core) apply(e *wire.Entry) {
+	c.applied = e.Index
+	var verdict error
+	if e.Kind == wire.Entry_COMMAND {
+		cmd := new(wire.Command)
+		c.s.must(proto.Unmarshal(e.Data, cmd))
+		var item *wire.Item
+		if item, verdict = c.catalog.Apply(cmd); item != nil {
+			c.s.m.committed(c.s.now, item.Number)
+			c.hub.Add(item)
+			c.s.told(&c.peerView)
+		}
+	}
+	if w := c.changes[e.Index]; w != nil {
+		delete(c.changes, e.Index)
+		if w.term != e.Term {
+			verdict = errLost
+		}
+		w.result(verdict)
+	}
+}
+
+// manage is the leader's upkeep.
+func (c *core) manage() {
+	if !c.raft.Leads() {
+		c.lose()
+		return
+	}
+	if !c.leads {
+		c.leads = true
+		c.s.m.newLeader(c.s.now)
+	}
+	if m := c.raft.Tend(c.s.fewest()); m.Next != nil {
+		c.raft.Change(c.s.now, m.Next)
+	}
+	var gone []string
+	for _, srv := range c.catalog.State().Servers {
+		if c.group.Gone(c.s.now, srv.Node) > nodeGoneFor {
+			gone = append(gone, srv.Member)
+		}
+	}
+	if len(gone) > 0 && len(c.changes) == 0 {
+		c.propose(&wire.Command{What: &wire.Command_Remove{Remove: &wire.RemoveServers{Members: gone}}}, func(error) {})
+	}
+}
+
+// propose puts a command into the log; to be called in the loop.
+func (c *core) propose(cmd *wire.Command, result func(error)) {
+	data, err := proto.Marshal(cmd)
+	c.s.must(err)
+	if c.raft.Leads() && raft.Voters(c.raft.Peers()) < c.s.fewest() {
+		result(errYoung)
+		return
+	}
+	index, term, err := c.raft.Propose(c.s.now, data)
+	if err != nil {
+		result(err)
+		return
+	}
+	c.changes[index] = &change{term, result}
+}
+
+// read lets look see the state once all that was acknowledged before is in it.
+func (c *core) read(look func(ok bool)) {
+	c.token++
+	c.reads[c.token] = look
+	c.raft.Read(c.s.now, c.token)
+}
+
+func (c *core) leader() *core {
+	for _, p := range c.raft.Peers() {
+		if p.Id == c.raft.Leader() {
+			return c.s.coreByID(p.Id)
+		}
+	}
+	return nil
+}
+
+// askToJoin asks the others for membership until they have it.
+func (c *core) askToJoin(life uint64) {
+	if !c.up || c.life != life {
+		return
+	}
+	c.s.after(250*time.Millisecond, func() { c.askToJoin(life) })
+	for _, p := range c.raft.Peers() {
+		if p.Id == c.disk.ID {
+			return
+		}
+	}
+	me := c.peer(false)
+	for _, other := range c.s.cores {
+		if other != c {
+			c.s.call(&c.machine, &other.machine, proto.Size(me), 600*time.Millisecond, func(answer func(int, func())) {
+				other.do(func() {
+					if !other.raft.Leads() {
+						return
+					}
+					if m, member := other.raft.Joining(me); !member {
+						other.raft.Change(c.s.now, m.Next)
+					}
+				})
+			}, func(bool) {})
+		}
+	}
+}
+
+// peerView is what every machine has: a view of the others, and a place in the tree.
+type peerView struct {
+	s        *sim
+	m        *machine
+	group    *membership.Group
+	hub      *relay.Hub
+	children []*child
+	onNews   func()
+}
+
+// child is a subscriber of a machine's news.
+type child struct {
+	node *node
+	life uint64
+	have uint64
+	last time.Duration // when the newest message to it arrives
+	gone bool
+}
+
+func (v *peerView) start(s *sim, m *machine, onNews func()) {
+	v.s, v.m, v.onNews, v.children = s, m, onNews, nil
+	self := &wire.Member{Name: m.name, Address: m.name, Zone: m.zone, Core: m.core, Life: m.life}
+	v.group = membership.New(self, s.rng.Uint64(), s.now)
+	if s.w.Steady && len(s.all) > 0 && s.now == 0 {
+		v.group.Load(s.now, s.all)
+	}
+	// Machines do not start in the same moment.
+	s.after(time.Duration(s.rng.Int64N(int64(membership.Period))), func() { v.probe(m.life) })
+	s.after(time.Duration(s.rng.Int64N(int64(relay.Beat))), func() { v.beat(m.life) })
+}
+
+// probe is the driver of membership.
+func (v *peerView) probe(life uint64) {
+	if !v.m.up || v.m.life != life {
+		return
+	}
+	for _, a := range v.group.Tick(v.s.now, v.s.seeds) {
+		v.send(a)
+	}
+	v.s.at(max(v.group.Next(), v.s.now+10*time.Millisecond), func() { v.probe(life) })
+}
+
+func (v *peerView) send(a membership.Action) {
+	v.exchange(a.Address, a.Probe, a.Wait(), func(reached bool) {
+		for _, more := range v.group.Probed(v.s.now, a, reached) {
+			v.send(more)
+		}
+	})
+}
+
+// exchange sends a probe and takes in the answer.
+func (v *peerView) exchange(address string, p *wire.Probe, wait time.Duration, done func(reached bool)) {
+	to := v.s.views[address]
+	if to == nil {
+		done(false)
+		return
+	}
+	size := proto.Size(p)
+	v.s.m.probes++
+	v.s.m.probeBytes += int64(size + rpcBytes)
+	v.s.call(v.m, to.m, size, wait, func(answer func(int, func())) {
+		to.group.Hear(v.s.now, p.From)
+		to.group.Hear(v.s.now, p.News...)
+		reply := func(reached bool) {
+			news := to.group.Answer(p)
+			size := proto.Size(&wire.Probed{Reached: reached, News: news})
+			v.s.m.probeBytes += int64(size + rpcBytes)
+			answer(size, func() {
+				v.group.Hear(v.s.now, news...)
+				done(reached)
+			})
+		}
+		if p.Target == nil {
+			reply(true)
+			return
+		}
+		to.exchange(p.Target.Address, &wire.Probe{From: to.group.Self()}, membership.ProbeWait, reply)
+	}, func(bool) { done(false) })
+}
+
+// beat is a sign of life to all children.
+func (v *peerView) beat(life uint64) {
+	if !v.m.up || v.m.life != life {
+		return
+	}
+	v.feed()
+	v.s.after(relay.Beat, func() { v.beat(life) })
+}
+
+// feed sends each child what it lacks.
+func (v *peerView) feed() {
+	keep := v.children[:0]
+	for _, c := range v.children {
+		if !c.gone && c.node.up && c.node.life == c.life {
+			keep = append(keep, c)
+			v.feedOne(c)
+		}
+	}
+	clear(v.children[len(keep):])
+	v.children = keep
+}
+
+func (v *peerView) feedOne(c *child) {
+	f, _ := v.hub.Since(c.have)
+	f.AgeMs = uint32(min(v.hub.Age(), time.Hour).Milliseconds())
+	c.have = max(c.have, f.Head)
+	size := proto.Size(f)
+	v.s.m.feedBytes += int64(size + rpcBytes)
+	v.s.stream(v.m, &c.node.machine, size+rpcBytes, &c.last, func() { c.node.hear(c, f) })
+}
--- /dev/null
+++ b/internal/lab/engine.go
@@ -0,0 +1,211 @@
+package lab
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+)
+
+// event is something that happens at a time; those of one time keep their order.
+type event struct {
+	at  time.Duration
+	seq uint64
+	f   func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*q = old[:len(old)-1]
+	return e
+}
+
+// engine is simulated time.
+type engine struct {
+	now   time.Duration
+	queue events
+	seq   uint64
+	rng   *rand.Rand
+}
+
+// at lets f happen at a time, now at the earliest.
+func (e *engine) at(t time.Duration, f func()) {
+	e.seq++
+	heap.Push(&e.queue, event{max(t, e.now), e.seq, f})
+}
+
+func (e *engine) after(d time.Duration, f func()) { e.at(e.now+d, f) }
+
+// run plays until a time.
+func (e *engine) run(until time.Duration) {
+	for len(e.queue) > 0 && e.queue[0].at <= until {
+		next := heap.Pop(&e.queue).(event)
+		e.now = next.at
+		next.f()
+	}
+	e.now = until
+}
+
+// some returns a whole number whose mean is x.
+func (e *engine) some(x float64) int {
+	n := int(x)
+	if e.rng.Float64() < x-float64(n) {
+		n++
+	}
+	return n
+}
+
+// machine is one machine on the network, and the process on it.
+type machine struct {
+	name, zone string
+	core       bool
+	life       uint64 // of the process; a later one is higher
+	up         bool   // the process runs
+	powered    bool
+	cut        bool          // no message passes
+	sendUntil  time.Duration // the line out is taken until then
+	calls      []*pending    // of others, under way here
+	bytes      int64         // sent
+	crossed    int64         // of them, to other zones
+}
+
+// network carries messages between machines.
+type network struct {
+	*engine
+	Net
+	cuts map[[2]string]bool // zones between which nothing passes
+}
+
+// reaches tells whether messages pass.
+func (n *network) reaches(a, b *machine) bool {
+	return a == b || !a.cut && !b.cut && !n.cuts[[2]string{a.zone, b.zone}]
+}
+
+// delay is how long a message takes.
+func (n *network) delay(from, to *machine, size int) time.Duration {
+	if from == to {
+		return 20 * time.Microsecond
+	}
+	from.bytes += int64(size)
+	d := ms(n.LinkMs + n.rng.Float64()*n.JitterMs)
+	if from.zone != to.zone {
+		from.crossed += int64(size)
+		d += ms(n.ZoneMs)
+	}
+	for n.Loss > 0 && n.rng.Float64() < n.Loss { // sent again by the transport
+		d += 200 * time.Millisecond
+	}
+	if n.MBps > 0 {
+		from.sendUntil = max(from.sendUntil, n.now) + time.Duration(float64(size)/n.MBps*1000)
+		d += from.sendUntil - n.now
+	}
+	return d
+}
+
+// post sends a message; it is lost where nothing passes, or where the process that
+// it is for has ended.
+func (n *network) post(from, to *machine, size int, f func()) {
+	n.stream(from, to, size, new(time.Duration), f)
+}
+
+// stream is post for messages that keep their order; last is when the one before
+// arrives.
+func (n *network) stream(from, to *machine, size int, last *time.Duration, f func()) {
+	if !from.up || !n.reaches(from, to) || !to.up {
+		return
+	}
+	life := to.life
+	*last = max(*last, n.now+n.delay(from, to, size))
+	n.at(*last, func() {
+		if to.up && to.life == life && n.reaches(from, to) {
+			f()
+		}
+	})
+}
+
+// pending is a call under way.
+type pending struct {
+	over bool
+	fail func(sent bool)
+}
+
+func (p *pending) end(sent bool) {
+	if !p.over {
+		p.over = true
+		p.fail(sent)
+	}
+}
+
+const (
+	liveWait   = 300 * time.Millisecond // for a sign of life from a silent machine
+	silentWait = 1800 * time.Millisecond
+	rpcBytes   = 40 // of a frame around a message
+)
+
+// call sends a question to another machine. serve takes it there, and may answer;
+// fail tells that no answer came: sent is false where the question was surely not
+// delivered. The caller's own end ends the call without a word.
+func (n *network) call(from, to *machine, size int, wait time.Duration, serve func(answer func(size int, take func())), fail func(sent bool)) {
+	life := from.life
+	p := &pending{fail: func(sent bool) {
+		if from.up && from.life == life {
+			fail(sent)
+		}
+	}}
+	switch {
+	case !n.reaches(from, to) || !to.powered:
+		n.after(min(wait, liveWait), func() { p.end(false) })
+		return
+	case !to.up: // refused
+		n.after(2*n.delay(from, to, rpcBytes), func() { p.end(false) })
+		return
+	}
+	to.calls = append(to.calls, p)
+	n.after(wait, func() { p.end(true) })
+	n.post(from, to, size+rpcBytes, func() {
+		serve(func(size int, take func()) {
+			n.post(to, from, size+rpcBytes, func() {
+				if !p.over && from.life == life {
+					p.over = true
+					take()
+				}
+			})
+		})
+	})
+	if len(to.calls) > 64 { // those that are over
+		keep := to.calls[:0]
+		for _, c := range to.calls {
+			if !c.over {
+				keep = append(keep, c)
+			}
+		}
+		clear(to.calls[len(keep):])
+		to.calls = keep
+	}
+}
+
+// down ends a machine's process. Callers see at once that it has gone, unless the
+// machine is silent.
+func (n *network) down(m *machine, power bool) {
+	m.up, m.powered = false, !power
+	wait := ms(n.LinkMs)
+	if power {
+		wait = silentWait
+	}
+	calls := m.calls
+	m.calls = nil
+	n.after(wait, func() {
+		for _, c := range calls {
+			c.end(true)
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,164 @@
+package lab
+
+import (
+	"bytes"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"curlewring/internal/entry"
+	"curlewring/internal/station"
+)
+
+func town(t *testing.T) *World {
+	t.Helper()
+	w, err := Load("../../lab/town.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+// TestTown plays a day with troubles: it repeats by its seed, nothing breaks, and
+// where there is too much to do the lowest priority is refused first.
+func TestTown(t *testing.T) {
+	w := town(t)
+	a, b, c := Play(w, 1), Play(w, 1), Play(w, 2)
+	if a.Fingerprint != b.Fingerprint || a.Total != b.Total {
+		t.Errorf("the same seed gave %v and %v", a.Total, b.Total)
+	}
+	if a.Fingerprint == c.Fingerprint {
+		t.Error("another seed went alike")
+	}
+	for _, r := range []*Result{a, c} {
+		if len(r.Faults) > 0 {
+			t.Errorf("seed %d: %s\n%s", r.Seed, strings.Join(r.Faults, "\n"), strings.Join(r.Recent, "\n"))
+		}
+		total := r.Total
+		if total.InAim+total.Late+total.Refused+total.Failed < total.Asked*9/10 {
+			t.Errorf("seed %d: %+v does not add up", r.Seed, total)
+		}
+		refused := map[int]int{}
+		for _, s := range r.Seconds[15:20] { // the burst
+			for p, n := range s.ByPriority {
+				refused[p] += n
+			}
+		}
+		if refused[2] < 100 || refused[0] > refused[2]/20 {
+			t.Errorf("seed %d: refused in the burst, by priority: %v", r.Seed, refused)
+		}
+		if r.Elections < 2 || r.Acks < 4 || r.LagMaxMs <= 0 {
+			t.Errorf("seed %d: %d elections, %d changes, news within %v ms", r.Seed, r.Elections, r.Acks, r.LagMaxMs)
+		}
+	}
+	var page bytes.Buffer
+	if err := Report(&page, []*Result{a, c}); err != nil || strings.Count(page.String(), "<svg") < 5 {
+		t.Errorf("a report of %d bytes: %v", page.Len(), err)
+	}
+}
+
+// TestChecksCanFail breaks each rule once by hand.
+func TestChecksCanFail(t *testing.T) {
+	w := town(t)
+	for name, f := range map[string]func(s *sim){
+		"must not run twice": func(s *sim) {
+			q := &request{s: s, route: s.route("order")}
+			(&try{id: "a", req: q}).executed()
+			(&try{id: "b", req: q}).executed()
+		},
+		"after a promise": func(s *sim) {
+			x := &try{id: "a", req: &request{s: s, route: s.route("browse")}}
+			x.answered(entry.Final{Status: 503, After: 1})
+			x.executed()
+		},
+		"promised not to have run": func(s *sim) {
+			x := &try{id: "a", req: &request{s: s, route: s.route("browse")}}
+			x.executed()
+			x.answered(entry.Final{Status: 503, After: 1})
+		},
+		"when to come back": func(s *sim) {
+			(&try{id: "a", req: &request{s: s, route: s.route("browse")}}).answered(entry.Final{Status: 503})
+		},
+		"after the acknowledgement of its drain": func(s *sim) {
+			v := s.servers[0]
+			v.acked, v.drainAt = true, s.now-ms(w.DrainMs)-time.Millisecond
+			v.run(&try{id: "a", req: &request{s: s, route: s.route("browse")}}, station.Ask{Member: v.id, Service: v.kind.Name, Attempt: "a"}, s.now+time.Second, 0, nil)
+		},
+		"was acknowledged": func(s *sim) {
+			s.acked = 99
+			s.atEnd()
+		},
+		"shared budget": func(s *sim) {
+			for range 1000 {
+				s.m.repeated(s.now, "shop")
+			}
+			s.m.result(s, 1)
+		},
+	} {
+		s := prepare(w, 1)
+		s.run(5 * time.Second)
+		if len(s.faults) > 0 {
+			t.Fatalf("before anything was broken: %v", s.faults)
+		}
+		f(s)
+		if len(s.faults) == 0 || !strings.Contains(s.faults[0], name) {
+			t.Errorf("%s: %v", name, s.faults)
+		}
+	}
+}
+
+func TestWorldsAreChecked(t *testing.T) {
+	_, err := Parse(`
+nodes = 2
+speed = 3
+[[service]]
+name = "s"
+servers = 4
+slots = 1
+work_ms = 1.0
+[[route]]
+name = "r"
+service = "x"
+aim_ms = 1.0
+timeout_ms = 1.0
+calls = [{ route = "q", times = 1.0 }]
+[[trouble]]
+kind = "melt"
+target = "node 1"
+[[trouble]]
+kind = "crash"
+target = "server s 7"
+at_s = 1.0
+for_s = 1.0
+`)
+	for _, want := range []string{"speed is no key", "4 servers do not fit", "a known service", `calls "q"`, `no kind "melt"`, `no "server s 7"`, "at_s and for_s"} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("nothing about %q in: %v", want, err)
+		}
+	}
+	w := town(t)
+	v, err := w.Vary("service.1.slots", "3")
+	if err != nil || v.Services[1].Slots != 3 || w.Services[1].Slots == 3 {
+		t.Errorf("%v, %v", v, err)
+	}
+	if v, err = w.Vary("net.loss", "0"); err != nil || v.Net.Loss != 0 {
+		t.Errorf("%v", err)
+	}
+	for _, key := range []string{"service.9.slots", "nothing.at.all", "service.1.speed"} {
+		if _, err := w.Vary(key, "3"); err == nil {
+			t.Errorf("%s was set", key)
+		}
+	}
+}
+
+func TestIntervals(t *testing.T) {
+	m := Average([]float64{1, 2, 3, 4, 5}) // t of 4 degrees: 2.776; deviation 1.5811
+	if m.Mean != 3 || math.Abs(m.Half-1.963) > 0.001 {
+		t.Errorf("%v", m)
+	}
+	a, b := &Result{Seed: 1}, &Result{Seed: 2}
+	if _, err := Compare([]*Result{a}, []*Result{b}); err == nil {
+		t.Error("other seeds were paired")
+	}
+}
--- /dev/null
+++ b/internal/lab/node.go
@@ -0,0 +1,346 @@
+package lab
+
+import (
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"curlewring/decide"
+	"curlewring/internal/budget"
+	"curlewring/internal/entry"
+	"curlewring/internal/meshconfig"
+	"curlewring/internal/relay"
+	"curlewring/internal/station"
+	"curlewring/internal/wire"
+)
+
+var (
+	errLost  = errors.New("another entry took its place")
+	errYoung = errors.New("the core has too few members yet")
+)
+
+const (
+	upkeepEvery  = 500 * time.Millisecond
+	answerMargin = 15 * time.Millisecond
+	headBytes    = 300 // of a request or an answer without its body
+)
+
+// node is a sidecar machine.
+type node struct {
+	machine
+	peerView
+	place   relay.Place
+	climb   relay.Climb
+	parent  *child // as the parent has it
+	heardAt time.Duration
+	freshAt time.Duration
+	number  uint64 // newest of all lives' news that it has acted on in this life
+
+	table    *entry.Table
+	station  *station.Station[*ticket]
+	shares   budget.Shares
+	server   *server
+	began    time.Duration
+	built    [2]uint64 // news and members that the table has been told
+	proposes bool
+}
+
+// ticket is a request that waits for a slot at a server.
+type ticket struct{ verdict func(bool) }
+
+func (n *node) start() {
+	s := n.s
+	s.lives++
+	n.life, n.up, n.powered, n.began = s.lives, true, true, s.now
+	n.place = relay.Place{Self: n.name, Zone: n.zone}
+	n.climb, n.parent, n.freshAt, n.number, n.built, n.proposes = relay.Climb{}, nil, -time.Hour, 0, [2]uint64{}, false
+	n.hub = relay.NewHub(func() time.Duration { return s.now - n.freshAt })
+	n.table = entry.NewTable(entry.Options{Node: n.name, Zone: n.zone, Ratio: s.w.Retry.Ratio, Window: sec(s.w.Retry.WindowS), Seed: s.rng.Uint64()})
+	n.station = station.New[*ticket](ms(s.w.DrainMs), ms(s.w.BeatMs))
+	n.shares = budget.Shares{Slack: s.w.Retry.Slack, Window: sec(s.w.Retry.WindowS), Known: s.now == 0}
+	n.peerView.start(s, &n.machine, nil)
+	life := n.life
+	s.after(time.Duration(s.rng.Int64N(int64(upkeepEvery))), func() { n.upkeep(life) })
+	s.after(time.Duration(s.rng.Int64N(int64(200*time.Millisecond))), func() { n.follow(life) })
+}
+
+func (n *node) stop(power bool) {
+	if n.up {
+		n.s.down(&n.machine, power)
+		if n.server != nil {
+			n.server.orphan()
+		}
+	}
+}
+
+// parents are whom the node may follow.
+func (n *node) parents() []string {
+	if list := n.place.Parents(n.group.Version(), n.group.Members); len(list) > 0 {
+		return list
+	}
+	return n.s.seeds
+}
+
+// follow subscribes to a parent, unless there is one.
+func (n *node) follow(life uint64) {
+	if !n.up || n.life != life || n.parent != nil {
+		return
+	}
+	addr, wait := n.climb.Next(n.s.now, n.parents())
+	if addr == "" {
+		n.s.after(wait, func() { n.follow(life) })
+		return
+	}
+	c := &child{node: n, life: life, have: n.hub.Number()}
+	n.parent, n.heardAt = c, n.s.now
+	to := n.s.views[addr]
+	n.s.call(&n.machine, to.m, rpcBytes, relay.Silence, func(answer func(int, func())) {
+		to.children = append(to.children, c)
+		answer(rpcBytes, func() {})
+		to.feedOne(c)
+	}, func(bool) { n.abandon(c, "no connection") })
+	n.watch(c)
+}
+
+// watch gives a parent up that is silent.
+func (n *node) watch(c *child) {
+	if n.parent != c {
+		return
+	}
+	if n.s.now-n.heardAt >= relay.Silence {
+		n.abandon(c, "silence")
+		return
+	}
+	n.s.at(n.heardAt+relay.Silence, func() { n.watch(c) })
+}
+
+// abandon leaves a parent, and looks for another.
+func (n *node) abandon(c *child, why string) {
+	if n.up && n.life == c.life && n.parent == c {
+		n.parent.gone, n.parent = true, nil
+		n.climb.Ended(n.s.now, why)
+		n.follow(n.life)
+	}
+}
+
+// hear takes news from a parent.
+func (n *node) hear(c *child, f *wire.Feed) {
+	if n.parent != c {
+		return
+	}
+	n.heardAt = n.s.now
+	if why := n.climb.Judge(n.s.now, f); why != "" {
+		n.abandon(c, why)
+		return
+	}
+	before := n.hub.Number()
+	fresh, ok := n.hub.Take(f)
+	if fresh {
+		n.freshAt = max(n.freshAt, n.s.now-time.Duration(f.AgeMs)*time.Millisecond)
+	}
+	after := n.hub.Number()
+	if after < before {
+		n.s.broken("%s went back from news %d to %d", n.name, before, after)
+	}
+	if after > before {
+		n.s.m.heard(n.s.now, before, after)
+		n.s.m.depth = max(n.s.m.depth, int(n.hub.Depth()))
+		n.s.told(&n.peerView)
+	}
+	if !ok || n.climb.Moves(n.s.now, n.parents()) {
+		n.abandon(c, relay.Again)
+	}
+}
+
+// upkeep sweeps, splits the slack, and keeps the core's list in line.
+func (n *node) upkeep(life uint64) {
+	if !n.up || n.life != life {
+		return
+	}
+	_, v := n.station.Sweep(n.s.now)
+	n.tell(v)
+	nodes := len(n.group.Members()) - len(n.s.cores)
+	n.table.Share(n.shares.Part(n.s.now-n.began, nodes))
+	if n.server != nil && !n.proposes {
+		n.register()
+	}
+	n.s.after(upkeepEvery, func() { n.upkeep(life) })
+}
+
+func (n *node) register() {
+	m := station.Machine{Node: n.name, Address: n.name, Zone: n.zone}
+	todo := station.Difference(m, n.station.Servers(), n.hub.State().Servers, n.s.now-n.began < ms(2*n.s.w.BeatMs))
+	if len(todo) == 0 {
+		return
+	}
+	n.proposes = true
+	n.s.atLeader(&n.machine, proto.Size(todo[0]), func(c *core, answer func(error)) { c.propose(todo[0], answer) }, func(error) {
+		n.proposes = false
+	})
+}
+
+func (n *node) tell(verdicts []station.Verdict[*ticket]) {
+	for _, v := range verdicts {
+		v.Ticket.verdict(v.Go)
+	}
+}
+
+// refresh brings the table up to what the node has been told. The real node does so
+// at once; here it is put off until somebody asks.
+func (n *node) refresh() bool {
+	if now := [2]uint64{n.hub.Number(), n.group.Version()}; n.built != now {
+		n.built = now
+		state := n.hub.State()
+		n.table.Update(n.s.now, entry.NewWorld(n.s.parse(state.Config), state, n.group.Members(), func(name string) bool {
+			return n.group.Gone(n.s.now, name) > 0
+		}))
+	}
+	return n.table.World().Config != nil
+}
+
+// handle gives one request its final answer; the answer's After is positive where
+// it promises that the request has not run.
+func (n *node) handle(t *try, done func(f entry.Final)) {
+	s := n.s
+	if !n.refresh() {
+		done(entry.Final{Status: 503, Why: "no configuration", After: 500 * time.Millisecond})
+		return
+	}
+	var route *meshconfig.Route
+	if route = n.table.World().Config.Find(host, "/"+t.req.route.Name+"/"); route == nil {
+		done(entry.Final{Status: 404, Why: "no route"})
+		return
+	}
+	e := entry.Entrant{Route: route, Service: n.table.Choose(route), Arrived: s.now}
+	e.Until = s.now + min(route.Timeout(), t.until-s.now) - answerMargin
+	e.Inner, e.Again = n.station.Graph(t.id, e.Service)
+	s.m.entered(s.now, e.Service)
+	if e.Again {
+		s.m.repeated(s.now, e.Service)
+	}
+	r, refused := n.table.Enter(s.now, e)
+	if refused != nil {
+		done(*refused)
+		return
+	}
+	life := n.life
+	end := func(f entry.Final) {
+		r.Leave(s.now)
+		done(f)
+	}
+	var step func()
+	step = func() {
+		if !n.up || n.life != life {
+			return
+		}
+		switch next := r.Next(s.now); {
+		case next.Final != nil:
+			end(*next.Final)
+		case next.Server == "":
+			s.after(next.Wait, step)
+		default:
+			n.attempt(t, r, next.Server, func(out *wire.Outcome, result decide.Result) {
+				final, pass := r.Done(s.now, next.Server, out, result)
+				switch {
+				case final != nil:
+					end(*final)
+				case pass:
+					end(entry.Final{Status: int(out.Status)})
+				default:
+					step()
+				}
+			})
+		}
+	}
+	step()
+}
+
+// attempt asks the node beside a server.
+func (n *node) attempt(t *try, r *entry.Request, id string, done func(*wire.Outcome, decide.Result)) {
+	s := n.s
+	listed := n.table.World().Servers[id]
+	if listed == nil {
+		done(&wire.Outcome{Fate: wire.Outcome_UNSENT, Gone: true}, decide.NotSent)
+		return
+	}
+	to := s.nodes[s.index[listed.Node]]
+	ask := station.Ask{Member: id, Service: r.Service, Attempt: t.id, Priority: r.Rank, Repeat: r.Repeat()}
+	until := r.Until
+	tries := r.Tries()
+	s.call(&n.machine, &to.machine, headBytes, max(0, until-s.now), func(answer func(int, func())) {
+		to.forward(t, ask, until, tries, func(out *wire.Outcome) {
+			answer(headBytes, func() { done(out, entry.Result(out)) })
+		})
+	}, func(sent bool) {
+		switch {
+		case !sent:
+			done(&wire.Outcome{Fate: wire.Outcome_UNSENT}, decide.Unconnected)
+		case s.now >= until:
+			done(&wire.Outcome{Fate: wire.Outcome_LATE}, decide.TimedOut)
+		default:
+			done(&wire.Outcome{Fate: wire.Outcome_BROKEN}, decide.Broken)
+		}
+	})
+}
+
+// forward passes a request to the server here, or turns it away.
+func (n *node) forward(t *try, ask station.Ask, until time.Duration, tries int, done func(*wire.Outcome)) {
+	s, life := n.s, n.life
+	unsent := func(gone, waiting bool) { done(&wire.Outcome{Fate: wire.Outcome_UNSENT, Gone: gone, Waiting: waiting}) }
+	begin := func() {
+		if n.server == nil || n.server.id != ask.Member || !n.server.up {
+			_, waiting, v := n.station.Finish(s.now, ask.Member, ask.Attempt, station.Failed)
+			n.tell(v)
+			unsent(false, waiting)
+			return
+		}
+		n.server.run(t, ask, until, tries, func(status int32, fate wire.Outcome_Fate) {
+			if !n.up || n.life != life {
+				return
+			}
+			end := station.Answered
+			if fate == wire.Outcome_BROKEN || fate == wire.Outcome_LATE {
+				end = station.Failed
+			}
+			called, waiting, v := n.station.Finish(s.now, ask.Member, ask.Attempt, end)
+			n.tell(v)
+			out := &wire.Outcome{Fate: fate, Status: status, Waiting: waiting}
+			for _, c := range called {
+				out.Called = append(out.Called, &wire.Called{Service: c.Service, Times: c.Times})
+			}
+			done(out)
+		})
+	}
+	tk := &ticket{}
+	over := false
+	tk.verdict = func(pass bool) {
+		over = true
+		// The verdict comes out of the station: what follows is a moment of its own.
+		s.after(0, func() {
+			switch {
+			case !n.up || n.life != life:
+			case pass:
+				n.station.Run(ask)
+				begin()
+			default:
+				unsent(false, false)
+			}
+		})
+	}
+	place, _, v := n.station.Arrive(s.now, ask, tk)
+	n.tell(v)
+	switch place {
+	case station.Slot:
+		begin()
+	case station.Queue:
+		s.at(until-5*time.Millisecond, func() {
+			if !over && n.up && n.life == life && n.station.Leave(ask.Member, tk) {
+				over = true
+				unsent(false, true)
+			}
+		})
+	default:
+		unsent(place == station.Gone, place == station.Full)
+	}
+}
--- /dev/null
+++ b/internal/lab/server.go
@@ -0,0 +1,163 @@
+package lab
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"curlewring/internal/station"
+	"curlewring/internal/wire"
+)
+
+// server is an application server beside a node.
+type server struct {
+	s       *sim
+	kind    *Service
+	node    *node
+	id      string // of its life
+	up      bool
+	drains  bool
+	drainAt time.Duration // when its mark was acknowledged
+	acked   bool
+	slow    float64       // its work takes so many times as long
+	hung    time.Duration // until then nothing moves
+	seq     uint64
+	runs    []*runOf
+}
+
+// runOf is a request at a server.
+type runOf struct {
+	over bool
+	end  func(status int32, fate wire.Outcome_Fate)
+}
+
+func (r *runOf) finish(status int32, fate wire.Outcome_Fate) {
+	if !r.over {
+		r.over = true
+		r.end(status, fate)
+	}
+}
+
+func (v *server) start() {
+	v.s.lives++
+	v.id = fmt.Sprintf("i-%d", v.s.lives)
+	v.up, v.drains, v.acked, v.slow, v.hung, v.seq = true, false, false, max(1, v.slow), 0, 0
+	id := v.id
+	v.s.after(time.Duration(v.s.rng.Int64N(int64(100*time.Millisecond))), func() { v.beat(id) })
+}
+
+// stop ends the process: what it works on has no answer.
+func (v *server) stop() {
+	v.up = false
+	v.orphan()
+}
+
+func (v *server) orphan() {
+	runs := v.runs
+	v.runs = nil
+	for _, r := range runs {
+		v.s.after(time.Millisecond, func() { r.finish(0, wire.Outcome_BROKEN) })
+	}
+}
+
+func (v *server) beat(id string) {
+	if !v.up || v.id != id {
+		return
+	}
+	v.word()
+	v.s.after(ms(v.s.w.BeatMs), func() { v.beat(id) })
+}
+
+// word is one beat. The node answers it at once, where it runs.
+func (v *server) word() {
+	if !v.node.up || v.hung > v.s.now {
+		return
+	}
+	v.seq++
+	h := v.node.station.Beat(v.s.now, station.Beat{
+		ID: v.id, Service: v.kind.Name, Address: v.node.name, Zone: v.node.zone, Slots: v.kind.Slots, Draining: v.drains, Seq: v.seq,
+	})
+	v.node.tell(h.Verdicts)
+	if h.OK && v.drains && !v.acked {
+		v.acked, v.drainAt = true, v.s.now
+	}
+	if (h.New || h.Drains) && !v.node.proposes {
+		v.node.register()
+	}
+}
+
+// drain marks the server, and ends it once nobody can have business with it; a new
+// life follows after back.
+func (v *server) drain(back time.Duration) {
+	v.drains = true
+	v.word()
+	id := v.id
+	v.s.after(2*ms(v.s.w.DrainMs), func() {
+		if v.id == id && v.up {
+			v.stop()
+			v.node.station.Deregister(id)
+			v.s.at(back, func() { v.s.startServer(v) })
+		}
+	})
+}
+
+// run takes a request in, and calls end with what became of it.
+func (v *server) run(t *try, ask station.Ask, until time.Duration, tries int, end func(int32, wire.Outcome_Fate)) {
+	s := v.s
+	r := &runOf{end: end}
+	if v.acked && s.now > v.drainAt+ms(s.w.DrainMs) {
+		s.broken("%s was sent a request %v after the acknowledgement of its drain mark", v.id, s.now-v.drainAt)
+	}
+	if tries > 0 {
+		s.m.repeated(s.now, v.kind.Name)
+	}
+	if s.rng.Float64() < v.kind.Balk {
+		s.after(time.Millisecond, func() { r.finish(503, wire.Outcome_UNRUN) })
+		return
+	}
+	t.executed()
+	keep := v.runs[:0]
+	for _, old := range v.runs {
+		if !old.over {
+			keep = append(keep, old)
+		}
+	}
+	v.runs = append(keep, r)
+	s.at(until, func() { r.finish(0, wire.Outcome_LATE) })
+	work := ms(v.kind.WorkMs * v.slow * min(8, -math.Log(1-s.rng.Float64())))
+	work += max(0, v.hung-s.now)
+	var calls []string
+	for _, c := range t.req.route.Calls {
+		for range s.some(c.Times) {
+			calls = append(calls, c.Route)
+		}
+	}
+	part := work / time.Duration(len(calls)+1)
+	lost := s.rng.Float64() < v.kind.Broken
+	var next func(i int)
+	next = func(i int) {
+		if r.over {
+			return
+		}
+		if i == len(calls) {
+			if lost {
+				r.finish(0, wire.Outcome_BROKEN)
+				return
+			}
+			r.finish(200, wire.Outcome_ANSWERED)
+			return
+		}
+		inner := &try{id: fmt.Sprintf("%s.%d", t.id, i), until: until, req: &request{s: s, route: s.route(calls[i])}}
+		v.node.handle(inner, func(f entryFinal) {
+			inner.answered(f)
+			s.after(part, func() {
+				if f.Status != 200 {
+					r.finish(500, wire.Outcome_ANSWERED)
+					return
+				}
+				next(i + 1)
+			})
+		})
+	}
+	s.after(part, func() { next(0) })
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -80,6 +80,18 @@
 	return 0
 }
 
+// Tool runs a program of several commands, and ends the process. A command's Run
+// may take a context, which ends with an interrupt.
+func Tool(name, about string, commands any) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	k := kong.Parse(commands, kong.Name(name), kong.Description(about), kong.Vars{"version": name + " " + Version},
+		kong.BindTo(ctx, (*context.Context)(nil)))
+	if err := k.Run(); err != nil {
+		os.Exit(fail(name, err))
+	}
+}
+
 func fail(name string, err error) int {
 	fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
 	return exitFault
--- /dev/null
+++ b/internal/simdisk/simdisk.go
@@ -0,0 +1,74 @@
+// Package simdisk models the disk under a core machine's log, for simulations:
+// what was written and not synced when the power goes may be there afterwards, or
+// a part of it, in the order of the writes; what was synced is there.
+package simdisk
+
+import (
+	"math/rand/v2"
+
+	"curlewring/internal/raft"
+	"curlewring/internal/wire"
+)
+
+// Disk is one machine's. Its zero value is empty.
+type Disk struct {
+	ID      uint64 // the identity, drawn when the disk was empty; 0: empty
+	Hard    *wire.HardState
+	Snap    *wire.RaftSnapshot
+	Entries []*wire.Entry // behind the snapshot
+
+	cache []raft.Output // written, not synced
+}
+
+// Write puts what has to be saved of an output into the disk's cache.
+func (d *Disk) Write(o raft.Output) {
+	d.cache = append(d.cache, raft.Output{Snapshot: o.Snapshot, Hard: o.Hard, Entries: o.Entries})
+}
+
+// Sync returns once all that was written is there for good.
+func (d *Disk) Sync() {
+	for _, o := range d.cache {
+		d.keep(o)
+	}
+	d.cache = nil
+}
+
+// Compact puts a machine's own snapshot in front of its log.
+func (d *Disk) Compact(s *wire.RaftSnapshot) {
+	d.Entries = d.Entries[s.Index-d.Snap.GetIndex():]
+	d.Snap = s
+}
+
+// Crash takes the power away: some of what was not synced is there, in the order
+// of the writes. A write that is there in part fails its checksum, and the store
+// drops it with all behind it.
+func (d *Disk) Crash(rng *rand.Rand) {
+	for _, o := range d.cache[:rng.IntN(len(d.cache)+1)] {
+		d.keep(o)
+	}
+	d.cache = nil
+}
+
+// Wipe empties the disk.
+func (d *Disk) Wipe() { *d = Disk{} }
+
+// Bytes is the size of what is kept.
+func (d *Disk) Bytes() int {
+	n := len(d.Snap.GetData())
+	for _, e := range d.Entries {
+		n += len(e.Data)
+	}
+	return n
+}
+
+func (d *Disk) keep(o raft.Output) {
+	if o.Snapshot != nil {
+		d.Snap, d.Entries = o.Snapshot, nil
+	}
+	if o.Hard != nil {
+		d.Hard = o.Hard
+	}
+	for _, e := range o.Entries {
+		d.Entries = append(d.Entries[:e.Index-d.Snap.GetIndex()-1], e)
+	}
+}
