--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -36,6 +36,9 @@
 	LagMs      float64 `json:"lag_ms"`     // of news, the worst
 	Leaderless float64 `json:"leaderless"` // part of the second
 	P99Ms      float64 `json:"p99_ms"`
+	// Slots that were taken on average, by service; runs count in the second in
+	// which they end.
+	Busy map[string]float64 `json:"busy"`
 }
 
 // RouteResult is how one route fared.
@@ -236,6 +239,15 @@
 	}
 }
 
+// busy books the time for which a run held a slot.
+func (m *measures) busy(now time.Duration, service string, took time.Duration) {
+	sec := m.second(now)
+	if sec.Busy == nil {
+		sec.Busy = map[string]float64{}
+	}
+	sec.Busy[service] += took.Seconds()
+}
+
 func (m *measures) newLeader(now time.Duration) {
 	m.elections++
 	if m.without >= 0 {
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -307,7 +307,7 @@
 			n.tell(v)
 			out := &wire.Outcome{Fate: fate, Status: status, Waiting: waiting}
 			for _, c := range called {
-				out.Called = append(out.Called, &wire.Called{Service: c.Service, Times: c.Times})
+				out.Called = append(out.Called, &wire.Called{Service: c.Service, Times: c.Times, Pressure: n.table.Pressure(c.Service)})
 			}
 			done(out)
 		})
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"html/template"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 
@@ -115,6 +116,12 @@
 			return 0
 		}))
 	}
+	var busy []any
+	if len(g.Results[0].Seconds) > 0 {
+		for _, name := range slices.Sorted(maps.Keys(g.Results[0].Seconds[len(g.Results[0].Seconds)-1].Busy)) {
+			busy = append(busy, name, g.series(func(s *Second) float64 { return s.Busy[name] }))
+		}
+	}
 	for _, d := range []struct {
 		title, unit string
 		series      []any
@@ -122,6 +129,7 @@
 		{"Worth of the requests of a second", "", []any{"worth", g.series(func(s *Second) float64 { return s.Worth })}},
 		{"Refused in the end, by priority", "1/s", refused},
 		{"Latency, 99th percentile", "ms", []any{"p99", g.series(func(s *Second) float64 { return s.P99Ms })}},
+		{"Slots taken, by service", "", busy},
 		{"Part of the retry budget used", "", []any{"used", g.series(func(s *Second) float64 { return s.Budget })}},
 		{"News: the slowest of a second", "ms", []any{"lag", g.series(func(s *Second) float64 { return s.LagMs })}},
 		{"Without a leader", "part of the second", []any{"leaderless", g.series(func(s *Second) float64 { return s.Leaderless })}},
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -104,7 +104,11 @@
 // run takes a request in, and calls end with what became of it.
 func (v *server) run(t *try, ask station.Ask, until time.Duration, tries int, end func(int32, wire.Outcome_Fate)) {
 	s := v.s
-	r := &runOf{end: end}
+	begun := s.now
+	r := &runOf{end: func(status int32, fate wire.Outcome_Fate) {
+		s.m.busy(s.now, v.kind.Name, s.now-begun)
+		end(status, fate)
+	}}
 	if v.acked && s.now > v.drainAt+ms(s.w.DrainMs) {
 		s.broken("%s was sent a request %v after the acknowledgement of its drain mark", v.id, s.now-v.drainAt)
 	}
