Let the entry hear of the pressure that its graphs' calls meet inside

Cause: an entry looked ahead by its own calls to a service behind, but the calls of its graphs begin at other nodes; those without a desk server saw no crowd and admitted whole. And a run that had failed for want of room inside was repeated whole, as only the gate of its own service was asked. Change: the node beside a run says with the outcome what its calls meet (Called.pressure), the entry averages it for a second (Gate.Told, Behind), and repeats are made only where no gate behind refuses their like.

--- a/decide/mesh.go
+++ b/decide/mesh.go
@@ -14,6 +14,8 @@
 	gateFoot   = 0.8                    // r, in aims, below which the lowest priority is let in whole
 	gateTop    = 2.0                    // r, in aims, at which even the highest is shut out
 	gateCrowd  = 0.6                    // part of the stack shut where no request finds room at once
+	gateTold   = 8                      // reports of other nodes over which their pressure is averaged
+	toldFor    = time.Second            // how long one counts
 	gateRoom   = 24                     // requests over which that is averaged
 	gateMemory = 8                      // outcomes over which r is averaged
 	meshSubset = 8                      // servers of a service that a node keeps to ...
@@ -30,7 +32,9 @@
 	rng       *rand.Rand
 	levels    []int // priorities, the lowest (largest number) first
 	r         float64
-	crowd     float64 // part of the requests that found no server with room at some moment
+	crowd     float64       // part of the requests that found no server with room at some moment
+	told      float64       // pressure that other nodes see, averaged ...
+	toldAt    time.Duration // ... and when one last spoke of it
 	sum       float64
 	count     float64
 	inflight  int
@@ -61,6 +65,20 @@
 	}
 }
 
+// Pressure is r, or what stands in for it while requests find no room, in aims.
+func (g *Gate) Pressure() float64 {
+	return max(g.r, gateFoot+(gateTop-gateFoot)*gateCrowd*g.crowd)
+}
+
+// Told takes the pressure that another node sees, where the calls of this node's graphs begin.
+func (g *Gate) Told(now time.Duration, pressure float64) {
+	if now-g.toldAt > toldFor {
+		g.told = 0
+	}
+	g.told += (pressure - g.told) / gateTold
+	g.toldAt = now
+}
+
 // Admit is the verdict on a new graph: admitted with probability 1 below a, 0 above b, (b-r)/(b-a) between.
 // The curves of the priorities are stacked: a lower one shuts before the next starts to refuse. A graph is
 // also kept out where it would crowd a service behind: the gates of those that it calls have their say here,
@@ -70,20 +88,30 @@
 	chance := g.Chance(priority)
 	for _, b := range behind {
 		b.roll(now)
-		chance = min(chance, b.Chance(priority))
+		chance = min(chance, b.Behind(now, priority))
 	}
 	return g.inflight == 0 || g.rng.Float64() < chance
 }
 
+// Behind is the probability with which a priority is admitted whose graphs call this service further inside.
+func (g *Gate) Behind(now time.Duration, priority int) float64 {
+	if now-g.toldAt > toldFor {
+		return g.Chance(priority)
+	}
+	return g.chance(max(g.Pressure(), g.told), priority)
+}
+
 // Chance is the probability with which a priority is admitted at the present r.
-func (g *Gate) Chance(priority int) float64 {
+func (g *Gate) Chance(priority int) float64 { return g.chance(g.Pressure(), priority) }
+
+func (g *Gate) chance(r float64, priority int) float64 {
 	level := slices.IndexFunc(g.levels, func(p int) bool { return p <= priority })
 	if level < 0 {
 		level = max(0, len(g.levels)-1)
 	}
 	width := (gateTop - gateFoot) / float64(max(1, len(g.levels)))
 	a := gateFoot + width*float64(level)
-	return curve(max(g.r, gateFoot+(gateTop-gateFoot)*gateCrowd*g.crowd), a, a+width)
+	return curve(r, a, a+width)
 }
 
 // RetryAfter is when a refused client should come back: spread, lest all come at once.
--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -81,6 +81,7 @@
 		Pool: n.pool, Log: log, Graph: n.inbound.Graph,
 	}
 	n.outbound.Start(rng.Uint64())
+	n.inbound.Pressure = n.outbound.Pressure
 	n.front = &proxy.Front{
 		Handle: n.outbound.Handle, Bounds: n.outbound.Bounds, Memory: int64(set.MemoryMB) << 20 / 4, Log: log,
 	}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -13,7 +13,8 @@
 	patiencePart  = 5                     // a request without a server is given up after this part of its aim
 	innerPatience = 5                     // the same of a call of a graph
 	leastPatience = 30 * time.Millisecond
-	mostTurned    = 12 // servers asked that turned one request away
+	mostTurned    = 12  // servers asked that turned one request away
+	calm          = 1.0 // chance of admission from which repeats are made
 )
 
 // Entrant is a request as it comes to the node.
@@ -145,7 +146,7 @@
 	r.since = now
 	switch out.Fate {
 	case wire.Outcome_ANSWERED:
-		r.table.learn(r.Route.Name, out.Called)
+		r.table.learn(now, r.Route.Name, out.Called)
 		return r.answered(now, int(out.Status))
 	case wire.Outcome_UNRUN:
 		if !r.mayRepeat(now) {
@@ -190,10 +191,18 @@
 }
 
 // mayRepeat tells whether the request may reach one more server, and pays for it.
-// Where the gate has begun to refuse its like, repeats would only add to the load.
+// Where a gate has begun to refuse its like, its service's or that of one behind,
+// repeats would only add to the load.
 func (r *Request) mayRepeat(now time.Duration) bool {
-	return len(r.reached) < max(1, r.Route.MaxAttempts) &&
-		r.service.gate.Chance(r.Route.Priority) == 1 && r.service.budget.Spend(now)
+	if len(r.reached) >= max(1, r.Route.MaxAttempts) || r.service.gate.Chance(r.Route.Priority) < calm {
+		return false
+	}
+	for _, g := range r.table.behind(r.Route) {
+		if g.Behind(now, r.Route.Priority) < calm {
+			return false
+		}
+	}
+	return r.service.budget.Spend(now)
 }
 
 // Result is what the outcome of a try says of the server.
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -138,7 +138,7 @@
 }
 
 // learn notes which services a run of a route has called.
-func (t *Table) learn(route string, called []*wire.Called) {
+func (t *Table) learn(now time.Duration, route string, called []*wire.Called) {
 	g := t.graphs[route]
 	if g == nil {
 		if len(called) == 0 {
@@ -151,9 +151,13 @@
 		g[name] *= 1 - graphGain
 	}
 	for _, c := range called {
-		if _, known := g[c.Service]; known || t.services[c.Service] != nil {
+		s := t.services[c.Service]
+		if _, known := g[c.Service]; known || s != nil {
 			g[c.Service] += float64(c.Times) * graphGain
 		}
+		if s != nil {
+			s.gate.Told(now, c.Pressure)
+		}
 	}
 }
 
@@ -170,6 +174,15 @@
 	return gates
 }
 
+// Pressure is what the calls that begin at this node meet at a service; 0: the
+// service is not known.
+func (t *Table) Pressure(service string) float64 {
+	if s := t.services[service]; s != nil {
+		return s.gate.Pressure()
+	}
+	return 0
+}
+
 // Reading is what a node knows of one service.
 type Reading struct {
 	Service string
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -33,6 +33,8 @@
 // the driver of package station.
 type Inbound struct {
 	Log *slog.Logger
+	// Pressure is what calls that begin here meet at a service; nil: not known.
+	Pressure func(service string) float64
 
 	began   time.Time
 	changed chan struct{} // has room for one: what Servers returns has changed
@@ -233,12 +235,16 @@
 		end = station.CalledOff
 	}
 	in.mu.Lock()
-	defer in.mu.Unlock()
 	called, waiting, verdicts := in.station.Finish(in.now(), q.Member, q.Attempt, end)
 	tell(verdicts)
 	out.Waiting = waiting
+	in.mu.Unlock()
 	for _, c := range called {
-		out.Called = append(out.Called, &wire.Called{Service: c.Service, Times: c.Times})
+		w := &wire.Called{Service: c.Service, Times: c.Times}
+		if in.Pressure != nil {
+			w.Pressure = in.Pressure(c.Service)
+		}
+		out.Called = append(out.Called, w)
 	}
 	return out, nil
 }
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -56,6 +56,13 @@
 // Update takes news of the world.
 func (o *Outbound) Update(w *World) {
 	o.mu.Lock()
+// Pressure is what calls that begin here meet at a service.
+func (o *Outbound) Pressure(service string) float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Pressure(service)
+}
+
 	defer o.mu.Unlock()
 	o.table.Update(o.now(), w)
 }
