Campaign soon after a start: nobody leads after a loss of all power

Cause: after all power was lost, the core waited 0.75 s for its first election, as if a leader might still be heard. Change: for 1.5 s from its start a member that hears no leader asks for votes after 0.1 to 0.3 s. The pre-vote keeps it from unseating one that others hear. Ruled out: the sync of the disk and the load of the log, some 20 ms together.

--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -28,6 +28,12 @@
 	electionMin = 700 * time.Millisecond
 	electionMax = 1300 * time.Millisecond
 
+	// A process that has just started waits less: it has nothing to give up, and
+	// where a leader is heard, nobody votes for it.
+	bootMin = 100 * time.Millisecond
+	bootMax = 300 * time.Millisecond
+	bootFor = 1500 * time.Millisecond
+
 	mostEntries = 256     // in one message
 	mostBytes   = 1 << 20 // of entries in one message
 	mostReads   = 1024    // waiting for a round
@@ -112,6 +118,7 @@
 	applied uint64
 	confs   []conf // ascending by index; the first stands for the snapshot
 
+	born     time.Duration // of the process
 	deadline time.Duration // of the election timer
 	heardAt  time.Duration // when a leader was last heard
 	votes    map[uint64]bool
@@ -135,7 +142,7 @@
 		id: id, rng: rand.New(rand.NewPCG(seed, id)), now: now, snap: snap, entries: entries,
 		commit: snap.Index, applied: snap.Index, others: map[uint64]*progress{},
 		confs: []conf{{snap.Index, snap.GetPeers().GetPeers()}}, roundAt: map[uint64]time.Duration{},
-		heardAt: -electionMax, proofAt: now,
+		heardAt: -electionMax, proofAt: now, born: now,
 	}
 	if hard != nil {
 		c.hard.Term, c.hard.Vote = hard.Term, hard.Vote
@@ -241,7 +248,11 @@
 }
 
 func (c *Core) resetTimer() {
-	c.deadline = c.now + electionMin + time.Duration(c.rng.Int64N(int64(electionMax-electionMin)))
+	low, high := electionMin, electionMax
+	if c.lead == 0 && c.now-c.born < bootFor {
+		low, high = bootMin, bootMax
+	}
+	c.deadline = c.now + low + time.Duration(c.rng.Int64N(int64(high-low)))
 }
 
 func (c *Core) send(m *wire.Raft) {
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -84,7 +84,7 @@
 		c.become(c.hard.Term, lead)
 	}
 	c.lead, c.heardAt = lead, c.now
-	c.resetTimer()
+	c.resetTimer() // after the lead is known: see there
 }
 
 // appendFrom takes entries of the leader where they join the own log.
