Drop old lives with the new one's first word, wait for a first configuration

Cause: a node that had just started kept its machine's old life on the list for two heartbeats beside the new one, and each other node learned by a try that it was gone; requests in the moments before the first configuration were refused. Change: old lives go once the new one has called. A request that comes before the first configuration waits for it for 0.3 s at most.

--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -18,6 +18,7 @@
 const (
 	answerMargin = 15 * time.Millisecond // before its time is up a request gets its answer
 	mostBudgetMs = 3_600_000
+	configWait   = 300 * time.Millisecond // for the first configuration of a process
 )
 
 // World is what a node has been told.
@@ -33,6 +34,7 @@
 	Log                 *slog.Logger
 	Graph               func(attempt, service string) (inner, repeat bool) // see station.Station.Graph
 	began               time.Time
+	ready               chan struct{} // closed with the first configuration
 
 	mu    sync.Mutex
 	table *entry.Table
@@ -41,6 +43,7 @@
 // Start makes an Outbound ready for Update. The seed sets its random numbers.
 func (o *Outbound) Start(seed uint64) {
 	o.began = time.Now()
+	o.ready = make(chan struct{})
 	o.table = entry.NewTable(entry.Options{Node: o.Node, Zone: o.Zone, Ratio: o.Ratio, Window: o.Window, Seed: seed})
 }
 
@@ -53,9 +56,6 @@
 	o.table.Share(slack)
 }
 
-// Update takes news of the world.
-func (o *Outbound) Update(w *World) {
-	o.mu.Lock()
 // Pressure is what calls that begin here meet at a service.
 func (o *Outbound) Pressure(service string) float64 {
 	o.mu.Lock()
@@ -63,7 +63,13 @@
 	return o.table.Pressure(service)
 }
 
+// Update takes news of the world.
+func (o *Outbound) Update(w *World) {
+	o.mu.Lock()
 	defer o.mu.Unlock()
+	if w.Config != nil && o.table.World().Config == nil {
+		close(o.ready)
+	}
 	o.table.Update(o.now(), w)
 }
 
@@ -110,6 +116,15 @@
 
 // Handle gives one request its final answer.
 func (o *Outbound) Handle(ctx context.Context, c *Call) *Answer {
+	if o.world().Config == nil { // in a process that has just started it may come at any moment
+		timer := time.NewTimer(configWait)
+		select {
+		case <-o.ready:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
 	world := o.world()
 	if world.Config == nil {
 		return say(&entry.Final{Status: 503, Why: "no configuration yet", After: 500 * time.Millisecond})
--- a/internal/station/register.go
+++ b/internal/station/register.go
@@ -15,8 +15,8 @@
 }
 
 // Difference is what has to change in the core's list, so that it says of a
-// machine what stands there. A node that has just started keeps what is listed:
-// its server may not have called yet.
+// machine what stands there. A node that has just started keeps what is listed
+// until its server has called: then whatever else is listed was before it.
 func Difference(m Machine, servers []Beat, listed []*wire.Server, started bool) []*wire.Command {
 	old := map[string]*wire.Server{}
 	for _, s := range listed {
@@ -35,7 +35,7 @@
 		}
 		delete(old, b.ID)
 	}
-	if started || len(old) == 0 {
+	if len(old) == 0 || started && len(servers) == 0 {
 		return todo
 	}
 	var gone []string
