Dial again after 250 ms: the kernel repeats a lost SYN only after a second

Cause: nodes that started before the core machine that they dialed got the configuration 0.4 to 0.8 s after it was there: the SYN was lost, and its repeat came after a second. Change: a dial is given up after 250 ms and made again, up to 800 ms in all. The log line of a core's start counts the entries that were loaded; it said 0. Ruled out: the election, which was over by then; the relay, which passes news on within 2 ms once it is connected.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -147,7 +147,7 @@
 			}
 		}
 	})
-	log.Info("core.start", "node", set.Node, "identity", fmt.Sprintf("%016x", st.ID), "entries", len(st.Entries), "empty", st.Fresh)
+	log.Info("core.start", "node", set.Node, "identity", fmt.Sprintf("%016x", st.ID), "entries", n.core.Backlog(), "empty", st.Fresh)
 	n.loop()
 	stop, done := context.WithTimeout(context.Background(), 500*time.Millisecond)
 	defer done()
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -16,6 +16,7 @@
 
 const (
 	dialWait   = 800 * time.Millisecond
+	dialOnce   = 250 * time.Millisecond // of it for one try: the kernel repeats a lost SYN after a second
 	dialPause  = 150 * time.Millisecond // no new try sooner after one that failed
 	mostConns  = 1024                   // accepted at a time
 	closeGrace = time.Second
@@ -90,8 +91,7 @@
 			if ctx.Err() != nil {
 				return nil
 			}
-			var ne net.Error
-			if errors.As(err, &ne) && ne.Timeout() {
+			if timedOut(err) {
 				continue
 			}
 			if errors.Is(err, net.ErrClosed) {
@@ -190,10 +190,19 @@
 	}
 }
 
+func timedOut(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
 func (p *Pool) dial(d *dialed, addr string) {
 	defer close(d.ready)
-	dialer := net.Dialer{Timeout: dialWait, KeepAlive: -1}
+	dialer := net.Dialer{Timeout: dialOnce, KeepAlive: -1}
+	began := time.Now()
 	nc, err := dialer.DialContext(p.ctx, "tcp", addr)
+	for timedOut(err) && time.Since(began) < dialWait && p.ctx.Err() == nil { // the machine may be there by now
+		nc, err = dialer.DialContext(p.ctx, "tcp", addr)
+	}
 	if err != nil {
 		d.err, d.failed = fmt.Errorf("dialing %s: %w", addr, err), time.Now()
 		return
