--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -143,6 +143,9 @@
 func (g *Group) Load(now time.Duration, all []*wire.Member) {
 	g.now = now
 	slab := make([]member, 0, len(all))
+	if len(g.members) == 0 {
+		g.members, g.all = make(map[string]*member, len(all)), make([]*member, 0, len(all))
+	}
 	for _, n := range all {
 		if n.Name == g.self.Name || g.members[n.Name] != nil {
 			continue
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,7 +56,12 @@
 		rank uint64
 		m    *wire.Member
 	}
-	byRank := func(a, b place) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.m.Name, b.m.Name)) }
+	byRank := func(a, b place) int {
+		if a.rank != b.rank {
+			return cmp.Compare(a.rank, b.rank)
+		}
+		return cmp.Compare(a.m.Name, b.m.Name)
+	}
 	var mates, core []place
 	own := rank(self)
 	for _, m := range members {
