Let nothing be lost on connections that are never idle when a node ends

The front's stop kept reading from connections that had a request under way, and an answer that was ready waited behind one that hung until the process had ended. Change: the stop reads nothing more from anybody; 0.2 s before the end requests are called off, so that each has an answer in its turn; a request is booked from its first byte on; the linger behind a last answer is 0.18 s. Ruled out: the platform's kill; the process had ended by itself.

--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -32,6 +32,7 @@
 	stopMargin  = 1600 * time.Millisecond // before the platform kills the process: no further request is begun
 	leaveMargin = 600 * time.Millisecond  // the same: the process ends
 	callWait    = time.Second
+	cutFor      = 200 * time.Millisecond // before the end requests are called off, so that they have an answer
 )
 
 // Node is a sidecar machine's process.
@@ -331,9 +332,13 @@
 	// Some clients come to the end, where few other nodes are ready. What they send
 	// from here on is not read, and goes elsewhere.
 	n.front.Stop()
-	for time.Since(began) < grace-leaveMargin && !calm() {
+	for time.Since(began) < grace-leaveMargin-cutFor && !calm() {
 		time.Sleep(20 * time.Millisecond)
 	}
+	n.front.Cut()
+	for time.Since(began) < grace-leaveMargin && n.front.Pending() > 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
 	n.gossip.Leave(ctx)
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -21,10 +21,10 @@
 const (
 	mostPending  = 64 // requests on one connection that have no answer yet
 	mostClients  = 3000
-	writeWait    = 10 * time.Second // for a client to read its answer
-	lingerFor    = 500 * time.Millisecond
-	bodyWait     = 30 * time.Second // for a whole body
-	bodyBuffered = 64 << 10         // bodies up to this are not counted against the node's memory
+	writeWait    = 10 * time.Second       // for a client to read its answer
+	lingerFor    = 180 * time.Millisecond // for the client to take its last answer
+	bodyWait     = 30 * time.Second       // for a whole body
+	bodyBuffered = 64 << 10               // bodies up to this are not counted against the node's memory
 )
 
 // Call is a request that has been read whole.
@@ -61,6 +61,7 @@
 	leaving atomic.Bool
 	mu      sync.Mutex
 	stopped bool
+	cut     bool
 	clients map[*client]bool
 	open    atomic.Int64 // connections
 	pending atomic.Int64 // requests
@@ -70,7 +71,7 @@
 // Leave makes every connection end with the next answer that has nothing behind it.
 func (f *Front) Leave() { f.leaving.Store(true) }
 
-// Stop begins no further request: connections without one are closed at once, so
+// Stop reads nothing more: connections without a request are closed at once, so
 // that clients turn elsewhere with what they send, and the others with their last
 // answer.
 func (f *Front) Stop() {
@@ -81,11 +82,19 @@
 	for c := range f.clients {
 		c.mu.Lock()
 		c.closing = c.closing || c.pending == 0
-		idle := c.pending == 0
+		c.stopReads()
 		c.mu.Unlock()
-		if idle {
-			c.stop()
-		}
+	}
+}
+
+// Cut calls all requests off, so that each has its answer while there is time for
+// one: those that are through would else wait for good behind one that is not.
+func (f *Front) Cut() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = true
+	for c := range f.clients {
+		c.callOff()
 	}
 }
 
@@ -96,6 +105,9 @@
 	if f.stopped {
 		return false
 	}
+	if f.cut {
+		c.callOff()
+	}
 	if f.clients == nil {
 		f.clients = map[*client]bool{}
 	}
@@ -152,9 +164,12 @@
 type client struct {
 	f      *Front
 	nc     net.Conn
-	ctx    context.Context
+	ctx    context.Context // until the client has left
 	cancel context.CancelFunc
 
+	requests context.Context // of the requests; its end leaves their answers to be written
+	callOff  context.CancelFunc
+
 	mu      sync.Mutex
 	pending int
 	closing bool // no further request is begun
@@ -164,6 +179,7 @@
 func (f *Front) serve(parent context.Context, nc net.Conn) {
 	ctx, cancel := context.WithCancel(parent)
 	c := &client{f: f, nc: nc, ctx: ctx, cancel: cancel}
+	c.requests, c.callOff = context.WithCancel(ctx)
 	if !f.enter(c) {
 		cancel()
 		nc.Close()
@@ -180,7 +196,7 @@
 		call, err := c.read(r)
 		if err != nil {
 			var e *http1.Error
-			if errors.As(err, &e) && c.begin() {
+			if errors.As(err, &e) {
 				done := make(chan struct{})
 				c.answer(turn, done, "", &Answer{Status: e.Status, Body: []byte(e.Text + "\n"), Close: true,
 					Headers: http1.Headers{{Name: "Content-Type", Value: "text/plain"}}})
@@ -192,15 +208,12 @@
 		case places <- struct{}{}:
 		case <-ctx.Done():
 		}
-		if !c.begin() { // behind an answer that closes: it counts as not read
-			break
-		}
 		done := make(chan struct{})
 		before := turn
 		turn = done
 		running.Go(func() {
 			defer func() { <-places }()
-			a := f.Handle(ctx, call)
+			a := f.Handle(c.requests, call)
 			f.release(call.Body)
 			a.Close = a.Close || call.Close
 			c.answer(before, done, call.Method, a)
@@ -251,6 +264,11 @@
 func (c *client) stop() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.stopReads()
+}
+
+// stopReads is stop with mu held. What was read before is still worked on.
+func (c *client) stopReads() {
 	c.stopped = true
 	c.nc.SetReadDeadline(time.Unix(1, 0))
 }
@@ -268,11 +286,12 @@
 	}
 }
 
-// begin books a request, unless an answer that closes is out already.
+// begin books a request, from its first byte on, unless an answer that closes is
+// out already: so none closes behind which something has been read.
 func (c *client) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing || c.stopped {
+	if c.closing {
 		return false
 	}
 	c.pending++
@@ -280,14 +299,42 @@
 	return true
 }
 
-// read reads one request whole. An Error is answered.
+// drop takes back a request that did not come whole.
+func (c *client) drop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending--
+	c.f.pending.Add(-1)
+}
+
+// errClosing is the end of reading behind an answer that closes.
+var errClosing = errors.New("an answer has closed the connection")
+
+// read waits for a request and reads it whole. It is booked then, and so is an
+// http1.Error, which is to be answered; after any other error nothing is.
 func (c *client) read(r *bufio.Reader) (*Call, error) {
+	if err := c.await(r); err != nil {
+		return nil, err
+	}
+	if !c.begin() {
+		return nil, errClosing
+	}
+	call, err := c.take(r)
+	var e *http1.Error
+	if err != nil && !errors.As(err, &e) {
+		c.drop()
+	}
+	return call, err
+}
+
+// await waits for the first byte of a request.
+func (c *client) await(r *bufio.Reader) error {
 	b := c.f.Bounds()
 	for {
 		c.readUntil(time.Now().Add(b.Idle))
 		_, err := r.Peek(1)
 		if err == nil {
-			break
+			return nil
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			c.mu.Lock()
@@ -296,11 +343,16 @@
 			if more && c.ctx.Err() == nil {
 				continue
 			}
-			return nil, err
+			return err
 		}
 		c.cancel() // the client has left
-		return nil, err
+		return err
 	}
+}
+
+// take reads a request whose first byte is there.
+func (c *client) take(r *bufio.Reader) (*Call, error) {
+	b := c.f.Bounds()
 	c.readUntil(time.Now().Add(b.HeadWait))
 	req, err := http1.ReadRequest(r, b.Limits)
 	if err != nil {
@@ -353,6 +405,7 @@
 	over := c.closing
 	if a.Close || c.f.leaving.Load() && c.pending == 0 {
 		a.Close, c.closing = true, true
+		c.stopReads()
 	}
 	c.mu.Unlock()
 	if over || c.ctx.Err() != nil {
@@ -364,9 +417,5 @@
 	if _, err := c.nc.Write(buf); err != nil {
 		c.cancel()
 		c.nc.Close()
-		return
-	}
-	if a.Close {
-		c.stop()
 	}
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +28,7 @@
 	out      *Outbound
 	front    string
 	clients  *Front
+	handled  atomic.Int64 // requests whose final answer is known
 	mu       sync.Mutex
 	arrivals map[string][]string // servers, by Attempt-Id
 	headers  map[string]http.Header
@@ -93,7 +95,11 @@
 	b.out = &Outbound{Node: "n", Zone: "z", Backend: "own", Ratio: 1, Window: 10 * time.Second, Pool: rpc.NewPool(ctx), Log: log, Graph: b.in.Graph}
 	b.out.Start(1)
 	b.out.Share(1000)
-	front := &Front{Handle: b.out.Handle, Bounds: b.out.Bounds, Log: log}
+	handle := func(ctx context.Context, c *Call) *Answer {
+		defer b.handled.Add(1)
+		return b.out.Handle(ctx, c)
+	}
+	front := &Front{Handle: handle, Bounds: b.out.Bounds, Log: log}
 	b.clients = front
 	var running sync.WaitGroup
 	running.Go(func() { server.Serve(ctx, nodes) })
@@ -295,6 +301,45 @@
 	}
 }
 
+// TestCut: at its last moment a node answers what has run behind one that hangs.
+func TestCut(t *testing.T) {
+	gate := make(chan struct{})
+	b := newBed(t, gate)
+	defer close(gate)
+	nc, err := net.Dial("tcp", b.front)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(20 * time.Second))
+	ask := func(path, id string) {
+		fmt.Fprintf(nc, "GET /safe/%s HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: %s\r\nTime-Budget: 15000\r\n\r\n", path, id)
+	}
+	ask("wait", "hangs")
+	ask("x", "through")
+	for b.servers("hangs") == 0 || b.handled.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b.clients.Stop()
+	b.clients.Cut()
+	r := bufio.NewReader(nc)
+	for i, want := range []int{504, 200} {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil || resp.StatusCode != want {
+			t.Fatalf("answer %d: %v, %v, want %d", i, resp, err, want)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			t.Fatal(err)
+		}
+		if resp.Close != (i == 1) {
+			t.Errorf("answer %d closes: %v", i, resp.Close)
+		}
+	}
+	if rest, _ := io.ReadAll(r); len(rest) > 0 {
+		t.Errorf("behind the last answer came %q", rest)
+	}
+}
+
 func TestInnerCallsAreTold(t *testing.T) {
 	gate := make(chan struct{})
 	b := newBed(t, gate)
