--- a/internal/lab/core.go
+++ b/internal/lab/core.go
@@ -145,7 +145,7 @@
 		return
 	}
 	c.busy = true
-	c.disk.Write(o)
+	c.disk.Write(o.Snapshot, o.Hard, o.Entries)
 	life := c.life
 	took := max(0, c.stall-c.s.now) + ms(c.s.w.SyncMs*(0.5+c.s.rng.Float64()))
 	c.s.after(took, func() {
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -119,6 +119,7 @@
 	confs   []conf // ascending by index; the first stands for the snapshot
 
 	born     time.Duration // of the process
+	batch    int           // entries in one message, at most
 	deadline time.Duration // of the election timer
 	heardAt  time.Duration // when a leader was last heard
 	votes    map[uint64]bool
@@ -142,7 +143,7 @@
 		id: id, rng: rand.New(rand.NewPCG(seed, id)), now: now, snap: snap, entries: entries,
 		commit: snap.Index, applied: snap.Index, others: map[uint64]*progress{},
 		confs: []conf{{snap.Index, snap.GetPeers().GetPeers()}}, roundAt: map[uint64]time.Duration{},
-		heardAt: -electionMax, proofAt: now, born: now,
+		heardAt: -electionMax, proofAt: now, born: now, batch: mostEntries,
 	}
 	if hard != nil {
 		c.hard.Term, c.hard.Vote = hard.Term, hard.Vote
@@ -221,8 +222,20 @@
 	return t
 }
 
-func (c *Core) voter(id uint64) bool {
-	return slices.ContainsFunc(c.Peers(), func(p *wire.Peer) bool { return p.Id == id && p.Voter })
+// mayLead tells whether this member votes, in the newest set of members or in one
+// that may yet turn out to be in force. One that has been voted out by an entry
+// which is not committed may hold what all others lack, and has to lead until it is
+// (thesis, 4.2.2); its own vote does not count then.
+func (c *Core) mayLead() bool {
+	for i := len(c.confs) - 1; i >= 0; i-- {
+		if slices.ContainsFunc(c.confs[i].peers, func(p *wire.Peer) bool { return p.Id == c.id && p.Voter }) {
+			return true
+		}
+		if c.confs[i].index <= c.commit {
+			break
+		}
+	}
+	return false
 }
 
 // quorum returns the largest value that a majority of voters has reached; own
@@ -329,10 +342,9 @@
 		return
 	}
 	c.resetTimer()
-	if !c.voter(c.id) {
-		return
+	if c.mayLead() {
+		c.campaign(true)
 	}
-	c.campaign(true)
 }
 
 // campaign asks for votes, at first only whether they would be given: a member
@@ -429,7 +441,7 @@
 	}
 	m := &wire.Raft{Kind: wire.Raft_APPEND, To: id, Index: p.next - 1, LogTerm: prev, Commit: c.commit, Round: c.round}
 	bytes := 0
-	for i := p.next; i <= c.last() && len(m.Entries) < mostEntries && bytes < mostBytes; i++ {
+	for i := p.next; i <= c.last() && len(m.Entries) < c.batch && bytes < mostBytes; i++ {
 		e := c.entries[i-c.first()]
 		m.Entries = append(m.Entries, e)
 		bytes += len(e.Data)
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -12,6 +12,7 @@
 	"github.com/anishathalye/porcupine"
 	"google.golang.org/protobuf/proto"
 
+	"curlewring/internal/simdisk"
 	"curlewring/internal/wire"
 )
 
@@ -23,30 +24,10 @@
 	keepID    = flag.Bool("keep-id", false, "let a wiped machine keep its identity and vote")
 )
 
-// disk is what a machine would find after a loss of power.
-type disk struct {
-	id      uint64
-	hard    *wire.HardState
-	snap    *wire.RaftSnapshot
-	entries []*wire.Entry
-}
-
-func (d *disk) save(o Output) {
-	if o.Snapshot != nil {
-		d.snap, d.entries = o.Snapshot, nil
-	}
-	if o.Hard != nil && !*loseVotes {
-		d.hard = o.Hard
-	}
-	for _, e := range o.Entries {
-		d.entries = append(d.entries[:e.Index-d.snap.GetIndex()-1], e)
-	}
-}
-
 // machine is a core machine: its disk, and while it runs its core and its state.
 type machine struct {
 	n       int
-	disk    disk
+	disk    simdisk.Disk
 	core    *Core
 	value   string // the register that the log keeps
 	applied uint64
@@ -58,6 +39,8 @@
 	writes  map[uint64]*op // by index
 	inbox   []parcel
 	managed time.Duration
+	led     bool
+	fallAt  time.Duration // it loses its power then; 0: it does not
 }
 
 type parcel struct {
@@ -87,25 +70,33 @@
 	lastSeen map[int]string
 	nextID   uint64
 	wipes    int
+	agreed   map[uint64]uint64 // term of the entry that was applied at an index
+	split    string            // two machines have applied different entries
+	batch    int               // entries in a message
+	calm     bool              // nothing fails any more
+	churn    bool              // voters come and go without need
+	hasty    bool              // one leader after another falls within some messages' time
 }
 
 func (w *world) start(m *machine) {
-	if m.disk.id == 0 {
+	if m.disk.ID == 0 {
 		w.nextID++
-		m.disk.id = w.nextID
+		m.disk.ID = w.nextID
 	}
-	m.core = New(m.disk.id, m.disk.hard, m.disk.snap, slices.Clone(m.disk.entries), w.rng.Uint64(), w.now+m.skew)
-	m.value, m.applied = string(m.disk.snap.GetData()), m.disk.snap.GetIndex()
+	m.core = New(m.disk.ID, m.disk.Hard, m.disk.Snap, slices.Clone(m.disk.Entries), w.rng.Uint64(), w.now+m.skew)
+	m.core.batch = w.batch
+	m.value, m.applied, m.led = string(m.disk.Snap.GetData()), m.disk.Snap.GetIndex(), false
 	m.reads, m.writes, m.heard, m.inbox = map[uint64]*op{}, map[uint64]*op{}, map[uint64]int{}, nil
 }
 
 func (w *world) crash(m *machine, down time.Duration) {
+	m.disk.Crash(w.rng)
 	m.core, m.downTil = nil, w.now+down
 }
 
 func (w *world) at(id uint64, from *machine) (int, bool) {
 	for i, m := range w.machines {
-		if m.disk.id == id {
+		if m.disk.ID == id {
 			return i, true
 		}
 	}
@@ -120,11 +111,16 @@
 		if o.Empty() {
 			return
 		}
+		hard := o.Hard
+		if *loseVotes {
+			hard = nil
+		}
+		m.disk.Write(o.Snapshot, hard, o.Entries)
 		if w.rng.IntN(3000) == 0 {
-			w.crash(m, w.span(500, 3000)) // before the sync
+			w.crash(m, w.span(500, 3000)) // before the sync has returned
 			return
 		}
-		m.disk.save(o)
+		m.disk.Sync()
 		if o.Snapshot != nil {
 			m.value, m.applied = string(o.Snapshot.Data), o.Snapshot.Index
 		}
@@ -157,8 +153,7 @@
 		}
 		if m.core.Backlog() > 40 {
 			if s := m.core.Compact(m.applied, []byte(m.value)); s != nil {
-				m.disk.entries = m.disk.entries[s.Index-m.disk.snap.GetIndex():]
-				m.disk.snap = s
+				m.disk.Compact(s)
 			}
 		}
 	}
@@ -169,6 +164,10 @@
 		panic(fmt.Sprintf("machine %d applies %d after %d", m.n, e.Index, m.applied))
 	}
 	m.applied = e.Index
+	if term, ok := w.agreed[e.Index]; ok && term != e.Term {
+		w.split = fmt.Sprintf("at %v machine %d applies entry %d of term %d, and another applied that of term %d", w.now, m.n, e.Index, e.Term, term)
+	}
+	w.agreed[e.Index] = e.Term
 	verdict := ""
 	if e.Kind == wire.Entry_COMMAND {
 		var put wire.PutConfig
@@ -207,41 +206,46 @@
 // manage is the leader's upkeep of its members, as the control plane does it.
 func (w *world) manage(m *machine) {
 	now := w.now + m.skew
-	peers := m.core.Peers()
 	if !m.core.Leads() {
+		m.led = false
 		return
 	}
-	alive, voters := 0, 0
-	for _, p := range peers {
-		_, silent, ok := m.core.Lag(p.Id)
-		if p.Voter {
-			voters++
-			if p.Id == m.disk.id || ok && silent < 3*time.Second {
-				alive++
+	if !m.led {
+		m.led = true
+		if odds := w.rng.IntN(4); !w.calm && (odds == 0 || w.hasty && odds < 3) { // many a leader does not live long
+			m.fallAt = w.now + w.span(0, 100)
+			if w.hasty {
+				m.fallAt = w.now + w.span(0, 40)
 			}
+			return
 		}
 	}
 	for _, other := range w.machines { // those that ask to join
-		if other.core != nil && !w.cut[[2]int{other.n, m.n}] &&
-			!slices.ContainsFunc(peers, func(p *wire.Peer) bool { return p.Id == other.disk.id }) {
-			m.heard[other.disk.id] = other.n
-			m.core.Change(now, append(slices.Clone(peers), &wire.Peer{Id: other.disk.id}))
-			return
+		if other.core != nil && !w.cut[[2]int{other.n, m.n}] {
+			if move, member := m.core.Joining(&wire.Peer{Id: other.disk.ID, Address: fmt.Sprint(other.n)}); !member {
+				m.heard[other.disk.ID] = other.n
+				m.core.Change(now, move.Next)
+				return
+			}
 		}
 	}
-	for i, p := range peers {
-		lag, silent, ok := m.core.Lag(p.Id)
-		switch {
-		case !ok:
-		case !p.Voter && lag <= 8 && silent < time.Second:
+	peers := slices.Clone(m.core.Peers())
+	if w.churn && w.rng.IntN(2) == 0 {
+		for range 2 { // what is refused, as another change is under way, does no harm
+			i := w.rng.IntN(len(peers))
+			if voters := Voters(peers); peers[i].Voter && voters <= 3 || !peers[i].Voter && voters >= 5 {
+				continue
+			}
 			next := slices.Clone(peers)
-			next[i] = &wire.Peer{Id: p.Id, Voter: true}
-			m.core.Change(now, next)
-			return
-		case p.Voter && silent > 3*time.Second && alive >= 3, !p.Voter && silent > 10*time.Second:
-			m.core.Change(now, slices.Delete(slices.Clone(peers), i, i+1))
-			return
+			next[i] = &wire.Peer{Id: peers[i].Id, Address: peers[i].Address, Voter: !peers[i].Voter}
+			if m.core.Change(now, next) == nil {
+				peers = next
+			}
 		}
+		return
+	}
+	if move := m.core.Tend(3); move.Next != nil {
+		m.core.Change(now, move.Next)
 	}
 }
 
@@ -270,13 +274,7 @@
 		m.reads[w.token] = o
 		m.core.Read(now, w.token)
 	} else {
-		voters := 0
-		for _, p := range m.core.Peers() {
-			if p.Voter {
-				voters++
-			}
-		}
-		if voters < 3 {
+		if Voters(m.core.Peers()) < 3 {
 			return
 		}
 		w.nextID++
@@ -303,7 +301,7 @@
 			any = i
 		}
 	}
-	switch w.rng.IntN(1600) {
+	switch w.rng.IntN(1600) { // of 5 ms each
 	case 0, 1:
 		if m := w.machines[any]; m.core != nil {
 			w.crash(m, w.span(200, 4000))
@@ -312,12 +310,22 @@
 		for _, m := range w.machines { // all power
 			w.crash(m, w.span(500, 1500))
 		}
-	case 3, 4:
+	case 3, 4, 15, 16, 17:
 		a := any
 		for b := range w.machines { // one side hears, or nobody does
 			w.cut[[2]int{a, b}] = true
 			w.cut[[2]int{b, a}] = w.rng.IntN(3) > 0
 		}
+	case 12, 13, 14: // two parts
+		side := map[int]bool{}
+		for b := range w.machines {
+			side[b] = w.rng.IntN(2) == 0
+		}
+		for a := range w.machines {
+			for b := range w.machines {
+				w.cut[[2]int{a, b}] = side[a] != side[b]
+			}
+		}
 	case 5, 6, 7:
 		clear(w.cut)
 	case 8:
@@ -325,35 +333,35 @@
 	case 9:
 		w.machines[w.rng.IntN(len(w.machines))].skew += w.span(0, 3000)
 	case 10, 11:
-		m := w.machines[any]
-		for _, lead := range w.machines {
-			if m.core == nil || lead.core == nil || !lead.core.Leads() || !lead.core.Settled() {
-				continue
-			}
-			members := 0
-			for _, p := range lead.core.Peers() {
-				if i, ok := w.at(p.Id, lead); ok && p.Voter && w.machines[i].core != nil {
-					members++
-				}
-			}
-			// Two that lag at once would be more than one loss.
-			whole := true
-			for _, o := range w.machines {
-				if o != m && (o.core == nil || o.core.Commit() < lead.core.Commit() && o != lead) {
-					whole = false
-				}
-			}
-			if members == len(w.machines) && len(lead.core.Peers()) == len(w.machines) && whole {
-				id := m.disk.id
-				w.crash(m, w.span(100, 2000))
-				m.disk = disk{}
-				if *keepID {
-					m.disk.id = id
-				}
-				w.wipes++
+		w.wipe(w.machines[any])
+	}
+}
+
+// wipe takes a disk away, right behind what was acknowledged at times. It waits
+// until the members are the machines that there are, so that it is the one loss that
+// is to be borne; what the others lag behind is theirs to catch up.
+func (w *world) wipe(m *machine) {
+	for _, lead := range w.machines {
+		if lead.core == nil || !lead.core.Leads() || !lead.core.Settled() || lead.core.Touch(w.now+lead.skew) > Heartbeat {
+			continue
+		}
+		peers := lead.core.Peers()
+		for _, o := range w.machines {
+			if !slices.ContainsFunc(peers, func(p *wire.Peer) bool { return p.Id == o.disk.ID && p.Voter }) {
+				return
 			}
+		}
+		if len(peers) != len(w.machines) {
 			return
 		}
+		id := m.disk.ID
+		w.crash(m, w.span(100, 2000))
+		m.disk.Wipe()
+		if *keepID {
+			m.disk.ID = id
+		}
+		w.wipes++
+		return
 	}
 }
 
@@ -378,21 +386,30 @@
 }
 
 func play(seed uint64, length time.Duration) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 3)), cut: map[[2]int]bool{}, pending: map[int]*op{}, lastSeen: map[int]string{}}
-	for i := range 3 + w.rng.IntN(2) {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 3)), cut: map[[2]int]bool{}, pending: map[int]*op{}, lastSeen: map[int]string{}, agreed: map[uint64]uint64{}}
+	w.batch = []int{mostEntries, 1, 2}[w.rng.IntN(3)]
+	w.churn = w.rng.IntN(3) == 0
+	if w.hasty = !w.churn && w.rng.IntN(2) == 0; w.hasty {
+		w.batch = 1
+	}
+	count := 3 + w.rng.IntN(2)
+	if w.churn {
+		count = 5
+	}
+	for i := range count {
 		m := &machine{n: i}
 		w.machines = append(w.machines, m)
 		if i == 0 {
 			w.nextID = 1
-			m.disk = disk{id: 1, hard: &wire.HardState{Term: 1}, snap: &wire.RaftSnapshot{
-				Term: 1, Index: 1, Peers: &wire.Peers{Peers: []*wire.Peer{{Id: 1, Voter: true}}}}}
+			m.disk = simdisk.Disk{ID: 1, Hard: &wire.HardState{Term: 1}, Snap: &wire.RaftSnapshot{
+				Term: 1, Index: 1, Peers: &wire.Peers{Peers: []*wire.Peer{{Id: 1, Address: "0", Voter: true}}}}}
 		}
 		w.start(m)
 	}
 	const step = 5 * time.Millisecond
 	for ; w.now < length; w.now += step {
-		calm := w.now > length-12*time.Second // so that what was acknowledged is read at the end
-		if calm {
+		w.calm = w.now > length-12*time.Second // so that what was acknowledged is read at the end
+		if w.calm {
 			clear(w.cut)
 		} else if w.now > 3*time.Second {
 			w.trouble()
@@ -409,6 +426,11 @@
 				}
 				continue
 			}
+			if m.fallAt > 0 && w.now >= m.fallAt {
+				m.fallAt = 0
+				w.crash(m, w.span(20, 400))
+				continue
+			}
 			if m.frozen > w.now {
 				continue
 			}
@@ -430,7 +452,7 @@
 				}
 			}
 			m.core.Tick(now)
-			if w.now-m.managed > 250*time.Millisecond {
+			if w.now-m.managed > 250*time.Millisecond || m.core.Leads() && !m.led {
 				m.managed = w.now
 				w.manage(m)
 			}
@@ -466,6 +488,9 @@
 		if !late {
 			t.Errorf("seed %d: nothing was answered after the troubles had ended", seed)
 		}
+		if w.split != "" {
+			t.Errorf("seed %d: %s", seed, w.split)
+		}
 		if porcupine.CheckOperationsTimeout(register, ops, 20*time.Second) == porcupine.Illegal {
 			t.Errorf("seed %d: the history is not linearizable (go test -run Linearizable -seed %d -seeds 1)", seed, seed)
 		}
@@ -481,13 +506,13 @@
 func TestElectionAfterLoss(t *testing.T) {
 	var times []time.Duration
 	for seed := range uint64(*seeds) {
-		w := &world{rng: rand.New(rand.NewPCG(seed, 9)), cut: map[[2]int]bool{}, pending: map[int]*op{}, lastSeen: map[int]string{}}
+		w := &world{batch: mostEntries, rng: rand.New(rand.NewPCG(seed, 9)), cut: map[[2]int]bool{}, pending: map[int]*op{}, lastSeen: map[int]string{}, agreed: map[uint64]uint64{}}
 		peers := &wire.Peers{}
 		for i := range uint64(3) {
-			peers.Peers = append(peers.Peers, &wire.Peer{Id: i + 1, Voter: true})
+			peers.Peers = append(peers.Peers, &wire.Peer{Id: i + 1, Address: fmt.Sprint(i), Voter: true})
 		}
 		for i := range 3 {
-			m := &machine{n: i, disk: disk{id: uint64(i + 1), snap: &wire.RaftSnapshot{Term: 1, Index: 1, Peers: peers}}}
+			m := &machine{n: i, disk: simdisk.Disk{ID: uint64(i + 1), Snap: &wire.RaftSnapshot{Term: 1, Index: 1, Peers: peers}}}
 			w.machines = append(w.machines, m)
 			w.start(m)
 		}
@@ -504,7 +529,8 @@
 				}
 				m.core.Tick(w.now)
 				for o := m.core.Take(); !o.Empty(); o = m.core.Take() {
-					m.disk.save(o)
+					m.disk.Write(o.Snapshot, o.Hard, o.Entries)
+					m.disk.Sync()
 					if n := len(o.Entries); n > 0 {
 						m.core.Stable(o.Entries[n-1].Index)
 					}
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -130,7 +130,12 @@
 func (c *Core) installFrom(m *wire.Raft) {
 	s := m.Snapshot
 	reply := &wire.Raft{Kind: wire.Raft_APPENDED, To: m.From, Round: m.Round, Index: c.commit}
-	if s.GetIndex() > c.commit {
+	if t, ok := c.term(s.GetIndex()); ok && t == s.GetTerm() {
+		// The log leads up to the snapshot. What stands behind it may have been
+		// acknowledged, and must stay.
+		c.commit = max(c.commit, s.GetIndex())
+		reply.Index = c.commit
+	} else if s.GetIndex() > c.commit {
 		c.snap, c.entries, c.unsaved = s, nil, 0
 		c.commit, c.applied, c.stable = s.Index, s.Index, s.Index
 		c.confs = []conf{{s.Index, s.GetPeers().GetPeers()}}
--- a/internal/simdisk/simdisk.go
+++ b/internal/simdisk/simdisk.go
@@ -6,7 +6,6 @@
 import (
 	"math/rand/v2"
 
-	"curlewring/internal/raft"
 	"curlewring/internal/wire"
 )
 
@@ -17,18 +16,25 @@
 	Snap    *wire.RaftSnapshot
 	Entries []*wire.Entry // behind the snapshot
 
-	cache []raft.Output // written, not synced
+	cache []write // not synced
 }
 
-// Write puts what has to be saved of an output into the disk's cache.
-func (d *Disk) Write(o raft.Output) {
-	d.cache = append(d.cache, raft.Output{Snapshot: o.Snapshot, Hard: o.Hard, Entries: o.Entries})
+// write is what was to be saved together.
+type write struct {
+	hard    *wire.HardState
+	snap    *wire.RaftSnapshot
+	entries []*wire.Entry
+}
+
+// Write puts what has to be saved of a raft.Output into the disk's cache.
+func (d *Disk) Write(snap *wire.RaftSnapshot, hard *wire.HardState, entries []*wire.Entry) {
+	d.cache = append(d.cache, write{hard, snap, entries})
 }
 
 // Sync returns once all that was written is there for good.
 func (d *Disk) Sync() {
-	for _, o := range d.cache {
-		d.keep(o)
+	for _, w := range d.cache {
+		d.keep(w)
 	}
 	d.cache = nil
 }
@@ -43,8 +49,8 @@
 // of the writes. A write that is there in part fails its checksum, and the store
 // drops it with all behind it.
 func (d *Disk) Crash(rng *rand.Rand) {
-	for _, o := range d.cache[:rng.IntN(len(d.cache)+1)] {
-		d.keep(o)
+	for _, w := range d.cache[:rng.IntN(len(d.cache)+1)] {
+		d.keep(w)
 	}
 	d.cache = nil
 }
@@ -61,14 +67,14 @@
 	return n
 }
 
-func (d *Disk) keep(o raft.Output) {
-	if o.Snapshot != nil {
-		d.Snap, d.Entries = o.Snapshot, nil
+func (d *Disk) keep(w write) {
+	if w.snap != nil {
+		d.Snap, d.Entries = w.snap, nil
 	}
-	if o.Hard != nil {
-		d.Hard = o.Hard
+	if w.hard != nil {
+		d.Hard = w.hard
 	}
-	for _, e := range o.Entries {
+	for _, e := range w.entries {
 		d.Entries = append(d.Entries[:e.Index-d.Snap.GetIndex()-1], e)
 	}
 }
