--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -20,6 +20,7 @@
 
 	"curlewring/internal/catalog"
 	"curlewring/internal/gossip"
+	"curlewring/internal/metrics"
 	"curlewring/internal/nodefile"
 	"curlewring/internal/raft"
 	"curlewring/internal/relay"
@@ -51,6 +52,7 @@
 	pool   *rpc.Pool
 	gossip *gossip.Gossip
 	hub    *relay.Hub
+	shown  *metrics.Set // nil: not served
 	began  time.Time
 	events chan func()
 	ctx    context.Context
@@ -136,6 +138,10 @@
 		Handler: n.routes(), ReadHeaderTimeout: 3 * time.Second, ReadTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second,
 		IdleTimeout: 30 * time.Second, MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
+	if set.Metrics != "" {
+		n.shown = n.figures()
+		n.workers.Go(func() { n.shown.Serve(ctx, set.Metrics, log) })
+	}
 	n.workers.Go(func() { server.Serve(ctx, internal) })
 	n.workers.Go(func() { web.Serve(public) })
 	n.workers.Go(func() { n.gossip.Run(ctx) })
@@ -284,6 +290,7 @@
 			n.log.Error("disk.reopen", "err", err)
 		}
 	}
+	n.shown.Synced(time.Since(began))
 	if took := time.Since(began); took > 300*time.Millisecond {
 		n.log.Warn("disk.slow", "took", took)
 	}
--- a/internal/control/web.go
+++ b/internal/control/web.go
@@ -12,6 +12,7 @@
 
 	"curlewring/internal/catalog"
 	"curlewring/internal/meshconfig"
+	"curlewring/internal/metrics"
 	"curlewring/internal/raft"
 	"curlewring/internal/wire"
 )
@@ -62,7 +63,8 @@
 	Draining bool   `json:"draining"`
 }
 
-func (n *Node) status(w http.ResponseWriter, r *http.Request) {
+// state returns what the loop knows; ok is false where it is held up.
+func (n *Node) state(ctx context.Context) (s Status, ok bool) {
 	c := make(chan Status, 1)
 	n.do(func() {
 		s := Status{Node: n.set.Load().Node, Leads: n.core.Leads(), Leader: n.leader().GetAddress(), Term: n.core.Term(),
@@ -77,12 +79,46 @@
 	})
 	select {
 	case s := <-c:
-		w.Header().Set("Content-Type", "application/json")
-		json.NewEncoder(w).Encode(s)
-	case <-r.Context().Done():
+		return s, true
+	case <-ctx.Done():
 	case <-time.After(answerWithin):
+	}
+	return s, false
+}
+
+func (n *Node) status(w http.ResponseWriter, r *http.Request) {
+	s, ok := n.state(r.Context())
+	if !ok {
 		reply(w, http.StatusServiceUnavailable, "the disk or the processor holds this machine up")
+		return
 	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(s)
+}
+
+// figures are what the machine shows of itself.
+func (n *Node) figures() *metrics.Set {
+	return metrics.New(metrics.Gauge{Name: "ivydeck_core", Help: "The core as this machine knows it: term, commit, leads (1 or 0), revision, members, voters, servers.",
+		Labels: []string{"what"}, Read: func() (list []metrics.Reading) {
+			s, ok := n.state(n.ctx)
+			if !ok {
+				return nil
+			}
+			leads, voters := 0.0, 0
+			if s.Leads {
+				leads = 1
+			}
+			for _, m := range s.Members {
+				if m.Voter {
+					voters++
+				}
+			}
+			for what, value := range map[string]float64{"term": float64(s.Term), "commit": float64(s.Commit), "leads": leads, "revision": float64(s.Revision),
+				"members": float64(len(s.Members)), "voters": float64(voters), "servers": float64(len(s.Servers))} {
+				list = append(list, metrics.Reading{Value: value, Labels: []string{what}})
+			}
+			return list
+		}})
 }
 
 func reply(w http.ResponseWriter, status int, text string) {
--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -83,6 +83,10 @@
 	}
 	n.outbound.Start(rng.Uint64())
 	n.inbound.Pressure = n.outbound.Pressure
+	if set.Metrics != "" {
+		n.outbound.Metrics = n.figures()
+		n.workers.Go(func() { n.outbound.Metrics.Serve(life, set.Metrics, log) })
+	}
 	n.front = &proxy.Front{
 		Handle: n.outbound.Handle, Bounds: n.outbound.Bounds, Memory: int64(set.MemoryMB) << 20 / 4, Log: log,
 	}
--- a/internal/nodefile/nodefile.go
+++ b/internal/nodefile/nodefile.go
@@ -4,7 +4,6 @@
 package nodefile
 
 import (
-	"errors"
 	"fmt"
 	"net/netip"
 	"os"
@@ -37,6 +36,7 @@
 	Zone  string
 
 	Inbound, Outbound, Readiness, Control string // addresses; empty: not served
+	Metrics                               string // the same; not the platform's, but the operator's own key
 
 	Ports     [2]int // free for nodes, first to last
 	Seeds     []string
@@ -96,6 +96,12 @@
 	return s, nil
 }
 
+// Faults are all that is wrong with a file.
+type Faults []string
+
+// Error is one line.
+func (f Faults) Error() string { return strings.Join(f, "; ") }
+
 // reader collects what is wrong with the values.
 type reader struct {
 	values map[string]string
@@ -192,6 +198,7 @@
 			RetrySlack: r.number("bounds.retry_slack", 0, 0),
 		},
 	}
+	s.Metrics = r.address("metrics.address", false)
 	if _, err := netip.ParseAddr(s.IP); s.IP != "" && err != nil {
 		r.fault("ip_address is %q, not an IP address", s.IP)
 	}
@@ -239,7 +246,7 @@
 	}
 	if len(r.faults) > 0 {
 		sort.Strings(r.faults)
-		return nil, errors.New(strings.Join(r.faults, "; "))
+		return nil, Faults(r.faults)
 	}
 	return s, nil
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/willabides/kongplete"
 
 	"curlewring/internal/nodefile"
 )
@@ -55,6 +56,13 @@
 		return fail(name, err)
 	}
 	set, err := load(args.Settings, class)
+	var faults nodefile.Faults
+	if args.Check && errors.As(err, &faults) {
+		for _, f := range faults {
+			fmt.Fprintf(os.Stderr, "%s: %s: %s\n", name, args.Settings, f)
+		}
+		return exitFault
+	}
 	if err != nil {
 		return fail(name, err)
 	}
@@ -85,8 +93,14 @@
 func Tool(name, about string, commands any) {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	k := kong.Parse(commands, kong.Name(name), kong.Description(about), kong.Vars{"version": name + " " + Version},
+	parser, err := kong.New(commands, kong.Name(name), kong.Description(about), kong.Vars{"version": name + " " + Version},
 		kong.BindTo(ctx, (*context.Context)(nil)))
+	if err != nil {
+		os.Exit(fail(name, err))
+	}
+	kongplete.Complete(parser) // answers the shell, where it asks, and ends
+	k, err := parser.Parse(os.Args[1:])
+	parser.FatalIfErrorf(err)
 	if err := k.Run(); err != nil {
 		os.Exit(fail(name, err))
 	}
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -186,6 +186,19 @@
 	return in.station.Servers()
 }
 
+// Load is the number of requests at each server here, and of those that wait for
+// it, in the order of Servers.
+func (in *Inbound) Load() (servers []Beat, inflight, waiting []int) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	servers = in.station.Servers()
+	for _, b := range servers {
+		i, w := in.station.Load(b.ID)
+		inflight, waiting = append(inflight, i), append(waiting, w)
+	}
+	return servers, inflight, waiting
+}
+
 // Busy is the number of requests that servers here hold.
 func (in *Inbound) Busy() int {
 	in.mu.Lock()
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -11,6 +11,7 @@
 	"curlewring/decide"
 	"curlewring/internal/entry"
 	"curlewring/internal/http1"
+	"curlewring/internal/metrics"
 	"curlewring/internal/rpc"
 	"curlewring/internal/wire"
 )
@@ -32,6 +33,7 @@
 	Window              time.Duration
 	Pool                *rpc.Pool
 	Log                 *slog.Logger
+	Metrics             *metrics.Set
 	Graph               func(attempt, service string) (inner, repeat bool) // see station.Station.Graph
 	began               time.Time
 	ready               chan struct{} // closed with the first configuration
@@ -56,6 +58,13 @@
 	o.table.Share(slack)
 }
 
+// Readings are what the node knows of its services, for those who look on.
+func (o *Outbound) Readings(priorities int) []entry.Reading {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Readings(o.now(), priorities)
+}
+
 // Pressure is what calls that begin here meet at a service.
 func (o *Outbound) Pressure(service string) float64 {
 	o.mu.Lock()
@@ -116,6 +125,20 @@
 
 // Handle gives one request its final answer.
 func (o *Outbound) Handle(ctx context.Context, c *Call) *Answer {
+	a := o.handle(ctx, c)
+	if o.Metrics != nil {
+		name := ""
+		if config := o.world().Config; config != nil {
+			if route := config.Find(c.Host, c.Path()); route != nil {
+				name = route.Name
+			}
+		}
+		o.Metrics.Request(name, a.Status, a.Headers.Count("Retry-After") > 0, time.Since(c.Arrived))
+	}
+	return a
+}
+
+func (o *Outbound) handle(ctx context.Context, c *Call) *Answer {
 	if o.world().Config == nil { // in a process that has just started it may come at any moment
 		timer := time.NewTimer(configWait)
 		select {
