--- /dev/null
+++ b/Makefile
@@ -0,0 +1,11 @@
+# What is not run by one command of the Go tools. The tests are: see README.md.
+FUZZTIME ?= 30s
+
+.PHONY: fuzz
+fuzz:
+	go test ./internal/http1 -run none -fuzz FuzzRequest -fuzztime $(FUZZTIME)
+	go test ./internal/http1 -run none -fuzz FuzzResponse -fuzztime $(FUZZTIME)
+	go test ./internal/rpc -run none -fuzz FuzzFrames -fuzztime $(FUZZTIME)
+	go test ./internal/nodefile -run none -fuzz FuzzParse -fuzztime $(FUZZTIME)
+	go test ./internal/meshconfig -run none -fuzz FuzzConfig -fuzztime $(FUZZTIME)
+	go test ./internal/store -run none -fuzz FuzzRecovery -fuzztime $(FUZZTIME)
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -170,3 +170,42 @@
 		}
 	}
 }
+
+// FuzzResponse: whatever a server sends, an answer is whole and has an end that
+// cannot be taken for another, or it is an error; the standard library reads what
+// is read here alike.
+func FuzzResponse(f *testing.F) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 204 No Content\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := bufio.NewReader(bytes.NewReader(data))
+		resp, err := ReadResponse(r, "GET", limits)
+		if err != nil {
+			return
+		}
+		body, err := ReadBody(r, resp.Length, limits)
+		if err != nil {
+			return
+		}
+		std := bufio.NewReader(bytes.NewReader(data))
+		want, err := http.ReadResponse(std, nil)
+		for err == nil && want.StatusCode/100 == 1 {
+			want, err = http.ReadResponse(std, nil)
+		}
+		if err != nil {
+			return
+		}
+		wantBody, err := io.ReadAll(want.Body)
+		if err != nil {
+			return
+		}
+		if resp.Status != want.StatusCode || !bytes.Equal(body, wantBody) {
+			t.Errorf("%d %q here, %d %q there", resp.Status, body, want.StatusCode, wantBody)
+		}
+	})
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -184,6 +184,26 @@
 	return s, nil
 }
 
+// Verify checks what Inspect has loaded beyond what loading does: that terms rise,
+// none beyond the machine's own, and that every entry says something.
+func (s *Store) Verify() error {
+	term := s.Snapshot.GetTerm()
+	for _, e := range s.Entries {
+		if e.Term < term || e.Term > s.Hard.GetTerm() {
+			return fmt.Errorf("store: %w: entry %d has term %d after %d, in term %d", errDamaged, e.Index, e.Term, term, s.Hard.GetTerm())
+		}
+		term = e.Term
+		var m proto.Message = new(wire.Command)
+		if e.Kind == wire.Entry_PEERS {
+			m = new(wire.Peers)
+		}
+		if err := proto.Unmarshal(e.Data, m); err != nil {
+			return fmt.Errorf("store: %w: entry %d: %w", errDamaged, e.Index, err)
+		}
+	}
+	return nil
+}
+
 // get reads a message; ok is false where there is none.
 func (s *Store) get(key []byte, m proto.Message) (ok bool, err error) {
 	data, err := s.db.Get(key, nil)
