--- a/cmd/ivydeckctl/main.go
+++ b/cmd/ivydeckctl/main.go
@@ -6,11 +6,17 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
+	"slices"
 	"strings"
+	"text/tabwriter"
 
 	"github.com/alecthomas/kong"
+	"github.com/willabides/kongplete"
 
+	"curlewring/internal/catalog"
+	"curlewring/internal/control"
 	"curlewring/internal/meshconfig"
 	"curlewring/internal/operator"
 	"curlewring/internal/program"
@@ -25,10 +31,14 @@
 		Read  readCmd  `cmd:"" help:"Print the configuration in force."`
 		Apply applyCmd `cmd:"" help:"Send a configuration to the core."`
 	} `cmd:"" help:"Configurations: .toml, .yaml, .json, or MessagePack."`
-	Status statusCmd `cmd:"" help:"Print what core machines say of themselves, their members and the servers."`
-	Store  struct {
+	Status  statusCmd  `cmd:"" help:"Print what core machines say of themselves, their members and the servers."`
+	Members membersCmd `cmd:"" help:"Print the members of the core, as its leader knows them."`
+	Servers serversCmd `cmd:"" help:"Print the registered servers, as the leader knows them."`
+	Store   struct {
 		Inspect inspectCmd `cmd:"" help:"Print what the folder of a stopped core machine holds; nothing is changed."`
+		Verify  verifyCmd  `cmd:"" help:"Check the folder of a stopped core machine, entry by entry; nothing is changed."`
 	} `cmd:"" help:"The disk of a core machine."`
+	Completion kongplete.InstallCompletions `cmd:"" help:"Print what to put into the shell's start file for completion."`
 }
 
 type checkCmd struct {
@@ -158,6 +168,89 @@
 	return errors.Join(errs...)
 }
 
+// leader returns what the leader says.
+func (f *coreFlags) leader(ctx context.Context) (control.Status, error) {
+	all, errs := f.core().Status(ctx)
+	for _, s := range all {
+		if s.Leads {
+			return s, nil
+		}
+	}
+	return control.Status{}, errors.Join(append(errs, errors.New("none of these machines leads"))...)
+}
+
+// table prints rows under a head, or the same as JSON.
+func table(output string, value any, head string, rows func(w io.Writer)) error {
+	if output == "json" {
+		enc := json.NewEncoder(os.Stdout)
+		enc.SetIndent("", "  ")
+		return enc.Encode(value)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, head)
+	rows(w)
+	return w.Flush()
+}
+
+type membersCmd struct {
+	coreFlags
+	Output string `help:"json or table." enum:"json,table" default:"table"`
+}
+
+func (c *membersCmd) Run(ctx context.Context) error {
+	s, err := c.leader(ctx)
+	if err != nil {
+		return err
+	}
+	return table(c.Output, s.Members, "identity\taddress\tvotes\tleads", func(w io.Writer) {
+		for _, m := range s.Members {
+			fmt.Fprintf(w, "%s\t%s\t%v\t%v\n", m.Identity, m.Address, m.Voter, m.Address == s.Leader)
+		}
+	})
+}
+
+type serversCmd struct {
+	coreFlags
+	Service string `help:"Of this service alone."`
+	Output  string `help:"json or table." enum:"json,table" default:"table"`
+}
+
+func (c *serversCmd) Run(ctx context.Context) error {
+	s, err := c.leader(ctx)
+	if err != nil {
+		return err
+	}
+	list := slices.DeleteFunc(s.Servers, func(v control.Server) bool { return c.Service != "" && v.Service != c.Service })
+	return table(c.Output, list, "server\tservice\tnode\tzone\tslots\tdraining", func(w io.Writer) {
+		for _, v := range list {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%v\n", v.Member, v.Service, v.Node, v.Zone, v.Slots, v.Draining)
+		}
+	})
+}
+
+type verifyCmd struct {
+	Dir string `arg:"" type:"existingdir" help:"The machine's data_dir."`
+}
+
+func (c *verifyCmd) Run() error {
+	s, err := store.Inspect(c.Dir)
+	if err != nil {
+		return err
+	}
+	state := catalog.New()
+	if s.Snapshot.GetIndex() > 0 {
+		if err := state.Restore(s.Snapshot.Data); err != nil {
+			return fmt.Errorf("the snapshot at %d: %w", s.Snapshot.Index, err)
+		}
+	}
+	if err := s.Verify(); err != nil {
+		return err
+	}
+	fmt.Printf("identity %016x: %d entries from %d to %d, none damaged; revision %d and %d servers at the snapshot\n",
+		s.ID, len(s.Entries), s.Snapshot.GetIndex()+1, s.Snapshot.GetIndex()+uint64(len(s.Entries)), state.Revision(), len(state.Servers))
+	return nil
+}
+
 type inspectCmd struct {
 	Dir string `arg:"" type:"existingdir" help:"The machine's data_dir."`
 }
--- a/internal/data/mesh_test.go
+++ b/internal/data/mesh_test.go
@@ -25,14 +25,14 @@
 // mesh is a whole one on the loopback range: each machine has an address of its
 // own there, and ports are alike on all.
 type mesh struct {
-	t       *testing.T
+	t       testing.TB
 	ports   [5]int // nodes, control, outbound, readiness, server
 	dir     string
 	running sync.WaitGroup
 }
 
 // freePorts finds ports that are free on all addresses used.
-func freePorts(t *testing.T) (ports [5]int) {
+func freePorts(t testing.TB) (ports [5]int) {
 	for i := range ports {
 		l, err := net.Listen("tcp", "127.7.0.1:0")
 		if err != nil {
@@ -95,7 +95,7 @@
 	m.t.Fatalf("waited for too long: %s", what)
 }
 
-func config(t *testing.T, revision int, prefix string) []byte {
+func config(t testing.TB, revision int, prefix string) []byte {
 	t.Helper()
 	body, err := msgpack.Marshal(map[string]any{"revision": revision, "backend_table": []map[string]any{{"name": "s"}},
 		"route_table": []map[string]any{{"name": "r", "hostname": "h", "path_prefix": prefix, "route_type": "idempotent",
@@ -227,3 +227,24 @@
 	m.until("the configuration after the loss of a machine", func() bool { return bytes.Equal(read(), third) })
 	m.until("its routes on the node", func() bool { return get("/three/x") == 200 })
 }
+
+// BenchmarkChanges measures configurations that are acknowledged one after another by
+// a core of three on loopback, each on the disks of a majority.
+func BenchmarkChanges(b *testing.B) {
+	m := &mesh{t: b, ports: freePorts(b), dir: b.TempDir()}
+	defer m.running.Wait()
+	core := &operator.Core{}
+	for n := 1; n <= 3; n++ {
+		defer m.start(control.Run, m.settings(n, nodefile.Core, true))()
+		core.Addresses = append(core.Addresses, fmt.Sprintf("127.7.0.%d:%d", n, m.ports[1]))
+	}
+	ctx := context.Background()
+	m.until("the first configuration", func() bool { return core.Apply(ctx, 0, config(b, 1, "/a/")) == nil })
+	revision := 1
+	for b.Loop() {
+		if err := core.Apply(ctx, uint64(revision), config(b, revision+1, "/a/")); err != nil {
+			b.Fatal(err)
+		}
+		revision++
+	}
+}
