--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -221,9 +221,12 @@
 func (in *Inbound) Forward(ctx context.Context, q *wire.Forward) (*wire.Outcome, error) {
 	until := time.Now().Add(time.Duration(q.LeftMs) * time.Millisecond)
 	ask := station.Ask{Member: q.Member, Service: q.Service, Attempt: q.Attempt, Priority: q.Priority, Repeat: q.Repeat}
-	t := &ticket{make(chan bool, 1)}
+	t := new(ticket)
 	in.mu.Lock()
 	place, why, verdicts := in.station.Arrive(in.now(), ask, t)
+	if place == station.Queue { // the verdict can't come before mu is free again
+		t.verdict = make(chan bool, 1)
+	}
 	tell(verdicts)
 	a := in.apps[q.Member]
 	in.mu.Unlock()
