--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -18,9 +18,10 @@
 )
 
 const (
-	mostTaken   = 1024  // configurations remembered, for resends
-	mostServers = 20000 // registered at a time
-	mostNews    = 256   // items kept for those who missed some
+	mostTaken   = 1024     // configurations remembered, for resends
+	mostServers = 20000    // registered at a time
+	mostNews    = 256      // items kept for those who missed some ...
+	newsBytes   = 16 << 20 // ... and so much of them
 )
 
 // Verdicts on a configuration. Whatever else Apply returns is an invalid one.
@@ -82,18 +83,31 @@
 }
 
 // News keeps the last items, for those that are some items behind.
-type News struct{ items []*wire.Item }
+type News struct {
+	items []*wire.Item
+	bytes int
+}
 
 // Add keeps an item.
 func (n *News) Add(item *wire.Item) {
-	if len(n.items) >= mostNews {
-		n.items = append(n.items[:0], n.items[len(n.items)-mostNews/2:]...)
-	}
 	n.items = append(n.items, item)
+	n.bytes += proto.Size(item)
+	drop := 0
+	if len(n.items) > mostNews {
+		drop = mostNews / 2
+	}
+	for i, old := range n.items {
+		if i >= drop && n.bytes <= newsBytes || i == len(n.items)-1 {
+			break
+		}
+		n.bytes -= proto.Size(old)
+		drop = max(drop, i+1)
+	}
+	n.items = slices.Delete(n.items, 0, drop)
 }
 
 // Clear forgets all items, where the state was replaced as a whole.
-func (n *News) Clear() { n.items = nil }
+func (n *News) Clear() { n.items, n.bytes = nil, 0 }
 
 // Since returns the items after a number up to the newest; ok is false where
 // some of them are no longer kept.
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -133,3 +133,24 @@
 		t.Errorf("%v, %v", items, ok)
 	}
 }
+
+// TestNewsAreBounded: by their number and by their bytes; the newest always stays.
+func TestNewsAreBounded(t *testing.T) {
+	for _, c := range []struct{ items, bytes, most int }{{1000, 10, mostNews}, {40, 1 << 20, 16}, {3, 20 << 20, 1}} {
+		var n News
+		for i := range c.items {
+			n.Add(&wire.Item{Number: uint64(i + 1), What: &wire.Item_Config{Config: make([]byte, c.bytes)}})
+			sum := 0
+			for _, item := range n.items {
+				sum += proto.Size(item)
+			}
+			if len(n.items) > c.most || len(n.items) == 0 || sum != n.bytes {
+				t.Fatalf("%d of %d bytes: %d are kept, %d bytes, %d booked", i+1, c.bytes, len(n.items), sum, n.bytes)
+			}
+		}
+		newest := uint64(c.items)
+		if items, ok := n.Since(newest-1, newest); !ok || len(items) != 1 || items[0].Number != newest {
+			t.Errorf("the newest is not kept: %v", ok)
+		}
+	}
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -32,7 +32,6 @@
 const (
 	manageEvery  = 250 * time.Millisecond
 	answerWithin = 900 * time.Millisecond // operators move on after a second of silence
-	compactAfter = 512                    // entries behind the snapshot
 	mostWaiting  = 4096
 	mostHeard    = 64
 	diskPause    = 200 * time.Millisecond
@@ -345,7 +344,7 @@
 }
 
 func (n *Node) compact() {
-	if n.core.Backlog() < compactAfter {
+	if !n.core.Heavy() {
 		return
 	}
 	data, err := n.catalog.Snapshot()
--- a/internal/lab/core.go
+++ b/internal/lab/core.go
@@ -18,7 +18,6 @@
 	answerWithin = 900 * time.Millisecond
 	manageEvery  = 250 * time.Millisecond
 	nodeGoneFor  = 1500 * time.Millisecond
-	compactAfter = 512
 )
 
 // core is a core machine: the consensus on its disk, and the root of the relays.
@@ -187,7 +186,7 @@
 			f(r.OK)
 		}
 	}
-	if c.raft.Backlog() >= compactAfter {
+	if c.raft.Heavy() {
 		data, err := c.catalog.Snapshot()
 		c.s.must(err)
 		if snap := c.raft.Compact(c.applied, data); snap != nil {
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -200,9 +200,25 @@
 	return lag, c.now - p.heard, true
 }
 
+// What stands behind a snapshot before the next is due: whichever comes first.
+const (
+	heavyEntries = 512
+	heavyBytes   = 16 << 20
+)
+
 // Backlog is the number of entries that stand behind the snapshot.
 func (c *Core) Backlog() int { return len(c.entries) }
 
+// Heavy tells whether a snapshot is due, so that log and disk stay bounded whatever
+// the size of what is proposed.
+func (c *Core) Heavy() bool {
+	bytes := 0
+	for _, e := range c.entries {
+		bytes += len(e.Data)
+	}
+	return len(c.entries) >= heavyEntries || bytes >= heavyBytes
+}
+
 func (c *Core) first() uint64 { return c.snap.Index + 1 }
 func (c *Core) last() uint64  { return c.snap.Index + uint64(len(c.entries)) }
 
