--- a/cmd/meshlab/main.go
+++ b/cmd/meshlab/main.go
@@ -78,7 +78,11 @@
 	}
 	fmt.Println(strings.Join(r.Recent, "\n"))
 	n := 0
-	small := lab.Shrink(w, c.Seed, func(*lab.World) { n++ })
+	small := lab.Shrink(w, func(x *lab.World) (float64, bool) {
+		n++
+		r := lab.Play(x, c.Seed)
+		return r.FaultAtS, len(r.Faults) > 0
+	})
 	text, err := small.Text()
 	if err != nil {
 		return err
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -62,6 +62,18 @@
 	return s
 }
 
+// On returns the members that stand on nodes of which a function holds, in order.
+func (v *View) On(holds func(node string) bool) []string {
+	var list []string
+	for id, s := range v.Servers {
+		if holds(s.Node) {
+			list = append(list, id)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // Follow takes the next item of news. It reports false for one that is not the
 // next: an old one changes nothing, and a gap is to be asked for.
 func (v *View) Follow(item *wire.Item) bool {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -3,7 +3,6 @@
 package control
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -344,7 +343,7 @@
 }
 
 func (n *Node) compact() {
-	if !n.core.Heavy() {
+	if !n.core.SnapshotDue() {
 		return
 	}
 	data, err := n.catalog.Snapshot()
@@ -656,11 +655,6 @@
 	}
 }
 
-const (
-	nodeGoneFor  = 1500 * time.Millisecond
-	unknownAfter = 10 * time.Second
-)
-
 // manage is the leader's upkeep: who is a member, and which servers are gone.
 func (n *Node) manage() {
 	if !n.core.Leads() {
@@ -674,7 +668,7 @@
 		n.wasLead, n.ledSince = true, n.now()
 		n.log.Info("core.leads", "term", n.core.Term(), "members", len(n.core.Peers()))
 	}
-	n.move(n.core.Tend(n.fewest()))
+	n.move(n.core.Reconcile(n.fewest()))
 	n.manageServers()
 }
 
@@ -690,16 +684,10 @@
 
 // manageServers takes servers off the list whose machines are gone.
 func (n *Node) manageServers() {
-	var gone []string
-	for id, s := range n.catalog.Servers {
-		if n.gossip.Gone(s.Node) > nodeGoneFor || !n.gossip.Knows(s.Node) && n.now()-n.ledSince > unknownAfter {
-			gone = append(gone, id)
-		}
-	}
+	gone := n.catalog.On(func(node string) bool { return n.gossip.Lost(node, n.now()-n.ledSince) })
 	if len(gone) == 0 || len(n.changes) > 0 {
 		return
 	}
-	slices.SortFunc(gone, func(a, b string) int { return cmp.Compare(a, b) })
 	data, err := proto.Marshal(&wire.Command{What: &wire.Command_Remove{Remove: &wire.RemoveServers{Members: gone}}})
 	if err == nil {
 		if _, _, err = n.core.Propose(n.now(), data); err == nil {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -24,6 +24,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"curlewring/internal/meshconfig"
 	"curlewring/internal/operator"
 )
 
@@ -208,12 +209,12 @@
 // ready brings the mesh to where it serves.
 func (m *mesh) ready(ctx context.Context, core *operator.Core) error {
 	began := time.Now()
-	route := func(name, kind string, priority int) map[string]any {
-		return map[string]any{"name": name, "hostname": host, "path_prefix": "/" + name + "/", "route_type": kind, "timeout_ms": 2000,
-			"target_latency_ms": 200, "priority": priority, "backend": "shop", "max_attempts": 3}
+	route := func(name string, kind meshconfig.Kind, priority int) meshconfig.Route {
+		return meshconfig.Route{Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, TimeoutMs: 2000, AimMs: 200,
+			Priority: priority, Backend: "shop", MaxAttempts: 3}
 	}
-	body, err := msgpack.Marshal(map[string]any{"revision": 1, "backend_table": []map[string]any{{"name": "shop"}},
-		"route_table": []map[string]any{route("order", "non_idempotent", 0), route("ask", "idempotent", 1), route("browse", "idempotent", 2)}})
+	body, err := msgpack.Marshal(&meshconfig.Config{Revision: 1, Backends: []meshconfig.Backend{{Name: "shop"}}, Routes: []meshconfig.Route{
+		route("order", meshconfig.Once, 0), route("ask", meshconfig.Repeatable, 1), route("browse", meshconfig.Repeatable, 2)}})
 	if err != nil {
 		return fmt.Errorf("demo: %w", err)
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -16,12 +16,11 @@
 
 func table(t *testing.T, servers int) *Table {
 	t.Helper()
-	route := func(name, kind string) map[string]any {
-		return map[string]any{"name": name, "hostname": "h", "path_prefix": "/" + name + "/", "route_type": kind,
-			"timeout_ms": 2000, "target_latency_ms": 200, "priority": 1, "backend": "s", "max_attempts": 3}
+	route := func(name string, kind meshconfig.Kind) meshconfig.Route {
+		return meshconfig.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, TimeoutMs: 2000, AimMs: 200, Priority: 1, Backend: "s", MaxAttempts: 3}
 	}
-	body, err := msgpack.Marshal(map[string]any{"revision": 1, "backend_table": []map[string]any{{"name": "s"}},
-		"route_table": []map[string]any{route("safe", "idempotent"), route("once", "non_idempotent")}})
+	body, err := msgpack.Marshal(&meshconfig.Config{Revision: 1, Backends: []meshconfig.Backend{{Name: "s"}},
+		Routes: []meshconfig.Route{route("safe", meshconfig.Repeatable), route("once", meshconfig.Once)}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -11,10 +11,8 @@
 const (
 	fullPause     = 15 * time.Millisecond // between looks for a server with room
 	patiencePart  = 5                     // a request without a server is given up after this part of its aim
-	innerPatience = 5                     // the same of a call of a graph
 	leastPatience = 30 * time.Millisecond
-	mostTurned    = 12  // servers asked that turned one request away
-	calm          = 1.0 // chance of admission from which repeats are made
+	mostTurned    = 12 // servers asked that turned one request away
 )
 
 // Entrant is a request as it comes to the node.
@@ -117,12 +115,9 @@
 	return Step{Wait: min(fullPause, r.Until-now)}
 }
 
-// patience is how long a request waits for a server.
+// patience is how long a request waits for a server. A call of a graph has no more
+// of it: its graph is lost with it, but while it waits it holds a slot of its caller.
 func (r *Request) patience() time.Duration {
-	if r.Inner {
-		// Its graph is lost with it, but one that waits holds a slot of its caller.
-		return max(leastPatience, r.Route.Aim()/innerPatience)
-	}
 	return max(leastPatience, r.Route.Aim()/patiencePart)
 }
 
@@ -194,11 +189,11 @@
 // Where a gate has begun to refuse its like, its service's or that of one behind,
 // repeats would only add to the load.
 func (r *Request) mayRepeat(now time.Duration) bool {
-	if len(r.reached) >= max(1, r.Route.MaxAttempts) || r.service.gate.Chance(r.Route.Priority) < calm {
+	if len(r.reached) >= max(1, r.Route.MaxAttempts) || r.service.gate.Chance(r.Route.Priority) < 1 {
 		return false
 	}
 	for _, g := range r.table.behind(r.Route) {
-		if g.Behind(now, r.Route.Priority) < calm {
+		if g.Behind(now, r.Route.Priority) < 1 {
 			return false
 		}
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -59,11 +59,12 @@
 	return g.group.Gone(g.now(), name)
 }
 
-// Knows tells whether a node has been heard of.
-func (g *Gossip) Knows(name string) bool {
+// Lost tells whether what stands on a node is to be taken off the list; watched is
+// how long somebody has looked.
+func (g *Gossip) Lost(name string, watched time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.group.Knows(name)
+	return g.group.Lost(g.now(), name, watched)
 }
 
 // Version rises whenever Members changes.
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -11,8 +11,6 @@
 	"curlewring/internal/wire"
 )
 
-type entryFinal = entry.Final
-
 // request is what a client wants; it may take several tries.
 type request struct {
 	s        *sim
--- a/internal/lab/core.go
+++ b/internal/lab/core.go
@@ -17,7 +17,6 @@
 const (
 	answerWithin = 900 * time.Millisecond
 	manageEvery  = 250 * time.Millisecond
-	nodeGoneFor  = 1500 * time.Millisecond
 )
 
 // core is a core machine: the consensus on its disk, and the root of the relays.
@@ -28,17 +27,17 @@
 	disk  simdisk.Disk
 	stall time.Duration // until then the disk takes nothing
 
-	raft    *raft.Core
-	catalog *catalog.Catalog
-	applied uint64
-	changes map[uint64]*change
-	reads   map[uint64]func(bool)
-	token   uint64
-	busy    bool // a sync is under way
-	inbox   []func()
-	managed time.Duration
-	leads   bool
-	timer   time.Duration // when the loop runs next by itself
+	raft     *raft.Core
+	catalog  *catalog.Catalog
+	applied  uint64
+	changes  map[uint64]*change
+	reads    map[uint64]func(bool)
+	token    uint64
+	busy     bool // a sync is under way
+	inbox    []func()
+	managed  time.Duration
+	leads    bool
+	ledSince time.Duration
 }
 
 type change struct {
@@ -69,10 +68,10 @@
 	}
 	c.raft = raft.New(c.disk.ID, c.disk.Hard, c.disk.Snap, append([]*wire.Entry(nil), c.disk.Entries...), s.rng.Uint64(), s.now)
 	c.applied = c.disk.Snap.GetIndex()
-	c.changes, c.reads, c.inbox, c.busy, c.leads, c.timer = map[uint64]*change{}, map[uint64]func(bool){}, nil, false, false, 0
+	c.changes, c.reads, c.inbox, c.busy, c.leads = map[uint64]*change{}, map[uint64]func(bool){}, nil, false, false
 	c.hub = relay.NewHub(func() time.Duration { return c.raft.Touch(s.now) })
 	c.hub.Load(c.catalog.State())
-	c.peerView.start(s, &c.machine, nil)
+	c.peerView.start(s, &c.machine)
 	c.loop(c.life)
 	c.askToJoin(c.life)
 }
@@ -157,7 +156,7 @@
 			c.s.must(c.catalog.Restore(o.Snapshot.Data))
 			c.applied = o.Snapshot.Index
 			c.hub.Load(c.catalog.State())
-			c.s.told(&c.peerView)
+			c.feed()
 		}
 		if n := len(o.Entries); n > 0 {
 			c.raft.Stable(o.Entries[n-1].Index)
@@ -186,7 +185,7 @@
 			f(r.OK)
 		}
 	}
-	if c.raft.Heavy() {
+	if c.raft.SnapshotDue() {
 		data, err := c.catalog.Snapshot()
 		c.s.must(err)
 		if snap := c.raft.Compact(c.applied, data); snap != nil {
@@ -206,7 +205,7 @@
 		if item, verdict = c.catalog.Apply(cmd); item != nil {
 			c.s.m.committed(c.s.now, item.Number)
 			c.hub.Add(item)
-			c.s.told(&c.peerView)
+			c.feed()
 		}
 	}
 	if w := c.changes[e.Index]; w != nil {
@@ -225,18 +224,13 @@
 		return
 	}
 	if !c.leads {
-		c.leads = true
+		c.leads, c.ledSince = true, c.s.now
 		c.s.m.newLeader(c.s.now)
 	}
-	if m := c.raft.Tend(c.s.fewest()); m.Next != nil {
+	if m := c.raft.Reconcile(c.s.fewest()); m.Next != nil {
 		c.raft.Change(c.s.now, m.Next)
 	}
-	var gone []string
-	for _, srv := range c.catalog.State().Servers {
-		if c.group.Gone(c.s.now, srv.Node) > nodeGoneFor {
-			gone = append(gone, srv.Member)
-		}
-	}
+	gone := c.catalog.On(func(node string) bool { return c.group.Lost(c.s.now, node, c.s.now-c.ledSince) })
 	if len(gone) > 0 && len(c.changes) == 0 {
 		c.propose(&wire.Command{What: &wire.Command_Remove{Remove: &wire.RemoveServers{Members: gone}}}, func(error) {})
 	}
@@ -309,7 +303,6 @@
 	group    *membership.Group
 	hub      *relay.Hub
 	children []*child
-	onNews   func()
 }
 
 // child is a subscriber of a machine's news.
@@ -321,8 +314,8 @@
 	gone bool
 }
 
-func (v *peerView) start(s *sim, m *machine, onNews func()) {
-	v.s, v.m, v.onNews, v.children = s, m, onNews, nil
+func (v *peerView) start(s *sim, m *machine) {
+	v.s, v.m, v.children = s, m, nil
 	self := &wire.Member{Name: m.name, Address: m.name, Zone: m.zone, Core: m.core, Life: m.life}
 	v.group = membership.New(self, s.rng.Uint64(), s.now)
 	if s.w.Steady && len(s.all) > 0 && s.now == 0 {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -162,3 +162,32 @@
 		t.Error("other seeds were paired")
 	}
 }
+
+// TestShrink keeps the trouble and the route without which nothing breaks.
+func TestShrink(t *testing.T) {
+	w := town(t)
+	small := Shrink(w, func(x *World) (float64, bool) {
+		drained, rate := false, 0.0
+		for _, tr := range x.Troubles {
+			drained = drained || tr.Kind == "drain"
+		}
+		for _, r := range x.Routes {
+			if r.Name == "ask" {
+				rate = r.Rate
+			}
+		}
+		return 27, drained && rate > 0 && x.Seconds >= 27
+	})
+	rates := 0
+	for _, r := range small.Routes {
+		if r.Rate > 0 {
+			rates++
+		}
+	}
+	if small.Seconds != 28 || len(small.Troubles) != 1 || small.Troubles[0].Kind != "drain" || rates != 1 {
+		t.Errorf("%g s, %v, %d routes with clients", small.Seconds, small.Troubles, rates)
+	}
+	if len(w.Troubles) < 3 || w.Routes[0].Rate == 0 {
+		t.Error("the world itself was changed")
+	}
+}
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -35,7 +35,6 @@
 	parent  *child // as the parent has it
 	heardAt time.Duration
 	freshAt time.Duration
-	number  uint64 // newest of all lives' news that it has acted on in this life
 
 	table    *entry.Table
 	station  *station.Station[*ticket]
@@ -54,12 +53,12 @@
 	s.lives++
 	n.life, n.up, n.powered, n.began = s.lives, true, true, s.now
 	n.place = relay.Place{Self: n.name, Zone: n.zone}
-	n.climb, n.parent, n.freshAt, n.number, n.built, n.proposes = relay.Climb{}, nil, -time.Hour, 0, [2]uint64{}, false
+	n.climb, n.parent, n.freshAt, n.built, n.proposes = relay.Climb{}, nil, -time.Hour, [2]uint64{}, false
 	n.hub = relay.NewHub(func() time.Duration { return s.now - n.freshAt })
 	n.table = entry.NewTable(entry.Options{Node: n.name, Zone: n.zone, Ratio: s.w.Retry.Ratio, Window: sec(s.w.Retry.WindowS), Seed: s.rng.Uint64()})
 	n.station = station.New[*ticket](ms(s.w.DrainMs), ms(s.w.BeatMs))
 	n.shares = budget.Shares{Slack: s.w.Retry.Slack, Window: sec(s.w.Retry.WindowS), Known: s.now == 0}
-	n.peerView.start(s, &n.machine, nil)
+	n.peerView.start(s, &n.machine)
 	life := n.life
 	s.after(time.Duration(s.rng.Int64N(int64(upkeepEvery))), func() { n.upkeep(life) })
 	s.after(time.Duration(s.rng.Int64N(int64(200*time.Millisecond))), func() { n.follow(life) })
@@ -146,7 +145,7 @@
 	if after > before {
 		n.s.m.heard(n.s.now, before, after)
 		n.s.m.depth = max(n.s.m.depth, int(n.hub.Depth()))
-		n.s.told(&n.peerView)
+		n.feed()
 	}
 	if !ok || n.climb.Moves(n.s.now, n.parents()) {
 		n.abandon(c, relay.Again)
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"curlewring/internal/entry"
 	"curlewring/internal/station"
 	"curlewring/internal/wire"
 )
@@ -152,7 +153,7 @@
 			return
 		}
 		inner := &try{id: fmt.Sprintf("%s.%d", t.id, i), until: until, req: &request{s: s, route: s.route(calls[i])}}
-		v.node.handle(inner, func(f entryFinal) {
+		v.node.handle(inner, func(f entry.Final) {
 			inner.answered(f)
 			s.after(part, func() {
 				if f.Status != 200 {
--- a/internal/lab/sim.go
+++ b/internal/lab/sim.go
@@ -169,9 +169,6 @@
 	return s.pipes[key]
 }
 
-// told passes on that a machine's news have changed.
-func (s *sim) told(v *peerView) { v.feed() }
-
 func (s *sim) route(name string) *Route {
 	i := slices.IndexFunc(s.w.Routes, func(r Route) bool { return r.Name == name })
 	return &s.w.Routes[i]
--- a/internal/lab/study.go
+++ b/internal/lab/study.go
@@ -162,19 +162,15 @@
 	return list, nil
 }
 
-// Shrink looks for a shorter world that still goes wrong with a seed: without some
-// of the troubles and routes, and ending soon after the fault.
-func Shrink(w *World, seed uint64, tried func(*World)) *World {
-	fails := func(c World) (float64, bool) {
-		tried(&c)
-		r := Play(&c, seed)
-		return r.FaultAtS, len(r.Faults) > 0
-	}
+// Shrink looks for a shorter world that still goes wrong: without some of the
+// troubles and routes, and ending soon after the fault. fails plays a world and says
+// at which second it broke, if it did.
+func Shrink(w *World, fails func(*World) (atS float64, broken bool)) *World {
 	best := *w
-	if at, ok := fails(best); ok {
+	if at, ok := fails(&best); ok {
 		if shorter := best; at+1 < best.Seconds {
 			shorter.Seconds = at + 1
-			if _, ok := fails(shorter); ok {
+			if _, ok := fails(&shorter); ok {
 				best = shorter
 			}
 		}
@@ -184,7 +180,7 @@
 		for i := range best.Troubles {
 			c := best
 			c.Troubles = slices.Delete(slices.Clone(best.Troubles), i, i+1)
-			if _, ok := fails(c); ok {
+			if _, ok := fails(&c); ok {
 				best, smaller = c, true
 				break
 			}
@@ -196,7 +192,7 @@
 			c := best
 			c.Routes = slices.Clone(best.Routes)
 			c.Routes[i].Rate = 0
-			if _, ok := fails(c); ok {
+			if _, ok := fails(&c); ok {
 				best, smaller = c, true
 			}
 		}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -14,6 +14,8 @@
 
 	"github.com/BurntSushi/toml"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"curlewring/internal/meshconfig"
 )
 
 // World describes a mesh and what happens to it. Times end in their unit.
@@ -318,17 +320,17 @@
 
 // config is the operator's configuration with a revision.
 func (w *World) config(revision uint64) ([]byte, error) {
-	var routes, backends []map[string]any
+	c := meshconfig.Config{Revision: revision}
 	for _, s := range w.Services {
-		backends = append(backends, map[string]any{"name": s.Name})
+		c.Backends = append(c.Backends, meshconfig.Backend{Name: s.Name})
 	}
 	add := func(r Route) {
-		kind := "idempotent"
+		kind := meshconfig.Repeatable
 		if r.Once {
-			kind = "non_idempotent"
+			kind = meshconfig.Once
 		}
-		routes = append(routes, map[string]any{"name": r.Name, "hostname": host, "path_prefix": "/" + r.Name + "/", "route_type": kind,
-			"timeout_ms": r.TimeoutMs, "target_latency_ms": r.AimMs, "priority": r.Priority, "backend": r.Service, "max_attempts": r.MaxAttempts})
+		c.Routes = append(c.Routes, meshconfig.Route{Name: r.Name, Host: host, Prefix: "/" + r.Name + "/", Kind: kind,
+			TimeoutMs: r.TimeoutMs, AimMs: r.AimMs, Priority: r.Priority, Backend: r.Service, MaxAttempts: r.MaxAttempts})
 	}
 	for _, r := range w.Routes {
 		add(r)
@@ -338,7 +340,7 @@
 		r.Name = fmt.Sprintf("unused-%d", i)
 		add(r)
 	}
-	return msgpack.Marshal(map[string]any{"revision": revision, "route_table": routes, "backend_table": backends})
+	return msgpack.Marshal(&c)
 }
 
 func ms(x float64) time.Duration  { return time.Duration(x * float64(time.Millisecond)) }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -30,6 +30,9 @@
 	mostNews    = 8                // pieces sent along with a probe
 	mostMembers = 20000
 
+	lostAfter    = 1500 * time.Millisecond // of a node that is dead
+	unknownAfter = 10 * time.Second        // of one that was never heard of
+
 	joinEvery = 300 * time.Millisecond // a seed is asked as often while nobody is known
 	syncEvery = 5 * time.Second        // whole views are compared, which joins what was cut apart ...
 	syncUsual = 100                    // ... and less often with more nodes than this, ...
@@ -169,6 +172,12 @@
 	return max(1, now-m.since)
 }
 
+// Lost tells whether what stands on a node is to be taken off the list: it has been
+// gone for a while, or was not heard of in all the time that this node has watched.
+func (g *Group) Lost(now time.Duration, name string, watched time.Duration) bool {
+	return g.Gone(now, name) > lostAfter || !g.Knows(name) && watched > unknownAfter
+}
+
 // Knows tells whether a node has ever been heard of.
 func (g *Group) Knows(name string) bool { return name == g.self.Name || g.members[name] != nil }
 
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -202,21 +202,21 @@
 
 // What stands behind a snapshot before the next is due: whichever comes first.
 const (
-	heavyEntries = 512
-	heavyBytes   = 16 << 20
+	dueEntries = 512
+	dueBytes   = 16 << 20
 )
 
 // Backlog is the number of entries that stand behind the snapshot.
 func (c *Core) Backlog() int { return len(c.entries) }
 
-// Heavy tells whether a snapshot is due, so that log and disk stay bounded whatever
+// SnapshotDue tells whether a snapshot is due, so that log and disk stay bounded whatever
 // the size of what is proposed.
-func (c *Core) Heavy() bool {
+func (c *Core) SnapshotDue() bool {
 	bytes := 0
 	for _, e := range c.entries {
 		bytes += len(e.Data)
 	}
-	return len(c.entries) >= heavyEntries || bytes >= heavyBytes
+	return len(c.entries) >= dueEntries || bytes >= dueBytes
 }
 
 func (c *Core) first() uint64 { return c.snap.Index + 1 }
@@ -238,11 +238,11 @@
 	return t
 }
 
-// mayLead tells whether this member votes, in the newest set of members or in one
+// promotable tells whether this member votes, in the newest set of members or in one
 // that may yet turn out to be in force. One that has been voted out by an entry
 // which is not committed may hold what all others lack, and has to lead until it is
 // (thesis, 4.2.2); its own vote does not count then.
-func (c *Core) mayLead() bool {
+func (c *Core) promotable() bool {
 	for i := len(c.confs) - 1; i >= 0; i-- {
 		if slices.ContainsFunc(c.confs[i].peers, func(p *wire.Peer) bool { return p.Id == c.id && p.Voter }) {
 			return true
@@ -358,7 +358,7 @@
 		return
 	}
 	c.resetTimer()
-	if c.mayLead() {
+	if c.promotable() {
 		c.campaign(true)
 	}
 }
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -84,20 +84,20 @@
 	}
 }
 
-// TestHeavyLogs: a snapshot is due after many entries, and after few large ones.
-func TestHeavyLogs(t *testing.T) {
+// TestSnapshotsAreDue: a snapshot is due after many entries, and after few large ones.
+func TestSnapshotsAreDue(t *testing.T) {
 	peers := &wire.Peers{Peers: []*wire.Peer{{Id: 1, Voter: true}}}
 	for _, c := range []struct {
 		entries, bytes int
 		heavy          bool
-	}{{heavyEntries - 1, 10, false}, {heavyEntries, 10, true}, {3, 8 << 20, true}, {1, 8 << 20, false}} {
+	}{{dueEntries - 1, 10, false}, {dueEntries, 10, true}, {3, 8 << 20, true}, {1, 8 << 20, false}} {
 		var list []*wire.Entry
 		for i := range c.entries {
 			list = append(list, &wire.Entry{Term: 1, Index: uint64(i + 2), Data: make([]byte, c.bytes)})
 		}
 		core := New(1, &wire.HardState{Term: 1}, &wire.RaftSnapshot{Term: 1, Index: 1, Peers: peers}, list, 1, 0)
-		if core.Heavy() != c.heavy {
-			t.Errorf("%d entries of %d bytes: heavy is %v", c.entries, c.bytes, core.Heavy())
+		if core.SnapshotDue() != c.heavy {
+			t.Errorf("%d entries of %d bytes: heavy is %v", c.entries, c.bytes, core.SnapshotDue())
 		}
 	}
 }
--- a/internal/raft/roster.go
+++ b/internal/raft/roster.go
@@ -31,11 +31,11 @@
 	return n
 }
 
-// Tend is a leader's upkeep of its members: learners that have the log become
+// Reconcile is a leader's upkeep of its members: learners that have the log become
 // voters, and voters that are gone are taken out once enough others are there:
 // first in, then out, one at a time. fewest is the number of voters that the
 // losses to be borne ask for.
-func (c *Core) Tend(fewest int) Move {
+func (c *Core) Reconcile(fewest int) Move {
 	peers := c.Peers()
 	alive := 0
 	for _, p := range peers {
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -244,7 +244,7 @@
 		}
 		return
 	}
-	if move := m.core.Tend(3); move.Next != nil {
+	if move := m.core.Reconcile(3); move.Next != nil {
 		m.core.Change(now, move.Next)
 	}
 }
--- a/internal/relay/climb.go
+++ b/internal/relay/climb.go
@@ -19,13 +19,12 @@
 // time and an event, and says what to do. Times are durations since a moment of
 // the driver's choice. Its zero value follows nobody.
 type Climb struct {
-	turn    int           // counts the candidates that were tried
-	among   int           // of how many
-	addr    string        // followed now
-	best    bool          // it was the first of the candidates
-	began   time.Duration // of following it
-	resting bool          // all candidates have failed
-	until   time.Duration // of the rest
+	turn  int           // counts the candidates that were tried
+	among int           // of how many
+	addr  string        // followed now
+	best  bool          // it was the first of the candidates
+	began time.Duration // of following it
+	until time.Duration // of the rest after all candidates have failed
 }
 
 // Next says whom to follow, out of the candidates, the best first, or how long to
@@ -35,10 +34,9 @@
 	if len(parents) == 0 {
 		return "", roundPause
 	}
-	if c.resting && now < c.until {
+	if now < c.until {
 		return "", c.until - now
 	}
-	c.resting = false
 	c.among = len(parents)
 	at := c.turn % c.among
 	c.addr, c.best, c.began = parents[at], at == 0, now
@@ -68,7 +66,7 @@
 		c.turn = 0
 	default:
 		if c.turn++; c.turn%c.among == 0 {
-			c.resting, c.until = true, now+roundPause
+			c.until = now + roundPause
 		}
 	}
 	c.addr = ""
