--- a/decide/mesh.go
+++ b/decide/mesh.go
@@ -24,6 +24,8 @@
 	restFor    = 60 * time.Millisecond  // a server without room is left alone for so long ...
 	busyFor    = 200 * time.Millisecond // how long word of a queue counts
 	goneFor    = time.Second            // ... and one that takes nothing any more for so long
+	sickFor    = 600 * time.Millisecond // ... and one that fails too many, unless too many are sick
+	sickMost   = 0.4                    // part of the subset that may be left alone as sick; more is a common cause
 )
 
 // Gate gives the verdict on new call graphs for one service. Its r is the period average of this node's own
@@ -160,6 +162,8 @@
 	rank uint64
 	rest time.Duration // left alone until then
 	busy time.Duration // requests wait there, until then as far as is known
+	sick time.Duration // it fails too many, the same
+	told float64       // time that a request takes there against others; 0: not known
 }
 
 // Picker picks the servers for one service's calls.
@@ -215,38 +219,54 @@
 
 // Pick returns the server for a call: of two random members of the subset the one with fewer own calls in
 // flight, in this zone where that is not much busier. Servers before which requests wait come after those of
-// any zone that have room. Those in tried are left out. Where none of the subset is left, any other server is
-// better than no answer.
-func (p *Picker) Pick(now time.Duration, tried []string) (id string, ok bool) {
+// any zone that have room. Those in tried are left out, and those that are sick, unless so many are that the cause
+// must lie elsewhere. Where none of the subset is left, any other server is better than no answer.
+func (p *Picker) Pick(now time.Duration, tried []string) (id string, sick, ok bool) {
+	wave := p.wave(now)
 	for _, room := range []bool{true, false} {
-		near := lesser(p.rng, p.usable(now, p.near, tried, room), (*target).load)
-		far := lesser(p.rng, p.usable(now, p.far, tried, room), (*target).load)
+		near := lesser(p.rng, p.usable(now, p.near, tried, room, wave), (*target).load)
+		far := lesser(p.rng, p.usable(now, p.far, tried, room, wave), (*target).load)
 		switch {
 		case near != nil && (far == nil || near.inflight < far.inflight+farStep):
-			return near.ID, true
+			return near.ID, near.sick > now, true
 		case far != nil:
-			return far.ID, true
+			return far.ID, far.sick > now, true
 		}
 	}
 	p.scratch = p.scratch[:0]
 	for _, t := range p.targets {
-		if !slices.Contains(tried, t.ID) && t.rest <= now {
+		if !slices.Contains(tried, t.ID) && t.rest <= now && (wave || t.sick <= now) {
 			p.scratch = append(p.scratch, t)
 		}
 	}
 	slices.SortFunc(p.scratch, func(a, b *target) int { return strings.Compare(a.ID, b.ID) })
 	if t := lesser(p.rng, p.scratch, (*target).load); t != nil {
-		return t.ID, true
+		return t.ID, t.sick > now, true
 	}
-	return "", false
+	return "", false, false
 }
 
-func (t *target) load() float64 { return float64(t.inflight) }
+// wave tells whether too many of the subset are sick.
+func (p *Picker) wave(now time.Duration) bool {
+	sick, all := 0, len(p.near)+len(p.far)
+	for _, list := range [][]*target{p.near, p.far} {
+		for _, t := range list {
+			if t.sick > now {
+				sick++
+			}
+		}
+	}
+	return sick == all || float64(sick) > max(1, sickMost*float64(all))
+}
 
-func (p *Picker) usable(now time.Duration, list []*target, tried []string, room bool) []*target {
+// load is the own calls in flight, weighed by what the node beside the server says: with one call in flight
+// or none, as on most servers of a large mesh, the count alone is blind.
+func (t *target) load() float64 { return float64(t.inflight+1) * cmp.Or(t.told, 1) }
+
+func (p *Picker) usable(now time.Duration, list []*target, tried []string, room, wave bool) []*target {
 	p.scratch = p.scratch[:0]
 	for _, t := range list {
-		if !t.out(now) && t.rest <= now && !(room && t.busy > now) && !slices.Contains(tried, t.ID) {
+		if !t.out(now) && t.rest <= now && !(room && t.busy > now) && (wave || t.sick <= now) && !slices.Contains(tried, t.ID) {
 			p.scratch = append(p.scratch, t)
 		}
 	}
@@ -261,8 +281,9 @@
 }
 
 // End takes the result of a call. Full is a server without room, NotSent one that takes nothing any more;
-// waiting says that requests wait before it, as the node beside it sees.
-func (p *Picker) End(now time.Duration, id string, r Result, waiting bool) {
+// waiting says that requests wait before it, as the node beside it sees, and told how long a request takes there
+// in the time of its like elsewhere; 0: it says nothing.
+func (p *Picker) End(now time.Duration, id string, r Result, waiting bool, told float64) {
 	t := p.targets[id]
 	if t == nil {
 		return
@@ -272,7 +293,12 @@
 	if waiting {
 		t.busy = now + busyFor
 	}
+	if told > 0 {
+		t.told = told
+	}
 	switch r {
+	case Sick:
+		t.sick = now + sickFor
 	case Served, Errored:
 		t.served()
 	case Full:
--- a/decide/mesh_test.go
+++ b/decide/mesh_test.go
@@ -103,7 +103,7 @@
 	p.List(list)
 	counts := map[string]int{}
 	for range 40 { // none ends: the load has to spread, over this zone first
-		id, ok := p.Pick(0, nil)
+		id, _, ok := p.Pick(0, nil)
 		if !ok {
 			t.Fatal("no server")
 		}
@@ -116,21 +116,21 @@
 	}
 	// One that fails again and again is left alone, one with a queue comes last, one that is tried never.
 	for range ejectAfter {
-		p.End(0, "near0", Broken, false)
+		p.End(0, "near0", Broken, false, 0)
 	}
 	for _, id := range []string{"near1", "near2", "near3"} {
-		p.End(0, id, Served, true)
+		p.End(0, id, Served, true, 0)
 	}
 	for range 50 {
-		if id, _ := p.Pick(0, []string{"far0"}); id == "far0" || id[0] == 'n' {
+		if id, _, _ := p.Pick(0, []string{"far0"}); id == "far0" || id[0] == 'n' {
 			t.Errorf("picked %s", id)
 		}
 	}
 	p.List(list[:1])
-	if id, ok := p.Pick(0, nil); !ok || id != "near0" {
+	if id, _, ok := p.Pick(0, nil); !ok || id != "near0" {
 		t.Errorf("the only server, though ejected, is better than none: %q, %v", id, ok)
 	}
-	if _, ok := p.Pick(0, []string{"near0"}); ok {
+	if _, _, ok := p.Pick(0, []string{"near0"}); ok {
 		t.Error("a tried server was picked again")
 	}
 }
--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -79,7 +79,7 @@
 	n.inbound = proxy.NewInbound(set.Bounds.Drain, set.Heartbeat, log)
 	n.outbound = &proxy.Outbound{
 		Node: set.Node, Zone: set.Zone, Backend: set.Backend, Ratio: set.Bounds.RetryRatio, Window: set.Bounds.RetryWindow,
-		Pool: n.pool, Log: log, Graph: n.inbound.Graph,
+		Pool: n.pool, Log: log, Graph: n.inbound.Graph, CallFailed: n.inbound.CallFailed,
 	}
 	n.outbound.Start(rng.Uint64())
 	n.inbound.Pressure = n.outbound.Pressure
--- a/internal/data/mesh_test.go
+++ b/internal/data/mesh_test.go
@@ -136,6 +136,7 @@
 
 	app := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Server-Seal", "seal")
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
 		io.WriteString(w, r.URL.Path)
 	}))
 	defer app.Close()
--- a/internal/data/servers.go
+++ b/internal/data/servers.go
@@ -19,6 +19,7 @@
 	mostBeat     = 4 << 10
 	registerWait = 300 * time.Millisecond // for an accepted change to come back as news
 	registerTick = time.Second
+	markWait     = 800 * time.Millisecond // for a drain mark to come back as news; a beat waits for a second
 )
 
 // beatBody is a server's beat as it is sent.
@@ -66,9 +67,31 @@
 		http.Error(w, "this life has ended", http.StatusConflict)
 		return
 	}
+	if b.Draining && !n.marked(r.Context(), id) {
+		http.Error(w, "the mark is not in the log yet", http.StatusServiceUnavailable)
+		return
+	}
 	n.acknowledge(w)
 }
 
+// marked waits until the core's list has a drain mark. What is acknowledged must hold also after this process has
+// died, and the next one begins by the list. Here the mark binds at once, acknowledged or not.
+func (n *Node) marked(ctx context.Context, id string) bool {
+	ctx, cancel := context.WithTimeout(ctx, markWait)
+	defer cancel()
+	for {
+		changed := n.hub.Changed()
+		if n.hub.Server(id).GetDraining() {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // acknowledge answers with an empty map.
 func (n *Node) acknowledge(w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "application/msgpack")
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -127,7 +127,7 @@
 	tab := table(t, 4)
 	route := tab.World().Config.Find("h", "/safe/")
 	for range 40 {
-		tab.learn(0, route.Name, []*wire.Called{{Service: "s", Times: 2}})
+		tab.learn(0, route.Name, &wire.Outcome{Called: []*wire.Called{{Service: "s", Times: 2}}})
 	}
 	if len(tab.behind(route)) != 1 {
 		t.Fatalf("%d services behind", len(tab.behind(route)))
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -85,12 +85,19 @@
 type Step struct {
 	Final  *Final
 	Server string
+	Insist bool // it may be sick: there is no better one
 	Wait   time.Duration
 }
 
 // Repeat tells whether an earlier try may have run.
 func (r *Request) Repeat() bool { return r.ran }
 
+// Once tells whether it may run once only.
+func (r *Request) Once() bool { return r.Route.Kind != meshconfig.Repeatable }
+
+// Usual is the usual time of its route's runs; 0: not known.
+func (r *Request) Usual() time.Duration { return r.table.usual[r.Route.Name] }
+
 // Tries is the number of servers that it has arrived at.
 func (r *Request) Tries() int { return len(r.reached) }
 
@@ -99,9 +106,9 @@
 	if now >= r.Until {
 		return Step{Final: r.giveUp("no server in time")}
 	}
-	if id, ok := r.service.picker.Pick(now, r.tried); ok {
+	if id, sick, ok := r.service.picker.Pick(now, r.tried); ok {
 		r.service.picker.Begin(id)
-		return Step{Server: id}
+		return Step{Server: id, Insist: sick}
 	}
 	// Nobody has room at this moment. Longer waits belong to the client.
 	if !r.crowded {
@@ -124,7 +131,7 @@
 // Done takes what came of a try. It returns the final answer, or none where Next
 // goes on; pass: the server's own answer is the final one.
 func (r *Request) Done(now time.Duration, id string, out *wire.Outcome, result decide.Result) (final *Final, pass bool) {
-	r.service.picker.End(now, id, result, out.Waiting)
+	r.service.picker.End(now, id, result, out.Waiting, float64(out.Load))
 	if len(r.reached) == 0 && !r.crowded && out.Fate != wire.Outcome_UNSENT {
 		r.service.gate.Room(true)
 	}
@@ -141,7 +148,7 @@
 	r.since = now
 	switch out.Fate {
 	case wire.Outcome_ANSWERED:
-		r.table.learn(now, r.Route.Name, out.Called)
+		r.table.learn(now, r.Route.Name, out)
 		return r.answered(now, int(out.Status))
 	case wire.Outcome_UNRUN:
 		if !r.mayRepeat(now) {
@@ -152,7 +159,7 @@
 		if now >= r.Until {
 			return &Final{Status: 504, Why: "no answer in time"}, false
 		}
-		if r.Route.Kind != meshconfig.Repeatable || !r.mayRepeat(now) {
+		if r.Once() || !r.mayRepeat(now) {
 			if out.Fate == wire.Outcome_LATE {
 				return &Final{Status: 504, Why: "no answer in time"}, false
 			}
@@ -164,7 +171,7 @@
 
 // answered makes the client's answer of a server's, unless another try is better.
 func (r *Request) answered(now time.Duration, status int) (final *Final, pass bool) {
-	if status >= 500 && status != 504 && r.Route.Kind == meshconfig.Repeatable {
+	if status >= 500 && status != 504 && !r.Once() {
 		r.ran = true
 		if r.mayRepeat(now) {
 			return nil, false
@@ -209,8 +216,11 @@
 		}
 		return decide.Served
 	case wire.Outcome_UNSENT:
-		if out.Gone {
+		switch {
+		case out.Gone:
 			return decide.NotSent
+		case out.Sick:
+			return decide.Sick
 		}
 		return decide.Full
 	case wire.Outcome_UNRUN:
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -21,6 +21,7 @@
 
 const (
 	graphGain    = 0.05 // weight of the newest run in the averages of calls
+	usualGain    = 0.03 // the same in that of their times
 	graphLeast   = 0.1  // calls a run below which a service is not counted as called
 	mostServices = 4096
 )
@@ -66,6 +67,7 @@
 	world    *World
 	services map[string]*service
 	graphs   map[string]map[string]float64 // calls that a run makes, by route and service, averaged
+	usual    map[string]time.Duration      // how long a run takes, by route, averaged
 	slack    float64                       // this node's part of the retry slack
 }
 
@@ -81,6 +83,7 @@
 	return &Table{
 		opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 1)), world: &World{},
 		services: map[string]*service{}, graphs: map[string]map[string]float64{},
+		usual: map[string]time.Duration{},
 	}
 }
 
@@ -130,6 +133,11 @@
 			delete(t.graphs, name)
 		}
 	}
+	for name := range t.usual {
+		if !slices.ContainsFunc(w.Config.Routes, func(r meshconfig.Route) bool { return r.Name == name }) {
+			delete(t.usual, name)
+		}
+	}
 	for name := range t.services {
 		if !slices.ContainsFunc(w.Config.Backends, func(b meshconfig.Backend) bool { return b.Name == name }) {
 			delete(t.services, name)
@@ -137,8 +145,15 @@
 	}
 }
 
-// learn notes which services a run of a route has called.
-func (t *Table) learn(now time.Duration, route string, called []*wire.Called) {
+// learn notes how long a run of a route has taken, and which services it has called.
+func (t *Table) learn(now time.Duration, route string, out *wire.Outcome) {
+	called := out.Called
+	if took := time.Duration(out.TookMs) * time.Millisecond; took > 0 && out.Status < 500 {
+		if t.usual[route] == 0 {
+			t.usual[route] = took
+		}
+		t.usual[route] += time.Duration(usualGain * float64(took-t.usual[route]))
+	}
 	g := t.graphs[route]
 	if g == nil {
 		if len(called) == 0 {
--- /dev/null
+++ b/internal/health/health.go
@@ -0,0 +1,291 @@
+// Package health judges a server by what becomes of the requests that it is given: whether it may have the next
+// one, and how slow it is. It believes no health answer, which may be false either way, and sends no probes, which
+// would take a slot: requests tell more.
+//
+// A Server is kept by the node that stands beside it, which sees all of its callers, so that what one request has
+// shown holds for all of them at once. It is a pure state machine: it takes the time and an event. Times are durations
+// since a moment of the driver's choice. It is not for use by several goroutines.
+package health
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	memory     = 2 * time.Second // after which what was seen counts for a third
+	confidence = 1.64            // one-sided 95 %: how sure a share of failures has to be ...
+	limit      = 0.1             // ... before one over this takes a server out
+	leastBad   = 2               // failures below which none is taken out
+	rowBad     = 3               // failures in a row that take one out, whatever was before
+
+	holdFirst = 800 * time.Millisecond // out for so long at first, doubled each time it is out again ...
+	holdMost  = 6 * time.Second
+	calmFor   = 20 * time.Second        // ... until it has been well for so long
+	trialGap  = 120 * time.Millisecond  // between trials of one that is out
+	trialsDue = 4                       // good ones in a row that bring it back
+	onceAfter = 1500 * time.Millisecond // a request that may run once is a trial only where no other has come for so long
+
+	stallAfter = 700 * time.Millisecond // without any answer, with several under way, a server hangs
+	stallCalls = 3
+	stallTrial = 500 * time.Millisecond
+
+	overdueX    = 6 // usual times after which a request that still runs counts as failed
+	overdueMin  = 600 * time.Millisecond
+	paceGain    = 0.05
+	paceLeast   = 0.4
+	paceMost    = 4
+	mostZones   = 16
+	mostRunning = 4096
+)
+
+// Call is a request for a server.
+type Call struct {
+	Zone   string        // where its graph has begun: some ills are met from one zone alone
+	Usual  time.Duration // the usual time of its like at all servers, as its entry sees it; 0: not known
+	Once   bool          // it may run once only
+	Insist bool          // its entry knows of no better server
+}
+
+// Verdict says whether a server may have a request.
+type Verdict int
+
+// The verdicts.
+const (
+	Fit   Verdict = iota
+	Sick          // it fails too many
+	Hangs         // it answers nothing
+)
+
+// End is how a request came out.
+type End int
+
+// The ends.
+const (
+	Served End = iota // with an answer that is no failure
+	Erred             // with the server's own failure, or turned away although it had room
+	Broken            // without a whole answer, or with one that was no answer of its own
+	Void              // called off, or full: it says nothing of the server
+)
+
+// Server is what is known of one life of a server.
+type Server struct {
+	all      record
+	zones    map[string]*record
+	running  map[string]*run
+	pace     float64
+	answered time.Duration // when it last answered anything
+	many     time.Duration // since when several are under way
+	trialAt  time.Duration // of one that hangs
+	looked   time.Duration // when overdue ones were last looked for
+}
+
+// run is a request at the server.
+type run struct {
+	Call
+	began   time.Duration
+	overdue bool      // it has been counted
+	trial   []*record // for which it is one
+}
+
+// record is what was seen of a server by some callers.
+type record struct {
+	bad, total float64 // fading
+	row        int     // failures since one that was none
+	at         time.Duration
+	out        bool
+	until      time.Duration // no trial before
+	trialAt    time.Duration // of the last
+	trying     int           // trials under way
+	good       int           // trials in a row
+	outs       int
+	backAt     time.Duration
+}
+
+// New returns a server of which nothing is known.
+func New(now time.Duration) *Server {
+	return &Server{
+		zones: map[string]*record{}, running: map[string]*run{}, pace: 1, answered: now, trialAt: now - stallTrial,
+	}
+}
+
+// Pace is how long the server takes for a request, in the time that others take for its like.
+func (s *Server) Pace() float64 { return s.pace }
+
+// Out tells since whose failures the server is out: of all callers, and of which zones.
+func (s *Server) Out() (all bool, zones []string) {
+	for name, r := range s.zones {
+		if r.out {
+			zones = append(zones, name)
+		}
+	}
+	return s.all.out, zones
+}
+
+// Judge says whether the server may have a request. A Fit one that is given to it is told with Begin.
+func (s *Server) Judge(now time.Duration, c Call) Verdict {
+	s.overdue(now)
+	if s.Hangs(now) {
+		if now-s.trialAt < stallTrial {
+			return Hangs
+		}
+		s.trialAt = now
+		return Fit
+	}
+	if c.Insist {
+		return Fit
+	}
+	zone := s.zones[c.Zone]
+	if !s.all.takes(now, c) || !zone.takes(now, c) {
+		return Sick
+	}
+	s.all.trialAt = now
+	if zone != nil {
+		zone.trialAt = now
+	}
+	return Fit
+}
+
+// Hangs tells whether the server has stopped answering.
+func (s *Server) Hangs(now time.Duration) bool {
+	return len(s.running) >= stallCalls && now-max(s.answered, s.many) > stallAfter
+}
+
+// Begin notes a request that is given to the server, by its id.
+func (s *Server) Begin(now time.Duration, id string, c Call) {
+	if len(s.running) >= mostRunning {
+		return
+	}
+	r := &run{Call: c, began: now}
+	for _, rec := range []*record{&s.all, s.zones[c.Zone]} {
+		if rec != nil && rec.out && now >= rec.until {
+			rec.trying++
+			r.trial = append(r.trial, rec)
+		}
+	}
+	s.running[id] = r
+	if len(s.running) == stallCalls {
+		s.many = now
+	}
+}
+
+// End takes the end of a request. It reports whether the server was taken out by it, or has come back.
+func (s *Server) End(now time.Duration, id string, how End) (out, back bool) {
+	r := s.running[id]
+	delete(s.running, id)
+	if how == Served || how == Erred {
+		s.answered = now
+	}
+	if r == nil {
+		return false, false
+	}
+	r.tried()
+	if r.overdue || how == Void {
+		return false, false
+	}
+	if how == Served && r.Usual > 0 {
+		ratio := min(paceMost, float64(now-r.began)/float64(r.Usual))
+		s.pace = max(paceLeast, s.pace+(ratio-s.pace)*paceGain)
+	}
+	return s.note(now, r, how == Served)
+}
+
+// tried ends a trial.
+func (r *run) tried() {
+	for _, rec := range r.trial {
+		rec.trying--
+	}
+	r.trial = nil
+}
+
+// note books what one request has shown: for the callers of its zone, and for all unless it is that zone's affair.
+func (s *Server) note(now time.Duration, r *run, good bool) (out, back bool) {
+	if !s.all.out {
+		z := s.zones[r.Zone]
+		if z == nil && len(s.zones) < mostZones {
+			z = &record{}
+			s.zones[r.Zone] = z
+		}
+		if z != nil {
+			if out, back = z.note(now, r.began, good); z.out || back {
+				return out, back
+			}
+		}
+	}
+	out, back = s.all.note(now, r.began, good)
+	if out {
+		clear(s.zones) // it is everybody's
+	}
+	return out, back
+}
+
+// overdue counts requests that run for too long as failed, before their end: one that hangs ends with its caller's
+// patience, and until then the server would go on being sent others.
+func (s *Server) overdue(now time.Duration) {
+	if now-s.looked < overdueMin/8 {
+		return
+	}
+	s.looked = now
+	for _, r := range s.running {
+		if !r.overdue && r.Usual > 0 && now-r.began > max(overdueMin, overdueX*r.Usual) {
+			r.overdue = true
+			r.tried()
+			s.note(now, r, false)
+		}
+	}
+}
+
+// takes tells whether a request may go; of those to a server that is out, a few are trials.
+func (r *record) takes(now time.Duration, c Call) bool {
+	if r == nil || !r.out {
+		return true
+	}
+	return r.trying == 0 && now >= r.until && now-r.trialAt >= trialGap && !(c.Once && now-max(r.until, r.trialAt) < onceAfter)
+}
+
+// note books one end.
+func (r *record) note(now, began time.Duration, good bool) (out, back bool) {
+	fade := math.Exp(-float64(now-r.at) / float64(memory))
+	r.bad, r.total, r.at = r.bad*fade, r.total*fade+1, now
+	r.row++
+	if good {
+		r.row = 0
+	} else {
+		r.bad++
+	}
+	if !r.out {
+		if now-r.backAt > calmFor {
+			r.outs = 0
+		}
+		if !good && (r.row >= rowBad || r.bad > leastBad-0.5 && low(r.bad, r.total) > limit) {
+			r.leave(now)
+			return true, false
+		}
+		return false, false
+	}
+	switch {
+	case began < r.until: // given to it before
+	case !good:
+		r.leave(now)
+	default:
+		if r.good++; r.good >= trialsDue {
+			r.out, r.backAt, r.bad, r.total, r.row = false, now, 0, 0, 0
+			return false, true
+		}
+	}
+	return false, false
+}
+
+// leave takes the server out for the callers of this record, each time for longer.
+func (r *record) leave(now time.Duration) {
+	r.out, r.good = true, 0
+	r.until = now + min(holdMost, holdFirst<<min(r.outs, 4))
+	r.outs++
+}
+
+// low is the lower end of Wilson's interval for a share.
+func low(bad, total float64) float64 {
+	const z = confidence
+	p := bad / total
+	return (p + z*z/(2*total) - z*math.Sqrt(p*(1-p)/total+z*z/(4*total*total))) / (1 + z*z/total)
+}
--- /dev/null
+++ b/internal/health/health_test.go
@@ -0,0 +1,175 @@
+package health
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// world plays requests against a server, one every 10 ms, whose run takes the usual 100 ms.
+type world struct {
+	s      *Server
+	rng    *rand.Rand
+	now    time.Duration
+	n      int
+	given  map[string]int // by zone
+	failed int
+	ends   []func()
+}
+
+func play(seed uint64) *world {
+	return &world{s: New(0), rng: rand.New(rand.NewPCG(seed, 1)), given: map[string]int{}}
+}
+
+// run plays for a time; end says what becomes of a request, and after how long.
+func (w *world) run(d time.Duration, once bool, end func(zone string) (End, time.Duration)) {
+	type ending struct {
+		at  time.Duration
+		id  string
+		how End
+	}
+	var open []ending
+	for until := w.now + d; w.now < until; w.now += 10 * ms {
+		keep := open[:0]
+		for _, e := range open {
+			if e.at <= w.now {
+				w.s.End(w.now, e.id, e.how)
+				if e.how != Served {
+					w.failed++
+				}
+			} else {
+				keep = append(keep, e)
+			}
+		}
+		open = keep
+		w.n++
+		c := Call{Zone: fmt.Sprint("z", w.n%4), Usual: 100 * ms, Once: once}
+		if w.s.Judge(w.now, c) != Fit {
+			continue
+		}
+		id := fmt.Sprint(w.n)
+		w.s.Begin(w.now, id, c)
+		w.given[c.Zone]++
+		how, took := end(c.Zone)
+		open = append(open, ending{w.now + took, id, how})
+	}
+	for _, e := range open {
+		w.s.End(w.now, e.id, Void)
+	}
+}
+
+// share fails a part of the requests.
+func (w *world) share(x float64, zone string) func(string) (End, time.Duration) {
+	return func(z string) (End, time.Duration) {
+		if (zone == "" || z == zone) && w.rng.Float64() < x {
+			return Erred, ms
+		}
+		return Served, 100 * ms
+	}
+}
+
+// TestUsualErrorsTakeNobodyOut: an application has some failures of its own.
+func TestUsualErrorsTakeNobodyOut(t *testing.T) {
+	turned := 0
+	for seed := range uint64(20) {
+		w := play(seed)
+		w.run(100*time.Second, false, w.share(0.004, ""))
+		turned += w.n - w.given["z0"] - w.given["z1"] - w.given["z2"] - w.given["z3"]
+	}
+	if turned > 20*10000/500 {
+		t.Errorf("%d of 200,000 requests were turned away for failures that are usual", turned)
+	}
+}
+
+// TestSickServers: what fails is out soon, for those whom it fails, and is back soon after it is well.
+func TestSickServers(t *testing.T) {
+	for _, c := range []struct {
+		name, zone string
+		x          float64
+		mostFailed int // of those 2,000 that it would get in ten seconds
+	}{
+		{"some for all", "", 0.4, 60},
+		{"all for all", "", 1, 40},
+		{"some of one zone", "z1", 0.4, 40},
+	} {
+		for seed := range uint64(10) {
+			w := play(seed)
+			w.run(5*time.Second, false, w.share(0, ""))
+			before := w.given["z2"]
+			w.run(10*time.Second, false, w.share(c.x, c.zone))
+			if w.failed > c.mostFailed {
+				t.Errorf("%s, seed %d: %d requests failed", c.name, seed, w.failed)
+			}
+			if other := w.given["z2"] - before; c.zone != "" && other < 240 {
+				t.Errorf("%s, seed %d: another zone had %d of 250 requests", c.name, seed, other)
+			}
+			w.run(15*time.Second, false, w.share(0, ""))
+			before = w.given["z1"]
+			w.run(5*time.Second, false, w.share(0, ""))
+			if back := w.given["z1"] - before; back < 120 {
+				t.Errorf("%s, seed %d: 15 s after it was well it had %d of 125 requests", c.name, seed, back)
+			}
+		}
+	}
+}
+
+// TestTrials: requests that may run once are trials only where no others come.
+func TestTrials(t *testing.T) {
+	for once, most := range map[bool]int{false: 60, true: 20} {
+		w := play(1)
+		w.run(time.Second, once, w.share(1, ""))
+		before := w.failed
+		w.run(20*time.Second, once, w.share(1, ""))
+		if n := w.failed - before; n == 0 || n > most {
+			t.Errorf("once %v: %d trials in 20 s", once, n)
+		}
+	}
+}
+
+// TestHanging: requests that hang are counted while they do, and a server that answers nothing has a trial now and then.
+func TestHanging(t *testing.T) {
+	w := play(3)
+	w.run(5*time.Second, false, w.share(0, ""))
+	before := w.given["z0"] + w.given["z1"] + w.given["z2"] + w.given["z3"]
+	n := 0
+	w.run(3*time.Second, false, func(string) (End, time.Duration) {
+		if n++; n%2 == 0 {
+			return Broken, 10 * time.Second
+		}
+		return Served, 100 * ms
+	})
+	if got := w.given["z0"] + w.given["z1"] + w.given["z2"] + w.given["z3"] - before; got > 100 {
+		t.Errorf("a server that lets every second request hang had %d of 300 in 3 s", got)
+	}
+	s := New(0)
+	for i := range stallCalls {
+		s.Begin(0, fmt.Sprint(i), Call{})
+	}
+	now := stallAfter + ms
+	if got := s.Judge(now, Call{Insist: true}); got != Fit {
+		t.Errorf("the trial: %v", got)
+	}
+	if got := s.Judge(now+ms, Call{Insist: true}); got != Hangs {
+		t.Errorf("right behind the trial: %v", got)
+	}
+	s.End(now+2*ms, "0", Served)
+	if got := s.Judge(now+3*ms, Call{}); got != Fit {
+		t.Errorf("after an answer: %v", got)
+	}
+}
+
+// TestPace: a slow server says so.
+func TestPace(t *testing.T) {
+	for _, x := range []float64{0.7, 1, 1.5} {
+		w := play(4)
+		w.run(10*time.Second, false, func(string) (End, time.Duration) {
+			return Served, time.Duration(x * 100 * float64(ms))
+		})
+		if got := w.s.Pace(); got < 0.9*x || got > 1.2*x {
+			t.Errorf("a server of %v usual times a request says %v", x, got)
+		}
+	}
+}
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -9,6 +9,7 @@
 	"curlewring/decide"
 	"curlewring/internal/budget"
 	"curlewring/internal/entry"
+	"curlewring/internal/health"
 	"curlewring/internal/meshconfig"
 	"curlewring/internal/relay"
 	"curlewring/internal/station"
@@ -226,6 +227,9 @@
 	life := n.life
 	end := func(f entry.Final) {
 		r.Leave(s.now)
+		if e.Inner && f.Status >= 400 {
+			n.station.CallFailed(t.id)
+		}
 		done(f)
 	}
 	var step func()
@@ -239,7 +243,7 @@
 		case next.Server == "":
 			s.after(next.Wait, step)
 		default:
-			n.attempt(t, r, next.Server, func(out *wire.Outcome, result decide.Result) {
+			n.attempt(t, r, next.Server, next.Insist, func(out *wire.Outcome, result decide.Result) {
 				final, pass := r.Done(s.now, next.Server, out, result)
 				switch {
 				case final != nil:
@@ -256,7 +260,7 @@
 }
 
 // attempt asks the node beside a server.
-func (n *node) attempt(t *try, r *entry.Request, id string, done func(*wire.Outcome, decide.Result)) {
+func (n *node) attempt(t *try, r *entry.Request, id string, insist bool, done func(*wire.Outcome, decide.Result)) {
 	s := n.s
 	listed := n.table.World().Servers[id]
 	if listed == nil {
@@ -264,7 +268,8 @@
 		return
 	}
 	to := s.nodes[s.index[listed.Node]]
-	ask := station.Ask{Member: id, Service: r.Service, Attempt: t.id, Priority: r.Rank, Repeat: r.Repeat()}
+	ask := station.Ask{Member: id, Service: r.Service, Attempt: t.id, Priority: r.Rank, Repeat: r.Repeat(),
+		Call: health.Call{Zone: n.zone, Usual: r.Usual(), Once: r.Once(), Insist: insist}}
 	until := r.Until
 	tries := r.Tries()
 	s.call(&n.machine, &to.machine, headBytes, max(0, until-s.now), func(answer func(int, func())) {
@@ -289,23 +294,21 @@
 	unsent := func(gone, waiting bool) { done(&wire.Outcome{Fate: wire.Outcome_UNSENT, Gone: gone, Waiting: waiting}) }
 	begin := func() {
 		if n.server == nil || n.server.id != ask.Member || !n.server.up {
-			_, waiting, v := n.station.Finish(s.now, ask.Member, ask.Attempt, station.Failed)
-			n.tell(v)
-			unsent(false, waiting)
+			f := n.station.Finish(s.now, ask.Member, ask.Attempt, health.Broken)
+			n.tell(f.Verdicts)
+			unsent(false, f.Waiting)
 			return
 		}
+		began := s.now
 		n.server.run(t, ask, until, tries, func(status int32, fate wire.Outcome_Fate) {
 			if !n.up || n.life != life {
 				return
 			}
-			end := station.Answered
-			if fate == wire.Outcome_BROKEN || fate == wire.Outcome_LATE {
-				end = station.Failed
-			}
-			called, waiting, v := n.station.Finish(s.now, ask.Member, ask.Attempt, end)
-			n.tell(v)
-			out := &wire.Outcome{Fate: fate, Status: status, Waiting: waiting}
-			for _, c := range called {
+			out := &wire.Outcome{Fate: fate, Status: status, TookMs: uint32((s.now - began).Milliseconds())}
+			f := n.station.Finish(s.now, ask.Member, ask.Attempt, station.EndOf(out))
+			n.tell(f.Verdicts)
+			out.Waiting, out.Load = f.Waiting, float32(f.Load)
+			for _, c := range f.Called {
 				out.Called = append(out.Called, &wire.Called{Service: c.Service, Times: c.Times, Pressure: n.table.Pressure(c.Service)})
 			}
 			done(out)
@@ -320,7 +323,7 @@
 			switch {
 			case !n.up || n.life != life:
 			case pass:
-				n.station.Run(ask)
+				n.station.Run(s.now, ask)
 				begin()
 			default:
 				unsent(false, false)
@@ -340,6 +343,8 @@
 			}
 		})
 	default:
-		unsent(place == station.Gone, place == station.Full)
+		done(&wire.Outcome{
+			Fate: wire.Outcome_UNSENT, Gone: place == station.Gone, Sick: place == station.Sick, Waiting: place == station.Full,
+		})
 	}
 }
--- a/internal/proxy/appconn.go
+++ b/internal/proxy/appconn.go
@@ -16,6 +16,8 @@
 const (
 	idleUsual  = 9 * time.Second        // a server keeps an idle connection for at least this
 	idleMargin = 400 * time.Millisecond // before the server's own time is over a connection is given up
+
+	mostSurplus = 4 // answers to other requests that are passed over before one gives up
 )
 
 // appConn is a connection to the server of this machine. It carries one request
@@ -26,6 +28,9 @@
 	raw   syscall.RawConn
 	idle  time.Duration // that the server allows
 	until time.Time     // an idle one is not used after this
+
+	used    bool // it has carried a request before
+	surplus bool // it has brought an answer that nobody waited for
 }
 
 // connect returns the idle connection that was used last, or a new one.
@@ -63,6 +68,7 @@
 func (a *app) keep(c *appConn) {
 	c.nc.SetDeadline(time.Time{}) // once past, it would fail the look that connect takes
 	c.until = time.Now().Add(c.idle)
+	c.used = true
 	a.in.mu.Lock()
 	defer a.in.mu.Unlock()
 	if a.closed || len(a.idle) >= a.slots {
@@ -72,18 +78,25 @@
 	a.idle = append(a.idle, c)
 }
 
-// read reads a whole answer.
-func (c *appConn) read(method string) (*http1.Response, []byte, error) {
+// read reads a whole answer. One to another request may be a surplus one in front of the right one, which is worth
+// waiting for: a request that may run once has no other chance. The connection is not used again.
+func (c *appConn) read(method, attempt string) (*http1.Response, []byte, error) {
 	limits := http1.Limits{Head: serverHead, Body: serverBody}
-	resp, err := http1.ReadResponse(c.r, method, limits)
-	if err != nil {
-		return nil, nil, err
-	}
-	body, err := http1.ReadBody(c.r, resp.Length, limits)
-	if err != nil {
-		return nil, nil, err
+	for n := 0; ; n++ {
+		resp, err := http1.ReadResponse(c.r, method, limits)
+		if err != nil {
+			return nil, nil, err
+		}
+		body, err := http1.ReadBody(c.r, resp.Length, limits)
+		if err != nil {
+			return nil, nil, err
+		}
+		id := resp.Headers.Get("Attempt-Id")
+		if id == "" || id == attempt || resp.Close || n >= mostSurplus {
+			return resp, body, nil
+		}
+		c.surplus = true
 	}
-	return resp, body, nil
 }
 
 // answered notes for how long the server keeps the connection.
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"curlewring/internal/health"
 	"curlewring/internal/http1"
 	"curlewring/internal/station"
 	"curlewring/internal/wire"
@@ -213,6 +214,13 @@
 	return in.station.Graph(attempt, service)
 }
 
+// CallFailed notes that a call of a run here has failed; see station.
+func (in *Inbound) CallFailed(attempt string) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.station.CallFailed(attempt)
+}
+
 func unsent(gone bool, format string, args ...any) *wire.Outcome {
 	return &wire.Outcome{Fate: wire.Outcome_UNSENT, Gone: gone, Why: fmt.Sprintf(format, args...)}
 }
@@ -220,7 +228,10 @@
 // Forward passes a request to the server that it names, or turns it away.
 func (in *Inbound) Forward(ctx context.Context, q *wire.Forward) (*wire.Outcome, error) {
 	until := time.Now().Add(time.Duration(q.LeftMs) * time.Millisecond)
-	ask := station.Ask{Member: q.Member, Service: q.Service, Attempt: q.Attempt, Priority: q.Priority, Repeat: q.Repeat}
+	ask := station.Ask{
+		Member: q.Member, Service: q.Service, Attempt: q.Attempt, Priority: q.Priority, Repeat: q.Repeat,
+		Call: health.Call{Zone: q.Zone, Usual: time.Duration(q.UsualMs) * time.Millisecond, Once: q.Once, Insist: q.Insist},
+	}
 	t := new(ticket)
 	in.mu.Lock()
 	place, why, verdicts := in.station.Arrive(in.now(), ask, t)
@@ -235,6 +246,8 @@
 		return unsent(true, "%s", why), nil
 	case station.Hangs:
 		return unsent(false, "%s", why), nil
+	case station.Sick:
+		return &wire.Outcome{Fate: wire.Outcome_UNSENT, Why: why, Sick: true}, nil
 	case station.Full:
 		return &wire.Outcome{Fate: wire.Outcome_UNSENT, Why: why, Waiting: true}, nil
 	case station.Queue:
@@ -242,20 +255,25 @@
 			return unsent(false, "%s", why), nil
 		}
 	}
+	began := in.now()
 	out := a.send(ctx, q, until)
-	end := station.Failed
-	switch {
-	case out.Fate == wire.Outcome_ANSWERED || out.Fate == wire.Outcome_UNRUN:
-		end = station.Answered
-	case out.Why == calledOff:
-		end = station.CalledOff
+	end := station.EndOf(out)
+	if out.Why == calledOff {
+		end = health.Void
 	}
 	in.mu.Lock()
-	called, waiting, verdicts := in.station.Finish(in.now(), q.Member, q.Attempt, end)
-	tell(verdicts)
-	out.Waiting = waiting
+	now := in.now()
+	f := in.station.Finish(now, q.Member, q.Attempt, end)
+	tell(f.Verdicts)
 	in.mu.Unlock()
-	for _, c := range called {
+	out.Waiting, out.Load, out.TookMs = f.Waiting, float32(f.Load), uint32((now - began).Milliseconds())
+	if f.Out {
+		in.Log.Warn("server.sick", "member", q.Member, "zone", q.Zone, "last", out.Fate.String(), "status", out.Status, "why", out.Why)
+	}
+	if f.Back {
+		in.Log.Info("server.well", "member", q.Member, "zone", q.Zone)
+	}
+	for _, c := range f.Called {
 		w := &wire.Called{Service: c.Service, Times: c.Times}
 		if in.Pressure != nil {
 			w.Pressure = in.Pressure(c.Service)
@@ -279,7 +297,7 @@
 		}
 		in.mu.Lock()
 		defer in.mu.Unlock()
-		in.station.Run(ask)
+		in.station.Run(in.now(), ask)
 		return ""
 	case <-ctx.Done():
 		why = calledOff
@@ -325,7 +343,7 @@
 			return &wire.Outcome{Fate: wire.Outcome_BROKEN, Why: "writing: " + err.Error()}
 		}
 	}
-	resp, body, err := c.read(q.Method)
+	resp, body, err := c.read(q.Method, q.Attempt)
 	clean := stop()
 	if err != nil {
 		c.nc.Close()
@@ -338,22 +356,29 @@
 		}
 		return out
 	}
-	if clean && !resp.Close && c.r.Buffered() == 0 {
+	if clean && !resp.Close && !c.surplus && c.r.Buffered() == 0 {
 		c.answered(resp)
 		a.keep(c)
 	} else {
 		c.nc.Close()
 	}
-	return judge(q, resp, body)
+	return judge(q, resp, body, c.used)
 }
 
-// judge tells what an answer means.
-func judge(q *wire.Forward, resp *http1.Response, body []byte) *wire.Outcome {
-	if resp.Headers.Count("Not-Executed") > 0 || resp.Status == 421 {
-		return &wire.Outcome{Fate: wire.Outcome_UNRUN, Status: int32(resp.Status), Gone: resp.Status == 421}
-	}
-	if id := resp.Headers.Get("Attempt-Id"); id != "" && id != q.Attempt {
+// judge tells what an answer means. used says that the connection has carried a request before, so that an answer
+// may be a surplus one to it. Only its id tells whose an answer is, and nothing that it says is believed before
+// that: a promise that another request has not run, or another's body, must not become this one's.
+func judge(q *wire.Forward, resp *http1.Response, body []byte, used bool) *wire.Outcome {
+	unrun := resp.Headers.Count("Not-Executed") > 0 || resp.Status == 421
+	switch id := resp.Headers.Get("Attempt-Id"); {
+	case id == q.Attempt:
+	case id != "":
 		return &wire.Outcome{Fate: wire.Outcome_BROKEN, Why: "the answer to another request"}
+	case !unrun || used: // a server may turn a request away before it has read whose it is
+		return &wire.Outcome{Fate: wire.Outcome_BROKEN, Why: "an answer without an id"}
+	}
+	if unrun {
+		return &wire.Outcome{Fate: wire.Outcome_UNRUN, Status: int32(resp.Status), Gone: resp.Status == 421}
 	}
 	if resp.Status/100 == 2 && (resp.Headers.Get("Server-Seal") == "" || resp.Headers.Count("Content-Encoding") > 0) {
 		return &wire.Outcome{Fate: wire.Outcome_BROKEN, Why: "not the server's own body"}
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -35,6 +35,7 @@
 	Log                 *slog.Logger
 	Metrics             *metrics.Set
 	Graph               func(attempt, service string) (inner, repeat bool) // see station.Station.Graph
+	CallFailed          func(attempt string)                               // see station.Station.CallFailed
 	began               time.Time
 	ready               chan struct{} // closed with the first configuration
 
@@ -186,6 +187,9 @@
 		return say(refused)
 	}
 	a := o.serve(ctx, c, world, r)
+	if e.Inner && o.CallFailed != nil && a.Status >= 400 {
+		o.CallFailed(c.Headers.Get("Attempt-Id"))
+	}
 	o.mu.Lock()
 	r.Leave(o.now())
 	o.mu.Unlock()
@@ -211,7 +215,7 @@
 			}
 			timer.Stop()
 		default:
-			out, result := o.attempt(ctx, c, world, r, step.Server)
+			out, result := o.attempt(ctx, c, world, r, step.Server, step.Insist)
 			o.mu.Lock()
 			final, pass := r.Done(o.now(), step.Server, out, result)
 			o.mu.Unlock()
@@ -229,7 +233,7 @@
 }
 
 // attempt asks the node beside a server to pass the request on.
-func (o *Outbound) attempt(ctx context.Context, c *Call, world *World, r *entry.Request, id string) (*wire.Outcome, decide.Result) {
+func (o *Outbound) attempt(ctx context.Context, c *Call, world *World, r *entry.Request, id string, insist bool) (*wire.Outcome, decide.Result) {
 	server := world.Servers[id]
 	if server == nil { // the list is newer than the request's
 		server = o.world().Servers[id]
@@ -241,6 +245,7 @@
 		Member: id, Service: r.Service, Method: c.Method, Target: c.Target, Body: c.Body, Caller: o.Backend,
 		Priority: r.Rank, Attempt: c.Headers.Get("Attempt-Id"), Repeat: r.Repeat(),
 		LeftMs: uint32(max(1, (r.Until - o.now()).Milliseconds())),
+		Zone:   o.Zone, Once: r.Once(), UsualMs: uint32(r.Usual().Milliseconds()), Insist: insist,
 	}
 	for _, h := range http1.EndToEnd(c.Headers, "time-budget", "target-instance", "caller-service") {
 		q.Headers = append(q.Headers, &wire.Header{Name: h.Name, Value: h.Value})
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"curlewring/internal/http1"
 	"curlewring/internal/meshconfig"
 	"curlewring/internal/rpc"
 	"curlewring/internal/wire"
@@ -60,6 +61,20 @@
 			w.Header().Set("Content-Length", "100")
 			io.WriteString(w, "part")
 			return
+		case strings.Contains(do, "other") && first: // an answer to another request, and behind it what the query says
+			nc, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				b.t.Error(err)
+				return
+			}
+			fmt.Fprint(nc, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nAttempt-Id: old\r\nContent-Length: 0\r\n\r\n")
+			if r.URL.RawQuery == "own" {
+				fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nAttempt-Id: %s\r\nContent-Length: 3\r\n\r\nown", id)
+			}
+			nc.Close()
+			return
+		case strings.Contains(do, "nobody"):
+			w.Header().Del("Attempt-Id")
 		case strings.Contains(do, "bare"):
 			io.WriteString(w, "no seal")
 			return
@@ -92,7 +107,7 @@
 	}
 	server := rpc.NewServer(log)
 	server.Handle("forward", rpc.Unary(b.in.Forward))
-	b.out = &Outbound{Node: "n", Zone: "z", Backend: "own", Ratio: 1, Window: 10 * time.Second, Pool: rpc.NewPool(ctx), Log: log, Graph: b.in.Graph}
+	b.out = &Outbound{Node: "n", Zone: "z", Backend: "own", Ratio: 1, Window: 10 * time.Second, Pool: rpc.NewPool(ctx), Log: log, Graph: b.in.Graph, CallFailed: b.in.CallFailed}
 	b.out.Start(1)
 	b.out.Share(1000)
 	handle := func(ctx context.Context, c *Call) *Answer {
@@ -168,11 +183,15 @@
 	}{
 		{"GET", "/safe/x?a=%41&b", "", 200, 1, "GET /safe/x?a=%41&b "},
 		{"POST", "/once/x", "payload", 200, 1, "POST /once/x payload"},
+		{"POST", "/once/other?own", "p", 200, 1, "own"}, // the surplus answer's promise is not this request's
+		{"POST", "/once/other", "p", 502, 1, "the server gave no proper answer\n"},
+		{"GET", "/safe/other", "", 200, 2, "GET /safe/other "},
 		{"GET", "/none/x", "", 404, 0, "no route\n"},
 		{"POST", "/once/full", "p", 200, 2, "POST /once/full p"}, // not run, so another may have it
 		{"GET", "/safe/torn", "", 200, 2, "GET /safe/torn "},
 		{"POST", "/once/torn", "p", 502, 1, "the server gave no proper answer\n"}, // it may have run
 		{"POST", "/once/bare", "p", 502, 1, "the server gave no proper answer\n"},
+		{"POST", "/once/nobody", "p", 502, 1, "the server gave no proper answer\n"},
 		{"POST", "/once/busy", "p", 502, 1, "the server failed\n"}, // 429 would be a promise that nobody made
 	} {
 		id := fmt.Sprint("id", i)
@@ -190,6 +209,38 @@
 	}
 }
 
+// TestJudge: the promise that a request has not run counts only where it is this request's.
+func TestJudge(t *testing.T) {
+	for _, c := range []struct {
+		status  int
+		id      string
+		promise bool
+		used    bool
+		want    wire.Outcome_Fate
+	}{
+		{200, "a", false, true, wire.Outcome_ANSWERED},
+		{503, "a", true, true, wire.Outcome_UNRUN},
+		{421, "a", false, true, wire.Outcome_UNRUN},
+		{503, "b", true, true, wire.Outcome_BROKEN},
+		{421, "b", false, false, wire.Outcome_BROKEN},
+		{503, "", true, true, wire.Outcome_BROKEN},
+		{503, "", true, false, wire.Outcome_UNRUN}, // nobody else has used the connection
+		{503, "", false, false, wire.Outcome_BROKEN},
+		{200, "", false, false, wire.Outcome_BROKEN},
+	} {
+		resp := &http1.Response{Status: c.status, Headers: http1.Headers{{Name: "Server-Seal", Value: "s"}}}
+		if c.id != "" {
+			resp.Headers = append(resp.Headers, http1.Header{Name: "Attempt-Id", Value: c.id})
+		}
+		if c.promise {
+			resp.Headers = append(resp.Headers, http1.Header{Name: "Not-Executed", Value: "1"})
+		}
+		if out := judge(&wire.Forward{Attempt: "a"}, resp, nil, c.used); out.Fate != c.want {
+			t.Errorf("%+v: %v", c, out.Fate)
+		}
+	}
+}
+
 // TestDrainedServersGetNothing: after the bound nothing passes, and where no server
 // is left the refusal says when to come back.
 func TestDrainedServersGetNothing(t *testing.T) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -131,6 +131,13 @@
 	return h.view.Number
 }
 
+// Server returns what the news say of a server; nil: it is not listed.
+func (h *Hub) Server(member string) *wire.Server {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.view.Servers[member]
+}
+
 // State returns all that the news add up to.
 func (h *Hub) State() *wire.State {
 	h.mu.Lock()
--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -22,6 +22,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"curlewring/internal/sock"
 	"curlewring/internal/wire"
 )
 
@@ -77,10 +78,11 @@
 	c := &conn{nc: nc, server: server, streams: map[uint32]*Stream{}, next: 1, sign: make(chan struct{})}
 	c.ctx, c.cancel = context.WithCancelCause(parent)
 	c.heard.Store(steadyMs())
-	// Pings and deadlines of writes find a silent peer; the kernel's probes would
-	// only see less of it.
+	// Pings find a silent peer; the kernel's probes would only see less of it. It gives up bytes that nobody
+	// takes in at the same time, rather than after minutes.
 	if tc, ok := nc.(*net.TCPConn); ok {
 		tc.SetKeepAlive(false)
+		sock.UserTimeout(tc, silentFor)
 	}
 	return c
 }
--- a/internal/station/station.go
+++ b/internal/station/station.go
@@ -13,14 +13,13 @@
 	"slices"
 	"strings"
 	"time"
+
+	"curlewring/internal/health"
+	"curlewring/internal/wire"
 )
 
 const (
-	queueFactor  = 1                      // requests that wait for each slot, at most
-	stallAfter   = 700 * time.Millisecond // without any answer, with several under way, a server hangs
-	stallCalls   = 3
-	trialEvery   = 500 * time.Millisecond
-	failsOut     = 3               // in a row, after which only trials go to a server
+	queueFactor  = 1               // requests that wait for each slot, at most
 	beatsMissed  = 3               // after which a server is taken for gone
 	forgetAfter  = 2 * time.Minute // lives that ended are remembered for as long
 	mostLives    = 64              // remembered at a time
@@ -41,6 +40,7 @@
 	Member, Service, Attempt string
 	Priority                 uint32 // 0 is the highest
 	Repeat                   bool   // an earlier try of it may have run
+	health.Call
 }
 
 // Verdict is the answer to a request that waited: it may go, or is turned away.
@@ -58,6 +58,7 @@
 	Queue              // a Verdict on its ticket follows
 	Full               // no room
 	Hangs              // the server does not answer
+	Sick               // it fails too many
 	Gone               // that life of the server takes nothing any more
 )
 
@@ -79,6 +80,7 @@
 type life[T comparable] struct {
 	Beat
 	beatAt    time.Duration
+	heard     bool // it has spoken for itself to this process
 	drained   bool
 	drainedAt time.Duration // when its drain mark was first acknowledged
 	gone      bool
@@ -86,10 +88,8 @@
 
 	inflight int
 	queue    []waiter[T]   // in the order in which they are to be served
-	many     time.Duration // since when several are under way
 	answered time.Duration // when it last answered anything
-	fails    int           // in a row
-	trialAt  time.Duration
+	health   *health.Server
 }
 
 type waiter[T comparable] struct {
@@ -101,6 +101,7 @@
 type run struct {
 	repeat bool
 	called []Called
+	failed bool // a call that it made
 }
 
 // New returns a Station without servers. After drain from the acknowledgement of
@@ -127,7 +128,7 @@
 			return h
 		}
 		h.New = true
-		m = &life[T]{answered: now, trialAt: now - trialEvery}
+		m = &life[T]{answered: now, health: health.New(now)}
 		s.lives[b.ID] = m
 		// A new life at the same address has ended the one before.
 		for _, id := range s.ids() {
@@ -146,7 +147,7 @@
 		return h
 	} else if m.silent { // it was held up, and is the life that it was
 		h.Back = true
-		m.gone, m.silent, m.fails, m.answered = false, false, 0, now
+		m.gone, m.silent, m.answered, m.health = false, false, now, health.New(now)
 	}
 	if b.Slots <= 0 {
 		b.Slots = defaultSlots
@@ -155,8 +156,13 @@
 	m.Beat, m.beatAt = b, now
 	if b.Draining && !m.drained {
 		m.drained, m.drainedAt, h.Drains = true, now, true
+		if !m.heard {
+			// The mark may have been acknowledged by an earlier life of this process, nobody knows when: its time
+			// counts as over.
+			m.drainedAt = now - s.drain
+		}
 	}
-	h.OK = true
+	m.heard, h.OK = true, true
 	return h
 }
 
@@ -167,7 +173,7 @@
 	if len(s.lives) > 0 || b.Slots <= 0 {
 		return false
 	}
-	s.lives[b.ID] = &life[T]{Beat: b, beatAt: now, answered: now, trialAt: now - trialEvery}
+	s.lives[b.ID] = &life[T]{Beat: b, beatAt: now, answered: now, health: health.New(now)}
 	return true
 }
 
@@ -270,26 +276,33 @@
 // can name a run that is in flight here has been admitted with it. One who makes
 // up an id is a new entry.
 func (s *Station[T]) Graph(attempt, service string) (inner, repeat bool) {
+	r := s.caller(attempt)
+	if r == nil {
+		return false, false
+	}
+	at := slices.IndexFunc(r.called, func(c Called) bool { return c.Service == service })
+	if at < 0 && len(r.called) < mostCalled {
+		at = len(r.called)
+		r.called = append(r.called, Called{Service: service})
+	}
+	if at >= 0 {
+		r.called[at].Times++
+	}
+	return true, r.repeat
+}
+
+// caller is the run here whose call has this Attempt-Id; nil: there is none.
+func (s *Station[T]) caller(attempt string) *run {
 	for i := len(attempt) - 1; i > 0; i-- {
 		c := attempt[i]
 		if c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' {
 			continue
 		}
-		r := s.runs[attempt[:i]]
-		if r == nil {
-			continue
-		}
-		at := slices.IndexFunc(r.called, func(c Called) bool { return c.Service == service })
-		if at < 0 && len(r.called) < mostCalled {
-			at = len(r.called)
-			r.called = append(r.called, Called{Service: service})
-		}
-		if at >= 0 {
-			r.called[at].Times++
+		if r := s.runs[attempt[:i]]; r != nil {
+			return r
 		}
-		return true, r.repeat
 	}
-	return false, false
+	return nil
 }
 
 // Arrive gives a request its place; why says what was against it. A higher
@@ -300,8 +313,8 @@
 		return place, why, nil
 	}
 	if m.inflight < m.Slots && len(m.queue) == 0 {
-		m.begin(now)
-		s.runs[q.Attempt] = &run{repeat: q.Repeat}
+		m.inflight++
+		s.Run(now, q)
 		return Slot, "", nil
 	}
 	if len(m.queue) >= m.Slots*queueFactor {
@@ -330,30 +343,31 @@
 		// Its last requests stay well within the bound, which runs from the
 		// acknowledgement to the arrival.
 		return Gone, "it is draining"
-	case m.hangs(now):
-		if now-m.trialAt < trialEvery {
-			return Hangs, "it does not answer"
-		}
-		m.trialAt = now
+	}
+	switch m.health.Judge(now, q.Call) {
+	case health.Hangs:
+		return Hangs, "it does not answer"
+	case health.Sick:
+		return Sick, "it fails too many"
 	}
 	return Slot, ""
 }
 
-// hangs tells whether a server has stopped answering.
-func (m *life[T]) hangs(now time.Duration) bool {
-	return m.fails >= failsOut || m.inflight >= stallCalls && now-max(m.answered, m.many) > stallAfter
+// Run books a request that waited and now goes to its server.
+func (s *Station[T]) Run(now time.Duration, q Ask) {
+	s.runs[q.Attempt] = &run{repeat: q.Repeat}
+	if m := s.lives[q.Member]; m != nil {
+		m.health.Begin(now, q.Attempt, q.Call)
+	}
 }
 
-func (m *life[T]) begin(now time.Duration) {
-	m.inflight++
-	if m.inflight == stallCalls {
-		m.many = now
+// CallFailed notes that a call of a run here has failed: what the run comes to is not its server's fault then.
+func (s *Station[T]) CallFailed(attempt string) {
+	if r := s.caller(attempt); r != nil {
+		r.failed = true
 	}
 }
 
-// Run books a request that waited and now goes to its server.
-func (s *Station[T]) Run(q Ask) { s.runs[q.Attempt] = &run{repeat: q.Repeat} }
-
 // Leave takes a request out of the queue. It reports false where it is no longer
 // in it: its Verdict has been given.
 func (s *Station[T]) Leave(member string, ticket T) bool {
@@ -377,37 +391,60 @@
 	return nil
 }
 
-// End is how a run came out.
-type End int
+// EndOf says what an outcome shows of the server. Its own 504 says that the time was up, which may be its callers' or
+// its calls' doing; runs that take far too long are counted while they last.
+func EndOf(out *wire.Outcome) health.End {
+	switch out.Fate {
+	case wire.Outcome_ANSWERED:
+		if out.Status == 504 {
+			return health.Void
+		}
+		if out.Status >= 500 {
+			return health.Erred
+		}
+		return health.Served
+	case wire.Outcome_UNRUN: // it has turned away what it had a slot for
+		if out.Gone {
+			return health.Void
+		}
+		return health.Erred
+	}
+	return health.Broken
+}
 
-// The ends.
-const (
-	Answered  End = iota // whatever the answer, the server works
-	Failed               // no answer, or a broken one, or no connection
-	CalledOff            // by its client; it says nothing of the server
-)
+// Finished is what the end of a run means.
+type Finished[T comparable] struct {
+	Called    []Called // by the run
+	Waiting   bool     // the server has no slot left
+	Load      float64  // time that a further request would take there, in the time of its like on an idle, usual server
+	Out, Back bool     // its server was taken out for its failures, for some callers at least, or has come back
+	Verdicts  []Verdict[T]
+}
 
 // Finish books the end of a run, and gives its slot to the next.
-func (s *Station[T]) Finish(now time.Duration, member, attempt string, how End) (called []Called, waiting bool, v []Verdict[T]) {
+func (s *Station[T]) Finish(now time.Duration, member, attempt string, how health.End) (f Finished[T]) {
 	if r := s.runs[attempt]; r != nil {
-		called = r.called
+		f.Called = r.called
+		if r.failed && how == health.Erred {
+			how = health.Void
+		}
 		delete(s.runs, attempt)
 	}
 	m := s.lives[member]
 	if m == nil {
-		return called, false, nil
+		return f
 	}
-	switch how {
-	case Answered:
-		m.answered, m.fails = now, 0
-	case Failed:
-		m.fails++
+	if how == health.Served || how == health.Erred {
+		m.answered = now
 	}
-	v = s.next(now, m)
-	if m.hangs(now) { // those who wait are better served elsewhere
-		v = append(v, m.clear()...)
+	f.Out, f.Back = m.health.End(now, attempt, how)
+	f.Verdicts = s.next(now, m)
+	if f.Out || m.health.Hangs(now) { // those who wait are better served elsewhere
+		f.Verdicts = append(f.Verdicts, m.clear()...)
 	}
-	return called, len(m.queue) > 0 || m.inflight >= m.Slots, v
+	f.Waiting = len(m.queue) > 0 || m.inflight >= m.Slots
+	f.Load = m.health.Pace() * (1 + float64(m.inflight+len(m.queue))/float64(m.Slots))
+	return f
 }
 
 // next gives a slot that has become free to the first in the queue.
@@ -418,7 +455,7 @@
 		m.queue = m.queue[1:]
 		pass := !m.gone && !(m.drained && now-m.drainedAt > s.drain*3/4)
 		if pass {
-			m.begin(now)
+			m.inflight++
 		}
 		v = append(v, Verdict[T]{w.ticket, pass})
 	}
--- a/internal/station/station_test.go
+++ b/internal/station/station_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"curlewring/internal/health"
 )
 
 const ms = time.Millisecond
@@ -34,8 +36,8 @@
 			t.Errorf("request %d: %v, %v", i, place, v)
 		}
 	}
-	if _, waiting, v := s.Finish(ms, "i", "0", Answered); !waiting || !slices.Equal(v, []Verdict[string]{{"4", true}}) {
-		t.Errorf("the highest did not go first: %v", v)
+	if f := s.Finish(ms, "i", "0", health.Served); !f.Waiting || !slices.Equal(f.Verdicts, []Verdict[string]{{"4", true}}) {
+		t.Errorf("the highest did not go first: %+v", f)
 	}
 	if !s.Leave("i", "2") || s.Leave("i", "4") {
 		t.Error("one that waits could not leave, or one that runs could")
@@ -53,35 +55,59 @@
 	if place, _, _ := s.Arrive(70*ms, ask("late", 0), "late"); place != Gone {
 		t.Errorf("past half of the bound: %v", place)
 	}
-	if _, _, v := s.Finish(95*ms, "i", "runs", Answered); !slices.Equal(v, []Verdict[string]{{"waits", false}}) {
-		t.Errorf("close to the bound: %v", v)
+	if f := s.Finish(95*ms, "i", "runs", health.Served); !slices.Equal(f.Verdicts, []Verdict[string]{{"waits", false}}) {
+		t.Errorf("close to the bound: %+v", f)
+	}
+}
+
+// TestDrainMarkOutlivesTheProcess: a mark was acknowledged, the process ended and came back at once with a list that
+// does not have it yet. Only the server's next beat tells, and nothing may go to it from then on.
+func TestDrainMarkOutlivesTheProcess(t *testing.T) {
+	marked := Beat{ID: "i", Service: "s", Address: "a", Slots: 1, Draining: true, Seq: 7}
+	for _, adopted := range []bool{true, false} {
+		s := New[string](4*time.Second, 1500*ms)
+		if adopted {
+			s.Adopt(0, Beat{ID: "i", Service: "s", Address: "a", Slots: 1})
+			s.Arrive(ms, ask("runs", 0), "runs")
+			s.Arrive(ms, ask("waits", 0), "waits")
+		}
+		s.Beat(1500*ms, marked)
+		if place, _, _ := s.Arrive(1501*ms, ask("late", 0), "late"); place != Gone {
+			t.Errorf("adopted %v: a request got %v", adopted, place)
+		}
+		if f := s.Finish(1502*ms, "i", "runs", health.Served); adopted && !slices.Equal(f.Verdicts, []Verdict[string]{{"waits", false}}) {
+			t.Errorf("one that waited: %+v", f)
+		}
 	}
 }
 
-// TestHanging: a server that answers nothing gets a trial now and then, and its
-// queue is sent elsewhere; with the first answer it is back.
-func TestHanging(t *testing.T) {
-	s := with(8, time.Hour)
+// TestSick: a server that is taken out sends those who wait elsewhere, and one whose run failed for a call that it
+// made is not blamed for it.
+func TestSick(t *testing.T) {
+	s := with(2, time.Hour)
 	for i := range 4 {
 		s.Arrive(0, ask(fmt.Sprint(i), 0), fmt.Sprint(i))
 	}
-	now := stallAfter + 100*ms
-	if place, _, _ := s.Arrive(now, ask("trial", 0), "trial"); place != Slot {
-		t.Errorf("the trial: %v", place)
+	s.CallFailed("0.1")
+	if f := s.Finish(ms, "i", "0", health.Erred); f.Out || !slices.Equal(f.Verdicts, []Verdict[string]{{"2", true}}) {
+		t.Errorf("a run with a failed call: %+v", f)
 	}
-	if place, _, _ := s.Arrive(now+ms, ask("x", 0), "x"); place != Hangs {
-		t.Errorf("right behind the trial: %v", place)
+	s.Run(ms, ask("2", 0))
+	if f := s.Finish(2*ms, "i", "1", health.Broken); f.Out {
+		t.Errorf("one failure: %+v", f)
 	}
-	s.Finish(now+2*ms, "i", "trial", Answered)
-	if place, _, _ := s.Arrive(now+3*ms, ask("y", 0), "y"); place != Slot {
-		t.Errorf("after an answer: %v", place)
+	s.Run(2*ms, ask("3", 0))
+	s.Arrive(2*ms, ask("5", 0), "5")
+	if f := s.Finish(3*ms, "i", "2", health.Erred); !f.Out || !slices.Equal(f.Verdicts, []Verdict[string]{{"5", true}}) {
+		t.Errorf("the second failure: %+v", f)
 	}
-	for i := range failsOut {
-		s.Finish(now+4*ms, "i", fmt.Sprint(i), Failed)
+	if place, _, _ := s.Arrive(4*ms, ask("x", 0), "x"); place != Sick {
+		t.Errorf("a sick server: %v", place)
 	}
-	s.Arrive(now+time.Second, ask("trial2", 0), "trial2")
-	if place, _, _ := s.Arrive(now+time.Second, ask("z", 0), "z"); place != Hangs {
-		t.Errorf("after %d failures: %v", failsOut, place)
+	insists := ask("y", 0)
+	insists.Insist = true
+	if place, _, _ := s.Arrive(4*ms, insists, "y"); place != Queue {
+		t.Errorf("one that knows of no better: %v", place)
 	}
 }
 
@@ -164,8 +190,7 @@
 			case 3, 4:
 				if id := any(running); id != "~" {
 					delete(running, id)
-					_, _, v := s.Finish(now, "i", id, End(rng.IntN(3)))
-					tell(v)
+					tell(s.Finish(now, "i", id, health.End(rng.IntN(4))).Verdicts)
 				}
 			default:
 				if id := any(waiting); id != "~" && s.Leave("i", id) {
