Ask a second server for repeatable requests that take far longer than their like

Cause: a run on a slow server, a long one, or one whose answer is lost holds its request to the end. Change: after about twice the usual time of its route, sooner where it would be late then, a second server is asked within the retry budget; the first answer counts, and the other run goes on.

--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -141,6 +141,7 @@
 	ready.Close()
 	end()
 	n.workers.Wait()
+	n.outbound.Wait()
 	return nil
 }
 
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"curlewring/decide"
@@ -13,6 +14,11 @@
 	patiencePart  = 5                     // a request without a server is given up after this part of its aim
 	leastPatience = 30 * time.Millisecond
 	mostTurned    = 12 // servers asked that turned one request away
+
+	hedgeX       = 2                     // usual times after which one that may run again is sent to a second server ...
+	hedgeLeastX  = 1.4                   // ... or sooner, where it would be late then, but not before this
+	hedgeLeast   = 50 * time.Millisecond // never sooner
+	hedgeReserve = 3                     // repeats that are left for requests that have failed
 )
 
 // Entrant is a request as it comes to the node.
@@ -40,6 +46,7 @@
 	table   *Table
 	service *service
 	since   time.Duration // of the wait for a server
+	open    []string      // servers that are asked at this moment
 	reached []string      // servers that it has arrived at
 	ran     bool          // it may have run
 	tried   []string      // servers not to be asked again
@@ -85,19 +92,26 @@
 type Step struct {
 	Final  *Final
 	Server string
-	Insist bool // it may be sick: there is no better one
+	Insist bool          // it may be sick: there is no better one
+	Repeat bool          // another server may run it, or may have
+	Usual  time.Duration // see Request.Usual
 	Wait   time.Duration
 }
 
-// Repeat tells whether an earlier try may have run.
-func (r *Request) Repeat() bool { return r.ran }
-
 // Once tells whether it may run once only.
 func (r *Request) Once() bool { return r.Route.Kind != meshconfig.Repeatable }
 
 // Usual is the usual time of its route's runs; 0: not known.
 func (r *Request) Usual() time.Duration { return r.table.usual[r.Route.Name] }
 
+// Late takes what came of a try after the final answer.
+func (r *Request) Late(now time.Duration, id string, out *wire.Outcome, result decide.Result) {
+	r.service.picker.End(now, id, result, out.Waiting, float64(out.Load))
+	if out.Fate == wire.Outcome_ANSWERED {
+		r.table.learn(now, r.Route.Name, out)
+	}
+}
+
 // Tries is the number of servers that it has arrived at.
 func (r *Request) Tries() int { return len(r.reached) }
 
@@ -106,9 +120,8 @@
 	if now >= r.Until {
 		return Step{Final: r.giveUp("no server in time")}
 	}
-	if id, sick, ok := r.service.picker.Pick(now, r.tried); ok {
-		r.service.picker.Begin(id)
-		return Step{Server: id, Insist: sick}
+	if step, ok := r.pick(now); ok {
+		return step
 	}
 	// Nobody has room at this moment. Longer waits belong to the client.
 	if !r.crowded {
@@ -118,34 +131,76 @@
 	if now-r.since > r.patience() {
 		return Step{Final: r.giveUp("no server has room")}
 	}
-	r.tried = append(r.tried[:0], r.reached...) // those that turned it away may have room by now
+	r.tried = append(append(r.tried[:0], r.reached...), r.open...) // those that turned it away may have room by now
 	return Step{Wait: min(fullPause, r.Until-now)}
 }
 
+// pick begins a try, where there is a server for it.
+func (r *Request) pick(now time.Duration) (Step, bool) {
+	id, sick, ok := r.service.picker.Pick(now, r.tried)
+	if !ok {
+		return Step{}, false
+	}
+	r.service.picker.Begin(id)
+	step := Step{Server: id, Insist: sick, Repeat: r.ran || len(r.open) > 0, Usual: r.Usual()}
+	r.open = append(r.open, id)
+	r.tried = append(r.tried, id)
+	return step, true
+}
+
+// HedgeAfter is how long a try may take before Hedge is worth asking; 0: it never is. A run that takes far longer
+// than its like has met a slow server, or its answer is lost; a second one is likely to be through before it.
+func (r *Request) HedgeAfter() time.Duration {
+	usual := r.Usual()
+	if r.Once() || usual == 0 {
+		return 0
+	}
+	after := hedgeX * usual
+	if aim := r.Route.Aim(); after+usual > aim {
+		after = max(time.Duration(hedgeLeastX*float64(usual)), aim-usual)
+	}
+	return max(hedgeLeast, after)
+}
+
+// Hedge asks for a second server while the first is still at work. Whichever has an answer first gives the final
+// one. The budget pays for it as for any repeat.
+func (r *Request) Hedge(now time.Duration) (Step, bool) {
+	if r.Once() || len(r.open) != 1 || r.service.budget.Left(now) < hedgeReserve || !r.mayRepeat(now) {
+		return Step{}, false
+	}
+	return r.pick(now)
+}
+
 // patience is how long a request waits for a server. A call of a graph has no more
 // of it: its graph is lost with it, but while it waits it holds a slot of its caller.
 func (r *Request) patience() time.Duration {
 	return max(leastPatience, r.Route.Aim()/patiencePart)
 }
 
-// Done takes what came of a try. It returns the final answer, or none where Next
-// goes on; pass: the server's own answer is the final one.
+// Done takes what came of a try. It returns the final answer, or none; pass: the server's own answer is the final
+// one. Where there is none, the tries that are still under way go on, and without any Next does.
 func (r *Request) Done(now time.Duration, id string, out *wire.Outcome, result decide.Result) (final *Final, pass bool) {
 	r.service.picker.End(now, id, result, out.Waiting, float64(out.Load))
+	r.open = slices.DeleteFunc(r.open, func(o string) bool { return o == id })
 	if len(r.reached) == 0 && !r.crowded && out.Fate != wire.Outcome_UNSENT {
 		r.service.gate.Room(true)
 	}
 	if out.Fate == wire.Outcome_UNSENT {
 		r.turned++
-		r.tried = append(r.tried, id)
+		if len(r.open) > 0 {
+			return nil, false
+		}
 		if now-r.since > r.patience() && r.turned >= mostTurned {
 			return r.giveUp("no server has room"), false
 		}
 		return nil, false
 	}
 	r.reached = append(r.reached, id) // it gets no second try there
-	r.tried = append(r.tried, id)
 	r.since = now
+	if len(r.open) > 0 && (out.Fate != wire.Outcome_ANSWERED || out.Status >= 500) {
+		r.ran = r.ran || out.Fate != wire.Outcome_UNRUN
+		return nil, false // the other may do better
+	}
 	switch out.Fate {
 	case wire.Outcome_ANSWERED:
 		r.table.learn(now, r.Route.Name, out)
@@ -196,7 +251,7 @@
 // Where a gate has begun to refuse its like, its service's or that of one behind,
 // repeats would only add to the load.
 func (r *Request) mayRepeat(now time.Duration) bool {
-	if len(r.reached) >= max(1, r.Route.MaxAttempts) || r.service.gate.Chance(r.Route.Priority) < 1 {
+	if len(r.reached)+len(r.open) >= max(1, r.Route.MaxAttempts) || r.service.gate.Chance(r.Route.Priority) < 1 {
 		return false
 	}
 	for _, g := range r.table.behind(r.Route) {
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -225,14 +225,36 @@
 		return
 	}
 	life := n.life
+	over := false
 	end := func(f entry.Final) {
+		over = true
 		r.Leave(s.now)
 		if e.Inner && f.Status >= 400 {
 			n.station.CallFailed(t.id)
 		}
 		done(f)
 	}
+	open := 0
 	var step func()
+	try := func(next entry.Step) {
+		open++
+		n.attempt(t, r, next, func(out *wire.Outcome, result decide.Result) {
+			open--
+			if over {
+				r.Late(s.now, next.Server, out, result)
+				return
+			}
+			final, pass := r.Done(s.now, next.Server, out, result)
+			switch {
+			case final != nil:
+				end(*final)
+			case pass:
+				end(entry.Final{Status: int(out.Status)})
+			case open == 0:
+				step()
+			}
+		})
+	}
 	step = func() {
 		if !n.up || n.life != life {
 			return
@@ -243,24 +265,24 @@
 		case next.Server == "":
 			s.after(next.Wait, step)
 		default:
-			n.attempt(t, r, next.Server, next.Insist, func(out *wire.Outcome, result decide.Result) {
-				final, pass := r.Done(s.now, next.Server, out, result)
-				switch {
-				case final != nil:
-					end(*final)
-				case pass:
-					end(entry.Final{Status: int(out.Status)})
-				default:
-					step()
-				}
-			})
+			try(next)
+			if after := r.HedgeAfter(); after > 0 {
+				s.after(after, func() {
+					if !over && open == 1 && n.up && n.life == life {
+						if next, ok := r.Hedge(s.now); ok {
+							try(next)
+						}
+					}
+				})
+			}
 		}
 	}
 	step()
 }
 
 // attempt asks the node beside a server.
-func (n *node) attempt(t *try, r *entry.Request, id string, insist bool, done func(*wire.Outcome, decide.Result)) {
+func (n *node) attempt(t *try, r *entry.Request, step entry.Step, done func(*wire.Outcome, decide.Result)) {
+	id := step.Server
 	s := n.s
 	listed := n.table.World().Servers[id]
 	if listed == nil {
@@ -268,8 +290,8 @@
 		return
 	}
 	to := s.nodes[s.index[listed.Node]]
-	ask := station.Ask{Member: id, Service: r.Service, Attempt: t.id, Priority: r.Rank, Repeat: r.Repeat(),
-		Call: health.Call{Zone: n.zone, Usual: r.Usual(), Once: r.Once(), Insist: insist}}
+	ask := station.Ask{Member: id, Service: r.Service, Attempt: t.id, Priority: r.Rank, Repeat: step.Repeat,
+		Call: health.Call{Zone: n.zone, Usual: step.Usual, Once: r.Once(), Insist: step.Insist}}
 	until := r.Until
 	tries := r.Tries()
 	s.call(&n.machine, &to.machine, headBytes, max(0, until-s.now), func(answer func(int, func())) {
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -39,8 +39,9 @@
 	began               time.Time
 	ready               chan struct{} // closed with the first configuration
 
-	mu    sync.Mutex
-	table *entry.Table
+	strays sync.WaitGroup // tries
+	mu     sync.Mutex
+	table  *entry.Table
 }
 
 // Start makes an Outbound ready for Update. The seed sets its random numbers.
@@ -196,13 +197,59 @@
 	return a
 }
 
+// try is the end of one.
+type try struct {
+	server string
+	out    *wire.Outcome
+	result decide.Result
+}
+
 // serve makes tries until there is a final answer.
-func (o *Outbound) serve(ctx context.Context, c *Call, world *World, r *entry.Request) *Answer {
-	ctx, cancel := context.WithDeadline(ctx, o.began.Add(r.Until))
-	defer cancel()
+func (o *Outbound) serve(client context.Context, c *Call, world *World, r *entry.Request) *Answer {
+	// What a server works on when the answer is there goes on: its work would be lost, not saved.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(client), o.began.Add(r.Until))
+	leaves := context.AfterFunc(client, cancel)
+	tries := make(chan try, 2) // as many as there can be at a time
+	open := 0
+	defer func() {
+		leaves()
+		if open == 0 {
+			cancel()
+			return
+		}
+		o.strays.Go(func() {
+			defer cancel()
+			for range open {
+				t := <-tries
+				o.mu.Lock()
+				r.Late(o.now(), t.server, t.out, t.result)
+				o.mu.Unlock()
+			}
+		})
+	}()
+	begin := func(step entry.Step) {
+		open++
+		o.strays.Go(func() {
+			out, result := o.attempt(ctx, c, world, r, step)
+			tries <- try{step.Server, out, result}
+		})
+	}
+	done := func(t try) *Answer {
+		o.mu.Lock()
+		final, pass := r.Done(o.now(), t.server, t.out, t.result)
+		o.mu.Unlock()
+		switch {
+		case final != nil:
+			return say(final)
+		case pass:
+			return served(t.out)
+		}
+		return nil
+	}
 	for {
 		o.mu.Lock()
 		step := r.Next(o.now())
+		hedge := r.HedgeAfter()
 		o.mu.Unlock()
 		switch {
 		case step.Final != nil:
@@ -214,26 +261,47 @@
 			case <-ctx.Done():
 			}
 			timer.Stop()
+		case hedge == 0:
+			out, result := o.attempt(ctx, c, world, r, step)
+			if a := done(try{step.Server, out, result}); a != nil {
+				return a
+			}
 		default:
-			out, result := o.attempt(ctx, c, world, r, step.Server, step.Insist)
-			o.mu.Lock()
-			final, pass := r.Done(o.now(), step.Server, out, result)
-			o.mu.Unlock()
-			if final != nil {
-				return say(final)
+			begin(step)
+		}
+		for open > 0 {
+			var later <-chan time.Time
+			if hedge > 0 && open == 1 {
+				later = time.After(hedge)
 			}
-			if pass {
-				return served(out)
+			select {
+			case t := <-tries:
+				open--
+				if a := done(t); a != nil {
+					return a
+				}
+			case <-later:
+				hedge = 0 // once
+				o.mu.Lock()
+				step, ok := r.Hedge(o.now())
+				o.mu.Unlock()
+				if ok {
+					begin(step)
+				}
 			}
 		}
-		if errors.Is(ctx.Err(), context.Canceled) { // the client has left, and reads no answer
+		if client.Err() != nil { // it has left, and reads no answer
 			return text(504, "called off")
 		}
 	}
 }
 
+// Wait returns once no try is under way. Tries may outlast the requests that they are of, but not their time.
+func (o *Outbound) Wait() { o.strays.Wait() }
+
 // attempt asks the node beside a server to pass the request on.
-func (o *Outbound) attempt(ctx context.Context, c *Call, world *World, r *entry.Request, id string, insist bool) (*wire.Outcome, decide.Result) {
+func (o *Outbound) attempt(ctx context.Context, c *Call, world *World, r *entry.Request, step entry.Step) (*wire.Outcome, decide.Result) {
+	id := step.Server
 	server := world.Servers[id]
 	if server == nil { // the list is newer than the request's
 		server = o.world().Servers[id]
@@ -243,9 +311,9 @@
 	}
 	q := &wire.Forward{
 		Member: id, Service: r.Service, Method: c.Method, Target: c.Target, Body: c.Body, Caller: o.Backend,
-		Priority: r.Rank, Attempt: c.Headers.Get("Attempt-Id"), Repeat: r.Repeat(),
+		Priority: r.Rank, Attempt: c.Headers.Get("Attempt-Id"), Repeat: step.Repeat,
 		LeftMs: uint32(max(1, (r.Until - o.now()).Milliseconds())),
-		Zone:   o.Zone, Once: r.Once(), UsualMs: uint32(r.Usual().Milliseconds()), Insist: insist,
+		Zone:   o.Zone, Once: r.Once(), UsualMs: uint32(step.Usual.Milliseconds()), Insist: step.Insist,
 	}
 	for _, h := range http1.EndToEnd(c.Headers, "time-budget", "target-instance", "caller-service") {
 		q.Headers = append(q.Headers, &wire.Header{Name: h.Name, Value: h.Value})
