Keep a server in use while clients leave its node, and take it back at once

Cause: a node that got SIGTERM took its server off the list at once, though clients need two seconds to turn elsewhere, and its next life waited for the server's next beat; in a roll of many nodes a quarter of the capacity was gone. Crowds were remembered by requests, which grows with the nodes. Change: the server goes off the list 1.5 s after the signal and is adopted by the next process; crowd fades by time; repeats go on while nine in ten of their like are admitted; cold servers come last.

--- a/decide/mesh.go
+++ b/decide/mesh.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -16,7 +17,8 @@
 	gateCrowd  = 0.6                    // part of the stack shut where no request finds room at once
 	gateTold   = 8                      // reports of other nodes over which their pressure is averaged
 	toldFor    = time.Second            // how long one counts
-	gateRoom   = 24                     // requests over which that is averaged
+	gateRoom   = time.Second            // over which that is averaged ...
+	gateFew    = 8                      // ... as if so many more had found room
 	gateMemory = 8                      // outcomes over which r is averaged
 	meshSubset = 8                      // servers of a service that a node keeps to ...
 	meshFar    = 3                      // ... of which so many lie in other zones, where there are any
@@ -25,7 +27,8 @@
 	busyFor    = 200 * time.Millisecond // how long word of a queue counts
 	goneFor    = time.Second            // ... and one that takes nothing any more for so long
 	sickFor    = 600 * time.Millisecond // ... and one that fails too many, unless too many are sick
-	sickMost   = 0.4                    // part of the subset that may be left alone as sick; more is a common cause
+	untold     = 2                      // time that a server of which nothing is known is taken to need
+	sickMost   = 0.4                    // part of the subset that is left alone as sick; more has another cause
 )
 
 // Gate gives the verdict on new call graphs for one service. Its r is the period average of this node's own
@@ -34,7 +37,8 @@
 	rng       *rand.Rand
 	levels    []int // priorities, the lowest (largest number) first
 	r         float64
-	crowd     float64       // part of the requests that found no server with room at some moment
+	full, all float64       // requests that found no server with room at some moment, and all; fading
+	roomAt    time.Duration // the last of them
 	told      float64       // pressure that other nodes see, averaged ...
 	toldAt    time.Duration // ... and when one last spoke of it
 	sum       float64
@@ -60,16 +64,23 @@
 
 // Room notes whether a request was taken, or found no server with room at some moment. It says at once what r
 // would say once those who wait have been answered.
-func (g *Gate) Room(taken bool) {
-	g.crowd *= 1 - 1.0/gateRoom
+func (g *Gate) Room(now time.Duration, taken bool) {
+	fade := g.fade(now)
+	g.full, g.all, g.roomAt = g.full*fade, g.all*fade+1, now
 	if !taken {
-		g.crowd += 1.0 / gateRoom
+		g.full++
 	}
 }
 
+// fade is by time: a gate that admits few would else remember a crowd for long.
+func (g *Gate) fade(now time.Duration) float64 {
+	return math.Exp(-float64(now-g.roomAt) / float64(gateRoom))
+}
+
 // Pressure is r, or what stands in for it while requests find no room, in aims.
-func (g *Gate) Pressure() float64 {
-	return max(g.r, gateFoot+(gateTop-gateFoot)*gateCrowd*g.crowd)
+func (g *Gate) Pressure(now time.Duration) float64 {
+	fade := g.fade(now)
+	return max(g.r, gateFoot+(gateTop-gateFoot)*gateCrowd*g.full*fade/(g.all*fade+gateFew))
 }
 
 // Told takes the pressure that another node sees, where the calls of this node's graphs begin.
@@ -87,7 +98,7 @@
 // as its calls will pass them without a verdict.
 func (g *Gate) Admit(now time.Duration, priority int, behind ...*Gate) bool {
 	g.roll(now)
-	chance := g.Chance(priority)
+	chance := g.Chance(now, priority)
 	for _, b := range behind {
 		b.roll(now)
 		chance = min(chance, b.Behind(now, priority))
@@ -98,13 +109,15 @@
 // Behind is the probability with which a priority is admitted whose graphs call this service further inside.
 func (g *Gate) Behind(now time.Duration, priority int) float64 {
 	if now-g.toldAt > toldFor {
-		return g.Chance(priority)
+		return g.Chance(now, priority)
 	}
-	return g.chance(max(g.Pressure(), g.told), priority)
+	return g.chance(max(g.Pressure(now), g.told), priority)
 }
 
 // Chance is the probability with which a priority is admitted at the present r.
-func (g *Gate) Chance(priority int) float64 { return g.chance(g.Pressure(), priority) }
+func (g *Gate) Chance(now time.Duration, priority int) float64 {
+	return g.chance(g.Pressure(now), priority)
+}
 
 func (g *Gate) chance(r float64, priority int) float64 {
 	level := slices.IndexFunc(g.levels, func(p int) bool { return p <= priority })
@@ -219,8 +232,8 @@
 
 // Pick returns the server for a call: of two random members of the subset the one with fewer own calls in
 // flight, in this zone where that is not much busier. Servers before which requests wait come after those of
-// any zone that have room. Those in tried are left out, and those that are sick, unless so many are that the cause
-// must lie elsewhere. Where none of the subset is left, any other server is better than no answer.
+// any zone that have room. Those in tried are left out, and those that are sick, unless so many are that the
+// cause must lie elsewhere. Where none of the subset is left, any other server is better than no answer.
 func (p *Picker) Pick(now time.Duration, tried []string) (id string, sick, ok bool) {
 	wave := p.wave(now)
 	for _, room := range []bool{true, false} {
@@ -233,15 +246,17 @@
 			return far.ID, far.sick > now, true
 		}
 	}
-	p.scratch = p.scratch[:0]
-	for _, t := range p.targets {
-		if !slices.Contains(tried, t.ID) && t.rest <= now && (wave || t.sick <= now) {
-			p.scratch = append(p.scratch, t)
+	for _, wave := range []bool{wave, true} {
+		p.scratch = p.scratch[:0]
+		for _, t := range p.targets {
+			if !slices.Contains(tried, t.ID) && t.rest <= now && (wave || t.sick <= now) {
+				p.scratch = append(p.scratch, t)
+			}
+		}
+		slices.SortFunc(p.scratch, func(a, b *target) int { return strings.Compare(a.ID, b.ID) })
+		if t := lesser(p.rng, p.scratch, (*target).load); t != nil {
+			return t.ID, t.sick > now, true
 		}
-	}
-	slices.SortFunc(p.scratch, func(a, b *target) int { return strings.Compare(a.ID, b.ID) })
-	if t := lesser(p.rng, p.scratch, (*target).load); t != nil {
-		return t.ID, t.sick > now, true
 	}
 	return "", false, false
 }
@@ -261,12 +276,13 @@
 
 // load is the own calls in flight, weighed by what the node beside the server says: with one call in flight
 // or none, as on most servers of a large mesh, the count alone is blind.
-func (t *target) load() float64 { return float64(t.inflight+1) * cmp.Or(t.told, 1) }
+func (t *target) load() float64 { return float64(t.inflight+1) * cmp.Or(t.told, untold) }
 
 func (p *Picker) usable(now time.Duration, list []*target, tried []string, room, wave bool) []*target {
 	p.scratch = p.scratch[:0]
 	for _, t := range list {
-		if !t.out(now) && t.rest <= now && !(room && t.busy > now) && (wave || t.sick <= now) && !slices.Contains(tried, t.ID) {
+		fit := !t.out(now) && t.rest <= now && !(room && t.busy > now) && (wave || t.sick <= now)
+		if fit && !slices.Contains(tried, t.ID) {
 			p.scratch = append(p.scratch, t)
 		}
 	}
@@ -281,8 +297,8 @@
 }
 
 // End takes the result of a call. Full is a server without room, NotSent one that takes nothing any more;
-// waiting says that requests wait before it, as the node beside it sees, and told how long a request takes there
-// in the time of its like elsewhere; 0: it says nothing.
+// waiting says that requests wait before it, as the node beside it sees, and told how long a request takes
+// there in the time of its like elsewhere; 0: it says nothing.
 func (p *Picker) End(now time.Duration, id string, r Result, waiting bool, told float64) {
 	t := p.targets[id]
 	if t == nil {
--- a/decide/mesh_test.go
+++ b/decide/mesh_test.go
@@ -37,7 +37,7 @@
 		g.Priorities([]int{0, 2, 1, 2})
 		now := settle(g, c.r)
 		for p, want := range []float64{c.high, c.middle, c.low} {
-			if got := g.Chance(p); math.Abs(got-want) > 0.01 {
+			if got := g.Chance(0, p); math.Abs(got-want) > 0.01 {
 				t.Errorf("r %.2f: priority %d has chance %.3f, want %.3f", g.Reading(), p, got, want)
 			}
 			in := 0
@@ -79,7 +79,7 @@
 		x.Begin(0)
 	}
 	for i := range 200 {
-		behind.Room(i%2 > 0)
+		behind.Room(0, i%2 > 0)
 	}
 	in := [3]int{}
 	for range 1000 {
--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -31,6 +31,7 @@
 	clientsGo   = 2500 * time.Millisecond
 	stopMargin  = 1600 * time.Millisecond // before the platform kills the process: no further request is begun
 	leaveMargin = 600 * time.Millisecond  // the same: the process ends
+	serverGoes  = 1500 * time.Millisecond // after SIGTERM, until then the server beside the node has work as ever
 	callWait    = time.Second
 	cutFor      = 200 * time.Millisecond // before the end requests are called off, so that they have an answer
 )
@@ -50,10 +51,11 @@
 	began    time.Time
 	workers  sync.WaitGroup
 
-	leaving atomic.Bool
-	fenced  atomic.Bool   // the news are as new as what was acknowledged before the start
-	served  atomic.Bool   // there is a configuration and a server
-	shares  budget.Shares // the upkeep's own
+	leaving  atomic.Bool
+	emptying atomic.Bool   // the server beside the node takes nothing more: the node is about to end
+	fenced   atomic.Bool   // the news are as new as what was acknowledged before the start
+	served   atomic.Bool   // there is a configuration and a server
+	shares   budget.Shares // the upkeep's own
 
 	parsed   []byte // what config was parsed from
 	config   *meshconfig.Config
@@ -327,11 +329,15 @@
 	began := time.Now()
 	n.leaving.Store(true)
 	n.front.Leave()
-	n.inbound.Poke() // the list has to say so
 	n.log.Info("data.leaving")
 	grace := n.set.Load().Bounds.Grace
 	calm := func() bool { return n.front.Pending() == 0 && n.inbound.Busy() == 0 }
 	for time.Since(began) < grace-stopMargin && !(time.Since(began) >= clientsGo && calm()) {
+		// Clients take two seconds to go elsewhere, in which the server's work may go on. In a roll of many nodes
+		// that is a good part of the capacity.
+		if time.Since(began) >= min(serverGoes, grace/4) && !n.emptying.Swap(true) {
+			n.inbound.Poke() // the list has to say so
+		}
 		time.Sleep(50 * time.Millisecond)
 	}
 	// Some clients come to the end, where few other nodes are ready. What they send
--- a/internal/data/servers.go
+++ b/internal/data/servers.go
@@ -17,6 +17,7 @@
 
 const (
 	mostBeat     = 4 << 10
+	mostWarmMs   = 600_000                // a server that says it is slow for longer is taken to be so for this
 	registerWait = 300 * time.Millisecond // for an accepted change to come back as news
 	registerTick = time.Second
 	markWait     = 800 * time.Millisecond // for a drain mark to come back as news; a beat waits for a second
@@ -114,6 +115,7 @@
 	}
 	return proxy.Beat{
 		Service: b.Backend, Address: b.Address, Zone: b.Zone, Slots: b.Slots, Draining: b.Status == "draining", Seq: b.Seq,
+		Warm: time.Duration(max(0, min(b.WarmupMs, mostWarmMs)) * float64(time.Millisecond)),
 	}, nil
 }
 
@@ -146,7 +148,7 @@
 // difference is what has to change in the list.
 func (n *Node) difference() []*wire.Command {
 	set := n.set.Load()
-	m := station.Machine{Node: set.Node, Address: set.Internal(), Zone: set.Zone, Leaving: n.leaving.Load()}
+	m := station.Machine{Node: set.Node, Address: set.Internal(), Zone: set.Zone, Leaving: n.emptying.Load()}
 	return station.Difference(m, n.inbound.Servers(), n.hub.State().Servers, time.Since(n.began) < 2*set.Heartbeat)
 }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -134,7 +134,7 @@
 	}
 	tab.enter(t, "/safe/") // one in flight: else all are admitted
 	for range 400 {
-		tab.services["s"].gate.Room(false)
+		tab.services["s"].gate.Room(0, false)
 	}
 	refused, inner := 0, 0
 	for range 200 {
@@ -152,3 +152,58 @@
 		t.Errorf("%v", got)
 	}
 }
+
+// TestHedge: a repeatable request whose first server takes far too long has a second one, and whatever the first then
+// says takes no answer away that the second can still give.
+func TestHedge(t *testing.T) {
+	fate := func(f wire.Outcome_Fate) *wire.Outcome { return &wire.Outcome{Fate: f} }
+	good, bad := &wire.Outcome{Status: 200}, &wire.Outcome{Status: 500}
+	for _, c := range []struct {
+		name          string
+		first, second *wire.Outcome
+		pass          bool // with the second's end
+		status        int
+	}{
+		{"the second answers", fate(wire.Outcome_BROKEN), good, true, 0},
+		{"the first fails itself", bad, good, true, 0},
+		{"the first had not run", fate(wire.Outcome_UNRUN), good, true, 0},
+		{"both break", fate(wire.Outcome_BROKEN), fate(wire.Outcome_BROKEN), false, 502},
+	} {
+		tab := table(t, 4)
+		tab.learn(0, "safe", &wire.Outcome{Status: 200, TookMs: 60})
+		r := tab.enter(t, "/safe/")
+		r.Route.MaxAttempts = 2
+		if after := r.HedgeAfter(); after != 120*ms {
+			t.Fatalf("a second server after %v", after)
+		}
+		one := r.Next(0)
+		two, ok := r.Hedge(120 * ms)
+		if !ok || two.Server == one.Server || !two.Repeat || one.Repeat {
+			t.Fatalf("%s: %+v behind %+v", c.name, two, one)
+		}
+		if _, ok := r.Hedge(121 * ms); ok {
+			t.Errorf("%s: a third server", c.name)
+		}
+		if final, pass := r.Done(130*ms, one.Server, c.first, Result(c.first)); final != nil || pass {
+			t.Errorf("%s: over while the second is at work: %v, %v", c.name, final, pass)
+		}
+		final, pass := r.Done(140*ms, two.Server, c.second, Result(c.second))
+		if pass != c.pass || !pass && final.Status != c.status {
+			t.Errorf("%s: %v, passed %v", c.name, final, pass)
+		}
+	}
+	tab := table(t, 4)
+	tab.learn(0, "once", &wire.Outcome{Status: 200, TookMs: 60})
+	if after := tab.enter(t, "/once/").HedgeAfter(); after != 0 {
+		t.Errorf("one that may run once has a second server after %v", after)
+	}
+	r := tab.enter(t, "/safe/")
+	tab.Share(0)
+	for r.service.budget.Left(0) >= hedgeReserve {
+		r.service.budget.Charge(0, 1)
+	}
+	r.Next(0)
+	if _, ok := r.Hedge(200 * ms); ok {
+		t.Error("a second server beyond the budget")
+	}
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -13,7 +13,9 @@
 	fullPause     = 15 * time.Millisecond // between looks for a server with room
 	patiencePart  = 5                     // a request without a server is given up after this part of its aim
 	leastPatience = 30 * time.Millisecond
-	mostTurned    = 12 // servers asked that turned one request away
+	mostTurned    = 12  // servers asked that turned one request away
+	looks         = 2   // servers asked for a slot at once before one is asked to let the request wait
+	repeatFrom    = 0.9 // chance of a request's like to be admitted, below which it is not repeated
 
 	hedgeX       = 2                     // usual times after which one that may run again is sent to a second server ...
 	hedgeLeastX  = 1.4                   // ... or sooner, where it would be late then, but not before this
@@ -94,6 +96,7 @@
 	Server string
 	Insist bool          // it may be sick: there is no better one
 	Repeat bool          // another server may run it, or may have
+	Queue  bool          // it may wait there for a slot
 	Usual  time.Duration // see Request.Usual
 	Wait   time.Duration
 }
@@ -126,7 +129,7 @@
 	// Nobody has room at this moment. Longer waits belong to the client.
 	if !r.crowded {
 		r.crowded = true
-		r.service.gate.Room(false)
+		r.service.gate.Room(now, false)
 	}
 	if now-r.since > r.patience() {
 		return Step{Final: r.giveUp("no server has room")}
@@ -142,7 +145,7 @@
 		return Step{}, false
 	}
 	r.service.picker.Begin(id)
-	step := Step{Server: id, Insist: sick, Repeat: r.ran || len(r.open) > 0, Usual: r.Usual()}
+	step := Step{Server: id, Insist: sick, Repeat: r.ran || len(r.open) > 0, Queue: r.turned >= looks, Usual: r.Usual()}
 	r.open = append(r.open, id)
 	r.tried = append(r.tried, id)
 	return step, true
@@ -183,7 +186,7 @@
 	r.service.picker.End(now, id, result, out.Waiting, float64(out.Load))
 	r.open = slices.DeleteFunc(r.open, func(o string) bool { return o == id })
 	if len(r.reached) == 0 && !r.crowded && out.Fate != wire.Outcome_UNSENT {
-		r.service.gate.Room(true)
+		r.service.gate.Room(now, true)
 	}
 	if out.Fate == wire.Outcome_UNSENT {
 		r.turned++
@@ -251,11 +254,11 @@
 // Where a gate has begun to refuse its like, its service's or that of one behind,
 // repeats would only add to the load.
 func (r *Request) mayRepeat(now time.Duration) bool {
-	if len(r.reached)+len(r.open) >= max(1, r.Route.MaxAttempts) || r.service.gate.Chance(r.Route.Priority) < 1 {
+	if len(r.reached)+len(r.open) >= max(1, r.Route.MaxAttempts) || r.service.gate.Chance(now, r.Route.Priority) < repeatFrom {
 		return false
 	}
 	for _, g := range r.table.behind(r.Route) {
-		if g.Behind(now, r.Route.Priority) < 1 {
+		if g.Behind(now, r.Route.Priority) < repeatFrom {
 			return false
 		}
 	}
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -45,7 +45,7 @@
 	}
 	w := &World{Config: config, Servers: make(map[string]*wire.Server, len(news.Servers))}
 	for _, s := range news.Servers {
-		if !s.Draining && !silent[s.Node] && !gone(s.Node) {
+		if !s.Draining && !s.Leaving && !silent[s.Node] && !gone(s.Node) {
 			w.Servers[s.Member] = s
 		}
 	}
@@ -191,9 +191,9 @@
 
 // Pressure is what the calls that begin at this node meet at a service; 0: the
 // service is not known.
-func (t *Table) Pressure(service string) float64 {
+func (t *Table) Pressure(now time.Duration, service string) float64 {
 	if s := t.services[service]; s != nil {
-		return s.gate.Pressure()
+		return s.gate.Pressure(now)
 	}
 	return 0
 }
@@ -213,7 +213,7 @@
 	for name, s := range t.services {
 		r := Reading{Service: name, R: s.gate.Reading(), Left: s.budget.Left(now)}
 		for p := range priorities {
-			r.Chances = append(r.Chances, s.gate.Chance(p))
+			r.Chances = append(r.Chances, s.gate.Chance(now, p))
 		}
 		list = append(list, r)
 	}
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -32,7 +32,8 @@
 
 	overdueX    = 6 // usual times after which a request that still runs counts as failed
 	overdueMin  = 600 * time.Millisecond
-	paceGain    = 0.05
+	paceGain    = 0.05 // of the newest run; the first count for more
+	relearn     = 3    // runs that its pace counts for, once it is warm
 	paceLeast   = 0.4
 	paceMost    = 4
 	mostZones   = 16
@@ -74,6 +75,8 @@
 	zones    map[string]*record
 	running  map[string]*run
 	pace     float64
+	paced    int           // runs that it is of
+	warm     time.Duration // until then it is slow from its start
 	answered time.Duration // when it last answered anything
 	many     time.Duration // since when several are under way
 	trialAt  time.Duration // of one that hangs
@@ -109,6 +112,15 @@
 	}
 }
 
+// Warm says how much longer the server is slow from its start. What its pace was until then says little of later.
+func (s *Server) Warm(now, left time.Duration) {
+	if left > 0 {
+		s.warm = now + left
+	} else if s.warm > 0 {
+		s.warm, s.paced = 0, min(s.paced, relearn)
+	}
+}
+
 // Pace is how long the server takes for a request, in the time that others take for its like.
 func (s *Server) Pace() float64 { return s.pace }
 
@@ -185,7 +197,8 @@
 	}
 	if how == Served && r.Usual > 0 {
 		ratio := min(paceMost, float64(now-r.began)/float64(r.Usual))
-		s.pace = max(paceLeast, s.pace+(ratio-s.pace)*paceGain)
+		s.paced++
+		s.pace = max(paceLeast, s.pace+(ratio-s.pace)*max(paceGain, 1/float64(s.paced+1)))
 	}
 	return s.note(now, r, how == Served)
 }
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -290,7 +290,7 @@
 		return
 	}
 	to := s.nodes[s.index[listed.Node]]
-	ask := station.Ask{Member: id, Service: r.Service, Attempt: t.id, Priority: r.Rank, Repeat: step.Repeat,
+	ask := station.Ask{Member: id, Service: r.Service, Attempt: t.id, Priority: r.Rank, Repeat: step.Repeat, Wait: step.Queue,
 		Call: health.Call{Zone: n.zone, Usual: step.Usual, Once: r.Once(), Insist: step.Insist}}
 	until := r.Until
 	tries := r.Tries()
@@ -331,7 +331,7 @@
 			n.tell(f.Verdicts)
 			out.Waiting, out.Load = f.Waiting, float32(f.Load)
 			for _, c := range f.Called {
-				out.Called = append(out.Called, &wire.Called{Service: c.Service, Times: c.Times, Pressure: n.table.Pressure(c.Service)})
+				out.Called = append(out.Called, &wire.Called{Service: c.Service, Times: c.Times, Pressure: n.table.Pressure(s.now, c.Service)})
 			}
 			done(out)
 		})
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -229,7 +229,7 @@
 func (in *Inbound) Forward(ctx context.Context, q *wire.Forward) (*wire.Outcome, error) {
 	until := time.Now().Add(time.Duration(q.LeftMs) * time.Millisecond)
 	ask := station.Ask{
-		Member: q.Member, Service: q.Service, Attempt: q.Attempt, Priority: q.Priority, Repeat: q.Repeat,
+		Member: q.Member, Service: q.Service, Attempt: q.Attempt, Priority: q.Priority, Repeat: q.Repeat, Wait: q.Wait,
 		Call: health.Call{Zone: q.Zone, Usual: time.Duration(q.UsualMs) * time.Millisecond, Once: q.Once, Insist: q.Insist},
 	}
 	t := new(ticket)
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -71,7 +71,7 @@
 func (o *Outbound) Pressure(service string) float64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.table.Pressure(service)
+	return o.table.Pressure(o.now(), service)
 }
 
 // Update takes news of the world.
@@ -313,7 +313,7 @@
 		Member: id, Service: r.Service, Method: c.Method, Target: c.Target, Body: c.Body, Caller: o.Backend,
 		Priority: r.Rank, Attempt: c.Headers.Get("Attempt-Id"), Repeat: step.Repeat,
 		LeftMs: uint32(max(1, (r.Until - o.now()).Milliseconds())),
-		Zone:   o.Zone, Once: r.Once(), UsualMs: uint32(step.Usual.Milliseconds()), Insist: step.Insist,
+		Zone:   o.Zone, Once: r.Once(), UsualMs: uint32(step.Usual.Milliseconds()), Insist: step.Insist, Wait: step.Queue,
 	}
 	for _, h := range http1.EndToEnd(c.Headers, "time-budget", "target-instance", "caller-service") {
 		q.Headers = append(q.Headers, &wire.Header{Name: h.Name, Value: h.Value})
--- a/internal/station/register.go
+++ b/internal/station/register.go
@@ -28,7 +28,7 @@
 	for _, b := range servers {
 		want := &wire.Server{
 			Member: b.ID, Service: b.Service, Node: m.Node, Address: m.Address, Zone: m.Zone,
-			Slots: uint32(b.Slots), Draining: b.Draining || m.Leaving,
+			Slots: uint32(b.Slots), Draining: b.Draining, Leaving: m.Leaving,
 		}
 		if !proto.Equal(want, old[b.ID]) {
 			todo = append(todo, &wire.Command{What: &wire.Command_Server{Server: want}})
--- a/internal/station/station.go
+++ b/internal/station/station.go
@@ -32,6 +32,7 @@
 	ID, Service, Address, Zone string
 	Slots                      int
 	Draining                   bool
+	Warm                       time.Duration // for so much longer it is slow from its start
 	Seq                        uint64
 }
 
@@ -40,6 +41,7 @@
 	Member, Service, Attempt string
 	Priority                 uint32 // 0 is the highest
 	Repeat                   bool   // an earlier try of it may have run
+	Wait                     bool   // it may wait for a slot
 	health.Call
 }
 
@@ -154,6 +156,7 @@
 	}
 	b.Draining = b.Draining || m.Draining // it never comes back from that
 	m.Beat, m.beatAt = b, now
+	m.health.Warm(now, b.Warm)
 	if b.Draining && !m.drained {
 		m.drained, m.drainedAt, h.Drains = true, now, true
 		if !m.heard {
@@ -317,6 +320,9 @@
 		s.Run(now, q)
 		return Slot, "", nil
 	}
+	if !q.Wait { // another server may have a slot, and a further hop is shorter than any wait
+		return Full, "no slot", nil
+	}
 	if len(m.queue) >= m.Slots*queueFactor {
 		last := m.queue[len(m.queue)-1]
 		if last.priority <= q.Priority {
--- a/internal/station/station_test.go
+++ b/internal/station/station_test.go
@@ -19,7 +19,7 @@
 }
 
 func ask(id string, priority uint32) Ask {
-	return Ask{Member: "i", Service: "s", Attempt: id, Priority: priority}
+	return Ask{Member: "i", Service: "s", Attempt: id, Priority: priority, Wait: true}
 }
 
 // TestQueue fills a server's slots: higher priorities go first, the lowest lose
@@ -36,6 +36,11 @@
 			t.Errorf("request %d: %v, %v", i, place, v)
 		}
 	}
+	first := ask("first", 0)
+	first.Wait = false
+	if place, _, _ := s.Arrive(0, first, "first"); place != Full {
+		t.Errorf("one that may go elsewhere: %v", place)
+	}
 	if f := s.Finish(ms, "i", "0", health.Served); !f.Waiting || !slices.Equal(f.Verdicts, []Verdict[string]{{"4", true}}) {
 		t.Errorf("the highest did not go first: %+v", f)
 	}
@@ -116,8 +121,8 @@
 	if !s.Adopt(0, Beat{ID: "old", Service: "s", Address: "a", Slots: 1}) || s.Adopt(0, Beat{ID: "x", Service: "s", Address: "a", Slots: 1}) {
 		t.Error("adopting works once, and only before any beat")
 	}
-	s.Arrive(0, Ask{Member: "old", Service: "s", Attempt: "1"}, "1")
-	s.Arrive(0, Ask{Member: "old", Service: "s", Attempt: "2"}, "2")
+	s.Arrive(0, Ask{Member: "old", Service: "s", Attempt: "1", Wait: true}, "1")
+	s.Arrive(0, Ask{Member: "old", Service: "s", Attempt: "2", Wait: true}, "2")
 	h := s.Beat(ms, Beat{ID: "new", Service: "s", Address: "a", Slots: 1})
 	if !slices.Equal(h.Ended, []string{"old"}) || !slices.Equal(h.Verdicts, []Verdict[string]{{"2", false}}) {
 		t.Errorf("a new life at the address: %+v", h)
