--- a/decide/mesh.go
+++ b/decide/mesh.go
@@ -28,7 +28,7 @@
 	goneFor    = time.Second            // ... and one that takes nothing any more for so long
 	sickFor    = 600 * time.Millisecond // ... and one that fails too many, unless too many are sick
 	untold     = 2                      // time that a server of which nothing is known is taken to need
-	sickMost   = 0.4                    // part of the subset that is left alone as sick; more has another cause
+	sickMost   = 0.4                    // part of the subset that is left alone as sick, at most
 )
 
 // Gate gives the verdict on new call graphs for one service. Its r is the period average of this node's own
