--- a/decide/mesh.go
+++ b/decide/mesh.go
@@ -13,12 +13,13 @@
 const (
 	gatePeriod = 500 * time.Millisecond // between two readings of r
 	gateFoot   = 0.8                    // r, in aims, below which the lowest priority is let in whole
+	gateCalm   = 0.83                   // pressure below which there is work to spare
 	gateTop    = 2.0                    // r, in aims, at which even the highest is shut out
 	gateCrowd  = 0.6                    // part of the stack shut where no request finds room at once
 	gateTold   = 8                      // reports of other nodes over which their pressure is averaged
 	toldFor    = time.Second            // how long one counts
 	gateRoom   = time.Second            // over which that is averaged ...
-	gateFew    = 8                      // ... as if so many more had found room
+	gateFew    = 2                      // ... as if so many more had found room
 	gateMemory = 8                      // outcomes over which r is averaged
 	meshSubset = 8                      // servers of a service that a node keeps to ...
 	meshFar    = 3                      // ... of which so many lie in other zones, where there are any
@@ -27,6 +28,7 @@
 	busyFor    = 200 * time.Millisecond // how long word of a queue counts
 	goneFor    = time.Second            // ... and one that takes nothing any more for so long
 	sickFor    = 600 * time.Millisecond // ... and one that fails too many, unless too many are sick
+	fillFor    = 400 * time.Millisecond // after which word of a server's load counts for a third
 	untold     = 2                      // time that a server of which nothing is known is taken to need
 	sickMost   = 0.4                    // part of the subset that is left alone as sick, at most
 )
@@ -83,6 +85,9 @@
 	return max(g.r, gateFoot+(gateTop-gateFoot)*gateCrowd*g.full*fade/(g.all*fade+gateFew))
 }
 
+// Calm tells whether there is work to spare: nothing is about to be refused.
+func (g *Gate) Calm(now time.Duration) bool { return g.Pressure(now) < gateCalm }
+
 // Told takes the pressure that another node sees, where the calls of this node's graphs begin.
 func (g *Gate) Told(now time.Duration, pressure float64) {
 	if now-g.toldAt > toldFor {
@@ -162,6 +167,13 @@
 	g.periodEnd = now + gatePeriod
 }
 
+// Word is what the node beside a server says of it; without a Pace it says nothing.
+type Word struct {
+	Pace    float64 // time that a request takes there, in the time of its like elsewhere
+	Fill    float64 // requests that it has and that wait for it, by its slots
+	Waiting bool    // some wait
+}
+
 // Target is a server as the list has it.
 type Target struct {
 	ID   string
@@ -172,11 +184,13 @@
 type target struct {
 	Target
 	health
-	rank uint64
-	rest time.Duration // left alone until then
-	busy time.Duration // requests wait there, until then as far as is known
-	sick time.Duration // it fails too many, the same
-	told float64       // time that a request takes there against others; 0: not known
+	rank   uint64
+	rest   time.Duration // left alone until then
+	busy   time.Duration // requests wait there, until then as far as is known
+	sick   time.Duration // it fails too many, the same
+	pace   float64       // time that a request takes there against others; 0: not known
+	fill   float64       // its slots that were taken, as last heard ...
+	toldAt time.Duration // ... then
 }
 
 // Picker picks the servers for one service's calls.
@@ -235,10 +249,10 @@
 // any zone that have room. Those in tried are left out, and those that are sick, unless so many are that the
 // cause must lie elsewhere. Where none of the subset is left, any other server is better than no answer.
 func (p *Picker) Pick(now time.Duration, tried []string) (id string, sick, ok bool) {
-	wave := p.wave(now)
+	wave, load := p.wave(now), p.load(now)
 	for _, room := range []bool{true, false} {
-		near := lesser(p.rng, p.usable(now, p.near, tried, room, wave), (*target).load)
-		far := lesser(p.rng, p.usable(now, p.far, tried, room, wave), (*target).load)
+		near := lesser(p.rng, p.usable(now, p.near, tried, room, wave), load)
+		far := lesser(p.rng, p.usable(now, p.far, tried, room, wave), load)
 		switch {
 		case near != nil && (far == nil || near.inflight < far.inflight+farStep):
 			return near.ID, near.sick > now, true
@@ -254,7 +268,7 @@
 			}
 		}
 		slices.SortFunc(p.scratch, func(a, b *target) int { return strings.Compare(a.ID, b.ID) })
-		if t := lesser(p.rng, p.scratch, (*target).load); t != nil {
+		if t := lesser(p.rng, p.scratch, load); t != nil {
 			return t.ID, t.sick > now, true
 		}
 	}
@@ -274,9 +288,15 @@
 	return sick == all || float64(sick) > max(1, sickMost*float64(all))
 }
 
-// load is the own calls in flight, weighed by what the node beside the server says: with one call in flight
-// or none, as on most servers of a large mesh, the count alone is blind.
-func (t *target) load() float64 { return float64(t.inflight+1) * cmp.Or(t.told, untold) }
+// load is the own calls in flight, weighed by what the node beside the server says of its pace and, as long
+// as that is fresh, of its load: with one call in flight or none, as on most servers of a large mesh, the count
+// alone is blind. What is old may not keep a server empty that nobody asks any more.
+func (p *Picker) load(now time.Duration) func(t *target) float64 {
+	return func(t *target) float64 {
+		fill := t.fill * math.Exp(-float64(now-t.toldAt)/float64(fillFor))
+		return float64(t.inflight+1) * cmp.Or(t.pace, untold) * (1 + fill)
+	}
+}
 
 func (p *Picker) usable(now time.Duration, list []*target, tried []string, room, wave bool) []*target {
 	p.scratch = p.scratch[:0]
@@ -297,20 +317,19 @@
 }
 
 // End takes the result of a call. Full is a server without room, NotSent one that takes nothing any more;
-// waiting says that requests wait before it, as the node beside it sees, and told how long a request takes
-// there in the time of its like elsewhere; 0: it says nothing.
-func (p *Picker) End(now time.Duration, id string, r Result, waiting bool, told float64) {
+// word is what the node beside it says of it.
+func (p *Picker) End(now time.Duration, id string, r Result, word Word) {
 	t := p.targets[id]
 	if t == nil {
 		return
 	}
 	t.inflight = max(0, t.inflight-1)
 	t.busy = 0
-	if waiting {
+	if word.Waiting {
 		t.busy = now + busyFor
 	}
-	if told > 0 {
-		t.told = told
+	if word.Pace > 0 {
+		t.pace, t.fill, t.toldAt = word.Pace, word.Fill, now
 	}
 	switch r {
 	case Sick:
--- a/decide/mesh_test.go
+++ b/decide/mesh_test.go
@@ -116,10 +116,10 @@
 	}
 	// One that fails again and again is left alone, one with a queue comes last, one that is tried never.
 	for range ejectAfter {
-		p.End(0, "near0", Broken, false, 0)
+		p.End(0, "near0", Broken, Word{})
 	}
 	for _, id := range []string{"near1", "near2", "near3"} {
-		p.End(0, id, Served, true, 0)
+		p.End(0, id, Served, Word{Waiting: true})
 	}
 	for range 50 {
 		if id, _, _ := p.Pick(0, []string{"far0"}); id == "far0" || id[0] == 'n' {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -14,13 +14,15 @@
 	patiencePart  = 5                     // a request without a server is given up after this part of its aim
 	leastPatience = 30 * time.Millisecond
 	mostTurned    = 12  // servers asked that turned one request away
-	looks         = 2   // servers asked for a slot at once before one is asked to let the request wait
+	looks         = 2   // servers asked for a slot at once before one is asked to let it wait, while there is work to spare
 	repeatFrom    = 0.9 // chance of a request's like to be admitted, below which it is not repeated
 
 	hedgeX       = 2                     // usual times after which one that may run again is sent to a second server ...
 	hedgeLeastX  = 1.4                   // ... or sooner, where it would be late then, but not before this
 	hedgeLeast   = 50 * time.Millisecond // never sooner
 	hedgeReserve = 3                     // repeats that are left for requests that have failed
+	hedgeShare   = 0.04                  // of a service's requests, at most: where all are slow, no server is better
+	hedgeSaved   = 2                     // that may be asked for at once
 )
 
 // Entrant is a request as it comes to the node.
@@ -67,6 +69,7 @@
 		return nil, &Final{503, "no such service", 500 * time.Millisecond}
 	}
 	s.budget.Request(now)
+	s.hedges = min(hedgeSaved, s.hedges+hedgeShare)
 	if e.Again { // calls of a repeat are repeats at the service that is called
 		s.budget.Charge(now, 1)
 	}
@@ -107,9 +110,15 @@
 // Usual is the usual time of its route's runs; 0: not known.
 func (r *Request) Usual() time.Duration { return r.table.usual[r.Route.Name] }
 
+// end tells the picker of a try's end.
+func (r *Request) end(now time.Duration, id string, out *wire.Outcome, result decide.Result) {
+	word := decide.Word{Pace: float64(out.Pace), Fill: float64(out.Fill), Waiting: out.Waiting}
+	r.service.picker.End(now, id, result, word)
+}
+
 // Late takes what came of a try after the final answer.
 func (r *Request) Late(now time.Duration, id string, out *wire.Outcome, result decide.Result) {
-	r.service.picker.End(now, id, result, out.Waiting, float64(out.Load))
+	r.end(now, id, out, result)
 	if out.Fate == wire.Outcome_ANSWERED {
 		r.table.learn(now, r.Route.Name, out)
 	}
@@ -145,7 +154,7 @@
 		return Step{}, false
 	}
 	r.service.picker.Begin(id)
-	step := Step{Server: id, Insist: sick, Repeat: r.ran || len(r.open) > 0, Queue: r.turned >= looks, Usual: r.Usual()}
+	step := Step{Server: id, Insist: sick, Repeat: r.ran || len(r.open) > 0, Queue: r.turned >= looks || !r.service.gate.Calm(now), Usual: r.Usual()}
 	r.open = append(r.open, id)
 	r.tried = append(r.tried, id)
 	return step, true
@@ -168,9 +177,11 @@
 // Hedge asks for a second server while the first is still at work. Whichever has an answer first gives the final
 // one. The budget pays for it as for any repeat.
 func (r *Request) Hedge(now time.Duration) (Step, bool) {
-	if r.Once() || len(r.open) != 1 || r.service.budget.Left(now) < hedgeReserve || !r.mayRepeat(now) {
+	s := r.service
+	if r.Once() || len(r.open) != 1 || s.hedges < 1 || !s.gate.Calm(now) || s.budget.Left(now) < hedgeReserve || !r.mayRepeat(now) {
 		return Step{}, false
 	}
+	s.hedges--
 	return r.pick(now)
 }
 
@@ -183,7 +194,7 @@
 // Done takes what came of a try. It returns the final answer, or none; pass: the server's own answer is the final
 // one. Where there is none, the tries that are still under way go on, and without any Next does.
 func (r *Request) Done(now time.Duration, id string, out *wire.Outcome, result decide.Result) (final *Final, pass bool) {
-	r.service.picker.End(now, id, result, out.Waiting, float64(out.Load))
+	r.end(now, id, out, result)
 	r.open = slices.DeleteFunc(r.open, func(o string) bool { return o == id })
 	if len(r.reached) == 0 && !r.crowded && out.Fate != wire.Outcome_UNSENT {
 		r.service.gate.Room(now, true)
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -76,6 +76,7 @@
 	gate   *decide.Gate
 	picker *decide.Picker
 	budget *budget.Budget
+	hedges float64 // second tries of slow requests that may be made
 }
 
 // NewTable returns a Table that has been told nothing.
@@ -117,7 +118,7 @@
 		if s == nil && len(t.services) < mostServices {
 			s = &service{
 				gate: decide.NewGate(t.rng.Uint64(), now), picker: decide.NewPicker(t.opt.Node, t.rng.Uint64()),
-				budget: budget.New(t.opt.Ratio, t.opt.Window),
+				budget: budget.New(t.opt.Ratio, t.opt.Window), hedges: hedgeSaved,
 			}
 			s.budget.Share(t.slack)
 			t.services[b.Name] = s
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -329,7 +329,7 @@
 			out := &wire.Outcome{Fate: fate, Status: status, TookMs: uint32((s.now - began).Milliseconds())}
 			f := n.station.Finish(s.now, ask.Member, ask.Attempt, station.EndOf(out))
 			n.tell(f.Verdicts)
-			out.Waiting, out.Load = f.Waiting, float32(f.Load)
+			out.Waiting, out.Pace, out.Fill = f.Waiting, float32(f.Pace), float32(f.Fill)
 			for _, c := range f.Called {
 				out.Called = append(out.Called, &wire.Called{Service: c.Service, Times: c.Times, Pressure: n.table.Pressure(s.now, c.Service)})
 			}
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -266,7 +266,8 @@
 	f := in.station.Finish(now, q.Member, q.Attempt, end)
 	tell(f.Verdicts)
 	in.mu.Unlock()
-	out.Waiting, out.Load, out.TookMs = f.Waiting, float32(f.Load), uint32((now - began).Milliseconds())
+	out.Waiting, out.Pace, out.Fill = f.Waiting, float32(f.Pace), float32(f.Fill)
+	out.TookMs = uint32((now - began).Milliseconds())
 	if f.Out {
 		in.Log.Warn("server.sick", "member", q.Member, "zone", q.Zone, "last", out.Fate.String(), "status", out.Status, "why", out.Why)
 	}
--- a/internal/station/station.go
+++ b/internal/station/station.go
@@ -422,7 +422,8 @@
 type Finished[T comparable] struct {
 	Called    []Called // by the run
 	Waiting   bool     // the server has no slot left
-	Load      float64  // time that a further request would take there, in the time of its like on an idle, usual server
+	Pace      float64  // time that a request takes there, in the usual time of its like
+	Fill      float64  // requests that it has and that wait for it, by its slots
 	Out, Back bool     // its server was taken out for its failures, for some callers at least, or has come back
 	Verdicts  []Verdict[T]
 }
@@ -449,7 +450,7 @@
 		f.Verdicts = append(f.Verdicts, m.clear()...)
 	}
 	f.Waiting = len(m.queue) > 0 || m.inflight >= m.Slots
-	f.Load = m.health.Pace() * (1 + float64(m.inflight+len(m.queue))/float64(m.Slots))
+	f.Pace, f.Fill = m.health.Pace(), float64(m.inflight+len(m.queue))/float64(m.Slots)
 	return f
 }
 
