--- a/decide/mesh.go
+++ b/decide/mesh.go
@@ -13,7 +13,8 @@
 const (
 	gatePeriod = 500 * time.Millisecond // between two readings of r
 	gateFoot   = 0.8                    // r, in aims, below which the lowest priority is let in whole
-	gateCalm   = 0.83                   // pressure below which there is work to spare
+	gateCalm   = 0.83                   // pressure below which nobody has to wait for a slot
+	gateIdle   = 0.5                    // r below which there is work to spare
 	gateTop    = 2.0                    // r, in aims, at which even the highest is shut out
 	gateCrowd  = 0.6                    // part of the stack shut where no request finds room at once
 	gateTold   = 8                      // reports of other nodes over which their pressure is averaged
@@ -85,9 +86,12 @@
 	return max(g.r, gateFoot+(gateTop-gateFoot)*gateCrowd*g.full*fade/(g.all*fade+gateFew))
 }
 
-// Calm tells whether there is work to spare: nothing is about to be refused.
+// Calm tells whether nothing is about to be refused.
 func (g *Gate) Calm(now time.Duration) bool { return g.Pressure(now) < gateCalm }
 
+// Idle tells whether requests find room at once, and are answered well within their aims.
+func (g *Gate) Idle(now time.Duration) bool { return g.r < gateIdle && g.Pressure(now) < gateFoot+0.001 }
+
 // Told takes the pressure that another node sees, where the calls of this node's graphs begin.
 func (g *Gate) Told(now time.Duration, pressure float64) {
 	if now-g.toldAt > toldFor {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -15,13 +15,13 @@
 	leastPatience = 30 * time.Millisecond
 	mostTurned    = 12  // servers asked that turned one request away
 	looks         = 2   // servers asked for a slot at once before one is asked to let it wait, while there is work to spare
-	repeatFrom    = 0.9 // chance of a request's like to be admitted, below which it is not repeated
+	repeatFrom    = 0.999 // chance of a request's like to be admitted, below which it is not repeated
 
 	hedgeX       = 2                     // usual times after which one that may run again is sent to a second server ...
 	hedgeLeastX  = 1.4                   // ... or sooner, where it would be late then, but not before this
 	hedgeLeast   = 50 * time.Millisecond // never sooner
 	hedgeReserve = 3                     // repeats that are left for requests that have failed
-	hedgeShare   = 0.04                  // of a service's requests, at most: where all are slow, no server is better
+	hedgeShare   = 0.02                  // of a service's requests, at most: where all are slow, no server is better
 	hedgeSaved   = 2                     // that may be asked for at once
 )
 
@@ -178,7 +178,7 @@
 // one. The budget pays for it as for any repeat.
 func (r *Request) Hedge(now time.Duration) (Step, bool) {
 	s := r.service
-	if r.Once() || len(r.open) != 1 || s.hedges < 1 || !s.gate.Calm(now) || s.budget.Left(now) < hedgeReserve || !r.mayRepeat(now) {
+	if r.Once() || len(r.open) != 1 || s.hedges < 1 || !s.gate.Idle(now) || s.budget.Left(now) < hedgeReserve || !r.mayRepeat(now) {
 		return Step{}, false
 	}
 	s.hedges--
