--- a/decide/mesh.go
+++ b/decide/mesh.go
@@ -90,7 +90,9 @@
 func (g *Gate) Calm(now time.Duration) bool { return g.Pressure(now) < gateCalm }
 
 // Idle tells whether requests find room at once, and are answered well within their aims.
-func (g *Gate) Idle(now time.Duration) bool { return g.r < gateIdle && g.Pressure(now) < gateFoot+0.001 }
+func (g *Gate) Idle(now time.Duration) bool {
+	return g.r < gateIdle && g.Pressure(now) < gateFoot+0.001
+}
 
 // Told takes the pressure that another node sees, where the calls of this node's graphs begin.
 func (g *Gate) Told(now time.Duration, pressure float64) {
@@ -293,8 +295,8 @@
 }
 
 // load is the own calls in flight, weighed by what the node beside the server says of its pace and, as long
-// as that is fresh, of its load: with one call in flight or none, as on most servers of a large mesh, the count
-// alone is blind. What is old may not keep a server empty that nobody asks any more.
+// as that is fresh, of its load: with one call in flight or none, as on most servers of a large mesh, the
+// count alone is blind. What is old may not keep a server empty that nobody asks any more.
 func (p *Picker) load(now time.Duration) func(t *target) float64 {
 	return func(t *target) float64 {
 		fill := t.fill * math.Exp(-float64(now-t.toldAt)/float64(fillFor))
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -13,8 +13,8 @@
 	fullPause     = 15 * time.Millisecond // between looks for a server with room
 	patiencePart  = 5                     // a request without a server is given up after this part of its aim
 	leastPatience = 30 * time.Millisecond
-	mostTurned    = 12  // servers asked that turned one request away
-	looks         = 2   // servers asked for a slot at once before one is asked to let it wait, while there is work to spare
+	mostTurned    = 12    // servers asked that turned one request away
+	looks         = 2     // servers asked for a slot at once before one is asked to let it wait, while there is work to spare
 	repeatFrom    = 0.999 // chance of a request's like to be admitted, below which it is not repeated
 
 	hedgeX       = 2                     // usual times after which one that may run again is sent to a second server ...
