Let a request insist on the last server that is left, and old word of pace fade

Cause: a request that a sick server had just turned away counted as one without room, which stopped repeats; and a server that was slow once, or is new, could stay without work, as nobody asked it. Change: the last server is asked at once and lets it through; the word of a pace fades in 5 s, and one that nothing is known of counts as slow only at first.

--- a/decide/mesh.go
+++ b/decide/mesh.go
@@ -30,6 +30,7 @@
 	goneFor    = time.Second            // ... and one that takes nothing any more for so long
 	sickFor    = 600 * time.Millisecond // ... and one that fails too many, unless too many are sick
 	fillFor    = 400 * time.Millisecond // after which word of a server's load counts for a third
+	paceFor    = 5 * time.Second        // the same of its pace
 	untold     = 2                      // time that a server of which nothing is known is taken to need
 	sickMost   = 0.4                    // part of the subset that is left alone as sick, at most
 )
@@ -214,13 +215,13 @@
 }
 
 // List replaces the list of servers that may be sent to.
-func (p *Picker) List(list []Target) {
+func (p *Picker) List(now time.Duration, list []Target) {
 	old := p.targets
 	p.targets, p.near, p.far = make(map[string]*target, len(list)), nil, nil
 	for _, e := range list {
 		t := old[e.ID]
 		if t == nil {
-			t = &target{rank: hash(e.ID)}
+			t = &target{rank: hash(e.ID), pace: untold, toldAt: now}
 		}
 		t.Target = e
 		p.targets[e.ID] = t
@@ -294,13 +295,14 @@
 	return sick == all || float64(sick) > max(1, sickMost*float64(all))
 }
 
-// load is the own calls in flight, weighed by what the node beside the server says of its pace and, as long
-// as that is fresh, of its load: with one call in flight or none, as on most servers of a large mesh, the
-// count alone is blind. What is old may not keep a server empty that nobody asks any more.
+// load is the own calls in flight, weighed by what the node beside the server says of its pace and its load,
+// as long as that is fresh: with one call in flight or none, as on most servers of a large mesh, the count
+// alone is blind. What is old fades, lest a server stay empty that was slow once, or is new.
 func (p *Picker) load(now time.Duration) func(t *target) float64 {
 	return func(t *target) float64 {
-		fill := t.fill * math.Exp(-float64(now-t.toldAt)/float64(fillFor))
-		return float64(t.inflight+1) * cmp.Or(t.pace, untold) * (1 + fill)
+		age := float64(now - t.toldAt)
+		pace, fill := 1+(t.pace-1)*math.Exp(-age/float64(paceFor)), t.fill*math.Exp(-age/float64(fillFor))
+		return float64(t.inflight+1) * pace * (1 + fill)
 	}
 }
 
--- a/decide/mesh_test.go
+++ b/decide/mesh_test.go
@@ -100,7 +100,7 @@
 	for i := range 4 {
 		list = append(list, Target{ID: fmt.Sprint("near", i), Near: true}, Target{ID: fmt.Sprint("far", i)})
 	}
-	p.List(list)
+	p.List(0, list)
 	counts := map[string]int{}
 	for range 40 { // none ends: the load has to spread, over this zone first
 		id, _, ok := p.Pick(0, nil)
@@ -126,7 +126,7 @@
 			t.Errorf("picked %s", id)
 		}
 	}
-	p.List(list[:1])
+	p.List(0, list[:1])
 	if id, _, ok := p.Pick(0, nil); !ok || id != "near0" {
 		t.Errorf("the only server, though ejected, is better than none: %q, %v", id, ok)
 	}
@@ -135,6 +135,86 @@
 	}
 }
 
+// TestSickAreLeftAlone: unless too many are, which no server of them is to blame for, or no other is left.
+func TestSickAreLeftAlone(t *testing.T) {
+	for _, c := range []struct {
+		all, sick int
+		avoided   bool
+	}{{8, 1, true}, {8, 3, true}, {8, 4, false}, {8, 8, false}, {2, 1, true}, {2, 2, false}, {1, 1, false}, {3, 2, false}} {
+		p := NewPicker("n", 1)
+		var list []Target
+		for i := range c.all {
+			list = append(list, Target{ID: fmt.Sprint(i), Near: true})
+		}
+		p.List(0, list)
+		for i := range c.sick {
+			p.End(0, fmt.Sprint(i), Sick, Word{})
+		}
+		met := 0
+		for range 400 {
+			if id, sick, ok := p.Pick(0, nil); !ok || sick != (id < fmt.Sprint(c.sick)) {
+				t.Fatalf("%+v: picked %q, sick %v", c, id, sick)
+			} else if sick {
+				met++
+			}
+		}
+		if (met == 0) != c.avoided {
+			t.Errorf("%+v: %d of 400 went to sick ones", c, met)
+		}
+		if id, _, _ := p.Pick(sickFor, nil); id == "" {
+			t.Errorf("%+v: none later", c)
+		}
+	}
+	p := NewPicker("n", 1)
+	p.List(0, []Target{{ID: "a", Near: true}, {ID: "b", Near: true}, {ID: "c", Near: true}})
+	p.End(0, "c", Sick, Word{})
+	if id, sick, ok := p.Pick(0, []string{"a", "b"}); !ok || id != "c" || !sick {
+		t.Errorf("the last that is left: %q, %v, %v", id, sick, ok)
+	}
+}
+
+// TestWordBreaksTies: with no calls of its own a node goes by what it was told, as long as that is fresh.
+func TestWordBreaksTies(t *testing.T) {
+	const n = 4000
+	for _, c := range []struct {
+		name        string
+		slow, fast  Word
+		later       time.Duration
+		least, most float64 // part that the slow one of two has
+	}{
+		{"a slow server", Word{Pace: 1.4}, Word{Pace: 0.7}, time.Second, 0, 0},
+		{"one that was slow long ago", Word{Pace: 1.4}, Word{Pace: 0.7}, time.Hour, 0.45, 0.55},
+		{"one listed long ago that nobody has asked", Word{}, Word{Pace: 1}, time.Hour, 0.45, 0.55},
+		{"a full one", Word{Pace: 1, Fill: 1}, Word{Pace: 1}, 0, 0, 0},
+		{"one that was full long ago", Word{Pace: 1, Fill: 1}, Word{Pace: 1}, time.Minute, 0.45, 0.55},
+		{"one of which nothing is known", Word{}, Word{Pace: 1}, 0, 0, 0},
+	} {
+		p := NewPicker("n", 1)
+		p.List(0, []Target{{ID: "fast", Near: true}, {ID: "slow", Near: true}})
+		p.End(0, "slow", Served, c.slow)
+		p.End(0, "fast", Served, c.fast)
+		slow := 0
+		for range n {
+			if id, _, _ := p.Pick(c.later, nil); id == "slow" {
+				slow++
+			}
+		}
+		if part := float64(slow) / n; part < c.least || part > c.most {
+			t.Errorf("%s: %.2f of the calls", c.name, part)
+		}
+	}
+	p := NewPicker("n", 1)
+	p.List(0, []Target{{ID: "fast", Near: true}, {ID: "slow", Near: true}})
+	p.End(0, "slow", Served, Word{Pace: 1.4})
+	p.End(0, "fast", Served, Word{Pace: 0.7})
+	for range 2 {
+		p.Begin("fast")
+	}
+	if id, _, _ := p.Pick(0, nil); id != "slow" {
+		t.Error("own calls in flight do not count")
+	}
+}
+
 func TestSubsetsAreSmall(t *testing.T) {
 	var list []Target
 	for i := range 100 {
@@ -143,7 +223,7 @@
 	all := map[string]int{}
 	for n := range 60 {
 		p := NewPicker(fmt.Sprint("node", n), 1)
-		p.List(list)
+		p.List(0, list)
 		if len(p.near)+len(p.far) != meshSubset || len(p.far) != meshFar {
 			t.Fatalf("%d near and %d far", len(p.near), len(p.far))
 		}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -55,6 +55,7 @@
 	ran     bool          // it may have run
 	tried   []string      // servers not to be asked again
 	turned  int
+	sick    bool // a server has turned it away for failing too many
 	crowded bool // at some moment no server had room
 }
 
@@ -132,7 +133,13 @@
 	if now >= r.Until {
 		return Step{Final: r.giveUp("no server in time")}
 	}
-	if step, ok := r.pick(now); ok {
+	step, ok := r.pick(now)
+	if !ok && r.sick { // a sick server is better than none
+		r.sick = false
+		r.again()
+		step, ok = r.pick(now)
+	}
+	if ok {
 		return step
 	}
 	// Nobody has room at this moment. Longer waits belong to the client.
@@ -143,10 +150,13 @@
 	if now-r.since > r.patience() {
 		return Step{Final: r.giveUp("no server has room")}
 	}
-	r.tried = append(append(r.tried[:0], r.reached...), r.open...) // those that turned it away may have room by now
+	r.again()
 	return Step{Wait: min(fullPause, r.Until-now)}
 }
 
+// again lets those be asked again that turned it away: they may have room by now.
+func (r *Request) again() { r.tried = append(append(r.tried[:0], r.reached...), r.open...) }
+
 // pick begins a try, where there is a server for it.
 func (r *Request) pick(now time.Duration) (Step, bool) {
 	id, sick, ok := r.service.picker.Pick(now, r.tried)
@@ -201,6 +211,7 @@
 	}
 	if out.Fate == wire.Outcome_UNSENT {
 		r.turned++
+		r.sick = r.sick || out.Sick
 		if len(r.open) > 0 {
 			return nil, false
 		}
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -127,7 +127,7 @@
 			continue
 		}
 		s.gate.Priorities(priorities)
-		s.picker.List(lists[b.Name])
+		s.picker.List(now, lists[b.Name])
 	}
 	for name := range t.graphs {
 		if !slices.ContainsFunc(w.Config.Routes, func(r meshconfig.Route) bool { return r.Name == name }) {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -187,8 +187,8 @@
 		{"POST", "/once/other", "p", 502, 1, "the server gave no proper answer\n"},
 		{"GET", "/safe/other", "", 200, 2, "GET /safe/other "},
 		{"GET", "/none/x", "", 404, 0, "no route\n"},
-		{"POST", "/once/full", "p", 200, 2, "POST /once/full p"}, // not run, so another may have it
 		{"GET", "/safe/torn", "", 200, 2, "GET /safe/torn "},
+		{"POST", "/once/full", "p", 200, 2, "POST /once/full p"},                  // not run, so another may have it
 		{"POST", "/once/torn", "p", 502, 1, "the server gave no proper answer\n"}, // it may have run
 		{"POST", "/once/bare", "p", 502, 1, "the server gave no proper answer\n"},
 		{"POST", "/once/nobody", "p", 502, 1, "the server gave no proper answer\n"},
