Play the operator's resends and the real catalog in the consensus's simulation

Reported: two changes both confirmed while the network was cut. The simulation knew a register and no resends.

--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -1,17 +1,22 @@
 package raft
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/anishathalye/porcupine"
+	"github.com/vmihailenco/msgpack/v5"
 	"google.golang.org/protobuf/proto"
 
+	"curlewring/internal/catalog"
+	"curlewring/internal/meshconfig"
 	"curlewring/internal/simdisk"
 	"curlewring/internal/wire"
 )
@@ -29,7 +34,7 @@
 	n       int
 	disk    simdisk.Disk
 	core    *Core
-	value   string // the register that the log keeps
+	state   *catalog.Catalog // what the log keeps, as in service
 	applied uint64
 	skew    time.Duration // of its clock
 	frozen  time.Duration // until then
@@ -70,6 +75,7 @@
 	lastSeen map[int]string
 	nextID   uint64
 	wipes    int
+	resent   int
 	agreed   map[uint64]uint64 // term of the entry that was applied at an index
 	split    string            // two machines have applied different entries
 	batch    int               // entries in a message
@@ -85,7 +91,8 @@
 	}
 	m.core = New(m.disk.ID, m.disk.Hard, m.disk.Snap, slices.Clone(m.disk.Entries), w.rng.Uint64(), w.now+m.skew)
 	m.core.batch = w.batch
-	m.value, m.applied, m.led = string(m.disk.Snap.GetData()), m.disk.Snap.GetIndex(), false
+	m.restore(m.disk.Snap)
+	m.led = false
 	m.reads, m.writes, m.heard, m.inbox = map[uint64]*op{}, map[uint64]*op{}, map[uint64]int{}, nil
 }
 
@@ -122,7 +129,7 @@
 		}
 		m.disk.Sync()
 		if o.Snapshot != nil {
-			m.value, m.applied = string(o.Snapshot.Data), o.Snapshot.Index
+			m.restore(o.Snapshot)
 		}
 		if n := len(o.Entries); n > 0 {
 			m.core.Stable(o.Entries[n-1].Index)
@@ -147,12 +154,16 @@
 			if op := m.reads[r.Token]; op != nil {
 				delete(m.reads, r.Token)
 				if r.OK && m.applied >= r.Index {
-					w.finish(op, m.value)
+					w.finish(op, m.value())
 				}
 			}
 		}
 		if m.core.Backlog() > 40 {
-			if s := m.core.Compact(m.applied, []byte(m.value)); s != nil {
+			data, err := m.state.Snapshot()
+			if err != nil {
+				panic(err)
+			}
+			if s := m.core.Compact(m.applied, data); s != nil {
 				m.disk.Compact(s)
 			}
 		}
@@ -170,13 +181,17 @@
 	w.agreed[e.Index] = e.Term
 	verdict := ""
 	if e.Kind == wire.Entry_COMMAND {
-		var put wire.PutConfig
-		if err := proto.Unmarshal(e.Data, &put); err != nil {
+		cmd := new(wire.Command)
+		if err := proto.Unmarshal(e.Data, cmd); err != nil {
 			panic(err)
 		}
-		verdict = "stale"
-		if strconv.FormatUint(put.Base, 10) == m.value || put.Base == 0 && m.value == "" {
-			verdict, m.value = "ok", string(put.Body)
+		switch _, err := m.state.Apply(cmd); {
+		case err == nil:
+			verdict = "ok"
+		case errors.Is(err, catalog.ErrStale):
+			verdict = "stale"
+		default:
+			panic(err)
 		}
 	}
 	if op := m.writes[e.Index]; op != nil {
@@ -187,6 +202,37 @@
 	}
 }
 
+// restore takes the state of a snapshot, which may be that of a core without one.
+func (m *machine) restore(s *wire.RaftSnapshot) {
+	m.state, m.applied = catalog.New(), s.GetIndex()
+	if len(s.GetData()) > 0 {
+		if err := m.state.Restore(s.Data); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// value is the revision in force; empty: none.
+func (m *machine) value() string {
+	if r := m.state.Revision(); r > 0 {
+		return strconv.FormatUint(r, 10)
+	}
+	return ""
+}
+
+// configuration is a small valid one.
+func configuration(revision string) []byte {
+	n, err := strconv.Atoi(revision)
+	if err != nil {
+		panic(err)
+	}
+	body, err := msgpack.Marshal(&meshconfig.Config{Revision: uint64(n), Backends: []meshconfig.Backend{{Name: "s"}}})
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
 func (w *world) finish(o *op, result string) {
 	if w.pending[o.client] == o {
 		o.ret, o.result = w.now, result
@@ -249,13 +295,18 @@
 	}
 }
 
-// client begins a call at a machine, or gives one up.
+// client begins a call at a machine, or gives one up. A change without a clear answer is sent again unchanged, to
+// whoever leads or believes that it does; the first may still happen.
 func (w *world) client(c int) {
+	var again *op
 	if o := w.pending[c]; o != nil {
-		if w.now-o.call > 2*time.Second {
-			delete(w.pending, c) // it may still happen
+		if w.now-o.call < w.span(300, 2500) {
+			return
+		}
+		delete(w.pending, c)
+		if again = o; o.next == "" || w.rng.IntN(4) == 0 {
+			return
 		}
-		return
 	}
 	var leaders []*machine // more than one may believe that it is
 	for _, m := range w.machines {
@@ -269,7 +320,7 @@
 	m := leaders[w.rng.IntN(len(leaders))]
 	o := &op{client: c, call: w.now, ret: -1}
 	now := w.now + m.skew
-	if w.rng.IntN(2) == 0 {
+	if again == nil && w.rng.IntN(2) == 0 {
 		w.token++
 		m.reads[w.token] = o
 		m.core.Read(now, w.token)
@@ -277,10 +328,19 @@
 		if Voters(m.core.Peers()) < 3 {
 			return
 		}
-		w.nextID++
-		o.base, o.next = w.lastSeen[c], strconv.FormatUint(w.nextID, 10)
+		if again != nil {
+			o.base, o.next = again.base, again.next
+			w.resent++
+		} else {
+			w.nextID++
+			o.base, o.next = w.lastSeen[c], strconv.FormatUint(w.nextID, 10)
+		}
 		base, _ := strconv.ParseUint(o.base, 10, 64)
-		data, _ := proto.Marshal(&wire.PutConfig{Base: base, Body: []byte(o.next)})
+		data, err := proto.Marshal(&wire.Command{What: &wire.Command_Config{
+			Config: &wire.PutConfig{Base: base, Body: configuration(o.next)}}})
+		if err != nil {
+			panic(err)
+		}
 		index, term, err := m.core.Propose(now, data)
 		if err != nil {
 			return
@@ -365,26 +425,35 @@
 	}
 }
 
-// register is the history's model: a register with compare and set.
-var register = porcupine.Model{
-	Init: func() any { return "" },
+// operators is the history's model: a configuration with compare and set, in which one that was taken is taken again
+// without effect. Its state holds all that was taken, which a resend may meet at any time.
+var operators = porcupine.Model{
+	Init: func() any { return held{taken: ","} },
 	Step: func(state, in, out any) (bool, any) {
-		o, result := in.(*op), out.(string)
+		h, o, result := state.(held), in.(*op), out.(string)
+		known := strings.Contains(h.taken, ","+o.next+",")
+		after := h
+		if !known && h.value == o.base {
+			after = held{o.next, h.taken + o.next + ","}
+		}
 		switch {
 		case o.next == "":
-			return result == state.(string), state
+			return result == h.value, h
 		case result == "ok":
-			return state.(string) == o.base, o.next
+			return known || h.value == o.base, after
 		case result == "stale":
-			return state.(string) != o.base, state
+			return !known && h.value != o.base, h
 		}
-		if state.(string) == o.base { // not known: it may have been taken
-			return true, o.next
-		}
-		return true, state
+		return true, after // not known: it may have been taken
 	},
 }
 
+// held is the model's state.
+type held struct {
+	value string
+	taken string // each behind a comma
+}
+
 func play(seed uint64, length time.Duration) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 3)), cut: map[[2]int]bool{}, pending: map[int]*op{}, lastSeen: map[int]string{}, agreed: map[uint64]uint64{}}
 	w.batch = []int{mostEntries, 1, 2}[w.rng.IntN(3)]
@@ -465,7 +534,7 @@
 // TestHistoriesAreLinearizable plays worlds with crashes, lost disks, cuts, frozen
 // machines and clocks that step, and checks what clients saw.
 func TestHistoriesAreLinearizable(t *testing.T) {
-	answered, wipes := 0, 0
+	answered, wipes, resent := 0, 0, 0
 	for i := range *seeds {
 		seed := *firstOne + uint64(i)
 		w := play(seed, 45*time.Second)
@@ -485,20 +554,21 @@
 			ops = append(ops, porcupine.Operation{ClientId: o.client, Input: o, Call: int64(o.call), Output: o.result, Return: ret})
 		}
 		wipes += w.wipes
+		resent += w.resent
 		if !late {
 			t.Errorf("seed %d: nothing was answered after the troubles had ended", seed)
 		}
 		if w.split != "" {
 			t.Errorf("seed %d: %s", seed, w.split)
 		}
-		if porcupine.CheckOperationsTimeout(register, ops, 20*time.Second) == porcupine.Illegal {
+		if porcupine.CheckOperationsTimeout(operators, ops, 20*time.Second) == porcupine.Illegal {
 			t.Errorf("seed %d: the history is not linearizable (go test -run Linearizable -seed %d -seeds 1)", seed, seed)
 		}
 	}
-	if answered < 50**seeds || *seeds >= 10 && wipes == 0 {
-		t.Errorf("%d calls answered and %d disks lost in %d worlds: hardly a test", answered, wipes, *seeds)
+	if answered < 50**seeds || *seeds >= 10 && (wipes == 0 || resent < *seeds) {
+		t.Errorf("%d calls answered, %d sent again and %d disks lost in %d worlds: hardly a test", answered, resent, wipes, *seeds)
 	}
-	t.Logf("%d calls answered, %d disks lost", answered, wipes)
+	t.Logf("%d calls answered, %d sent again, %d disks lost", answered, resent, wipes)
 }
 
 // TestElectionAfterLoss measures how long a core of three is without a leader
