Blame no server for what came late to it, and show which are out

Cause: a request that came with little time left, or whose client had left while a connection was made, counted as its server's failure: in a crowd that could have taken out servers that were only busy.

--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -9,6 +9,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -32,6 +33,7 @@
 
 	overdueX    = 6 // usual times after which a request that still runs counts as failed
 	overdueMin  = 600 * time.Millisecond
+	lateX       = 3    // usual times that a server must have had for what is late to be its doing
 	paceGain    = 0.05 // of the newest run; the first count for more
 	relearn     = 3    // runs that its pace counts for, once it is warm
 	paceLeast   = 0.4
@@ -66,6 +68,7 @@
 	Served End = iota // with an answer that is no failure
 	Erred             // with the server's own failure, or turned away although it had room
 	Broken            // without a whole answer, or with one that was no answer of its own
+	Late              // with the end of its time
 	Void              // called off, or full: it says nothing of the server
 )
 
@@ -124,14 +127,21 @@
 // Pace is how long the server takes for a request, in the time that others take for its like.
 func (s *Server) Pace() float64 { return s.pace }
 
-// Out tells since whose failures the server is out: of all callers, and of which zones.
-func (s *Server) Out() (all bool, zones []string) {
+// Everywhere stands for all zones in what Out returns.
+const Everywhere = "*"
+
+// Out tells for the callers of which zones the server is out, in order.
+func (s *Server) Out() (zones []string) {
+	if s.all.out {
+		return []string{Everywhere}
+	}
 	for name, r := range s.zones {
 		if r.out {
 			zones = append(zones, name)
 		}
 	}
-	return s.all.out, zones
+	slices.Sort(zones)
+	return zones
 }
 
 // Judge says whether the server may have a request. A Fit one that is given to it is told with Begin.
@@ -192,6 +202,10 @@
 		return false, false
 	}
 	r.tried()
+	// One that came with little time left would have been late anywhere.
+	if how == Late && r.Usual > 0 && now-r.began < lateX*r.Usual {
+		how = Void
+	}
 	if r.overdue || how == Void {
 		return false, false
 	}
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -100,6 +101,9 @@
 			w.run(5*time.Second, false, w.share(0, ""))
 			before := w.given["z2"]
 			w.run(10*time.Second, false, w.share(c.x, c.zone))
+			if out := w.s.Out(); c.x == 1 && !slices.Equal(out, []string{Everywhere}) || c.zone != "" && slices.Contains(out, "z2") {
+				t.Errorf("%s, seed %d: out for %v", c.name, seed, out)
+			}
 			if w.failed > c.mostFailed {
 				t.Errorf("%s, seed %d: %d requests failed", c.name, seed, w.failed)
 			}
@@ -161,6 +165,22 @@
 	}
 }
 
+// TestLateIsNotAlwaysTheServers: what comes with little time left shows nothing, and what hangs to its end does.
+func TestLateIsNotAlwaysTheServers(t *testing.T) {
+	for took, out := range map[time.Duration]bool{50 * ms: false, 400 * ms: true} {
+		s := New(0)
+		for i := range 8 {
+			id := fmt.Sprint(i)
+			now := time.Duration(i) * time.Second
+			s.Begin(now, id, Call{Usual: 100 * ms})
+			s.End(now+took, id, Late)
+		}
+		if zones := s.Out(); (len(zones) > 0) != out {
+			t.Errorf("late after %v: out for %v", took, zones)
+		}
+	}
+}
+
 // TestPace: a slow server says so.
 func TestPace(t *testing.T) {
 	for _, x := range []float64{0.7, 1, 1.5} {
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -200,6 +200,17 @@
 	return servers, inflight, waiting
 }
 
+// Sick tells, by server here, for the callers of which zones it is out for its failures; see health.
+func (in *Inbound) Sick() map[string][]string {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	sick := map[string][]string{}
+	for _, b := range in.station.Servers() {
+		sick[b.ID] = in.station.Sick(b.ID)
+	}
+	return sick
+}
+
 // Busy is the number of requests that servers here hold.
 func (in *Inbound) Busy() int {
 	in.mu.Lock()
@@ -316,14 +327,16 @@
 // send makes one attempt at the server.
 func (a *app) send(ctx context.Context, q *wire.Forward, until time.Time) *wire.Outcome {
 	c, err := a.connect(ctx, until)
-	if err != nil {
-		return unsent(false, "connecting: %v", err)
-	}
 	left := time.Until(until)
 	if left < leastLeft || ctx.Err() != nil {
-		a.keep(c)
+		if err == nil {
+			a.keep(c)
+		}
 		return unsent(false, calledOff)
 	}
+	if err != nil {
+		return unsent(false, "connecting: %v", err)
+	}
 	headers := make(http1.Headers, 0, len(q.Headers)+3)
 	for _, h := range q.Headers {
 		headers = append(headers, http1.Header{Name: h.Name, Value: h.Value})
--- a/internal/station/station.go
+++ b/internal/station/station.go
@@ -265,6 +265,14 @@
 	return 0, 0
 }
 
+// Sick tells for the callers of which zones a server is out for its failures; see health.
+func (s *Station[T]) Sick(id string) []string {
+	if m := s.lives[id]; m != nil {
+		return m.health.Out()
+	}
+	return nil
+}
+
 // Server returns what is known of a life; ok is false where it has ended.
 func (s *Station[T]) Server(id string) (b Beat, ok bool) {
 	if m := s.lives[id]; m != nil && !m.gone {
@@ -414,6 +422,8 @@
 			return health.Void
 		}
 		return health.Erred
+	case wire.Outcome_LATE:
+		return health.Late
 	}
 	return health.Broken
 }
--- a/internal/station/station_test.go
+++ b/internal/station/station_test.go
@@ -195,7 +195,7 @@
 			case 3, 4:
 				if id := any(running); id != "~" {
 					delete(running, id)
-					tell(s.Finish(now, "i", id, health.End(rng.IntN(4))).Verdicts)
+					tell(s.Finish(now, "i", id, health.End(rng.IntN(5))).Verdicts)
 				}
 			default:
 				if id := any(waiting); id != "~" && s.Leave("i", id) {
