Ask idle connections between nodes for a sign of life every three seconds

Cause: with 81 machines a node has some 32 connections that carry less than a request a second each, and both ends pinged each of them every 0.6 s: some 200 frames a second that grow with the pairs. Change: without a stream a connection is asked every 3 s; whoever opens one that was quiet looks before, as until now. A peer that is cut off is given up within 2.5 s of its first unanswered ping.

--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -34,6 +34,8 @@
 	mostStreams  = 4096     // open on one connection
 	mostHeld     = 128 << 20
 	pingEvery    = 600 * time.Millisecond
+	idlePing     = 3 * time.Second         // the same without a stream: whoever opens one looks before
+	askedFor     = time.Second             // a ping is given so long at least
 	silentFor    = 1800 * time.Millisecond // a peer that says nothing for so long is given up
 	freshFor     = 250 * time.Millisecond  // a sign of life counts for so long
 	signWait     = 250 * time.Millisecond  // for one that was asked for
@@ -59,6 +61,7 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	heard   atomic.Int64 // when something last came, unix ms of the local steady clock
+	asked   atomic.Int64 // when the first ping since then was sent, the same
 	waiting atomic.Int32 // goroutines in live
 	writeMu sync.Mutex
 	out     []byte // reused; guarded by writeMu
@@ -222,18 +225,43 @@
 			return
 		case <-tick.C:
 		}
-		quiet := time.Duration(steadyMs()-c.heard.Load()) * time.Millisecond
-		if quiet >= silentFor {
+		c.mu.Lock()
+		busy := len(c.streams) > 0
+		c.mu.Unlock()
+		now, heard, asked := steadyMs(), c.heard.Load(), c.asked.Load()
+		quiet, open := time.Duration(now-heard)*time.Millisecond, time.Duration(0)
+		if asked > heard {
+			open = time.Duration(now-asked) * time.Millisecond
+		}
+		ping, dead := pulse(busy, quiet, open)
+		if dead {
 			c.fail(fmt.Errorf("nothing from %s for %v", c.nc.RemoteAddr(), quiet))
 			return
 		}
-		if quiet >= pingEvery/2 {
+		if ping {
 			// The other side answers; a write that hangs ends by its own deadline.
-			c.write(&wire.Frame{Kind: wire.Frame_PING})
+			c.ping()
 		}
 	}
 }
 
+// pulse decides on a connection from which nothing has come for quiet, with a ping that has been without an answer
+// for open; 0: none has. Most of a large mesh's connections carry nothing most of the time: they are asked seldom.
+func pulse(busy bool, quiet, open time.Duration) (ping, dead bool) {
+	if quiet >= silentFor && open >= askedFor {
+		return false, true
+	}
+	return quiet >= idlePing || busy && quiet >= pingEvery/2 || open > 0, false
+}
+
+// ping asks for a sign of life.
+func (c *conn) ping() error {
+	if c.asked.Load() <= c.heard.Load() {
+		c.asked.Store(steadyMs())
+	}
+	return c.write(&wire.Frame{Kind: wire.Frame_PING})
+}
+
 // live reports whether the peer has lately given a sign of life, and asks for
 // one where it has not.
 func (c *conn) live(ctx context.Context) bool {
@@ -245,7 +273,7 @@
 	c.mu.Lock()
 	sign := c.sign
 	c.mu.Unlock()
-	if c.write(&wire.Frame{Kind: wire.Frame_PING}) != nil {
+	if c.ping() != nil {
 		return false
 	}
 	timer := time.NewTimer(signWait)
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -140,3 +140,43 @@
 		t.Errorf("after all that: %v", err)
 	}
 }
+
+// TestPulse: a peer that is cut off is given up in time whether or not there is work, and idle ones are asked seldom.
+func TestPulse(t *testing.T) {
+	for _, c := range []struct {
+		busy        bool
+		before      time.Duration // since the last sign of life, when the peer is cut off
+		pings       int           // at most, in ten seconds of a peer that answers at once
+		least, most time.Duration // from the cut to the end
+	}{{true, 0, 17, time.Second, 2500 * time.Millisecond}, {false, 0, 3, 3 * time.Second, 5 * time.Second}, {false, 2900 * time.Millisecond, 3, time.Second, 2500 * time.Millisecond}} {
+		pings, heard := 0, time.Duration(0)
+		for now := pingEvery; now < 10*time.Second; now += pingEvery {
+			ping, dead := pulse(c.busy, now-heard, 0)
+			if dead {
+				t.Fatalf("%+v: a peer that answers is given up", c)
+			}
+			if ping {
+				pings, heard = pings+1, now
+			}
+		}
+		if pings == 0 || pings > c.pings {
+			t.Errorf("%+v: %d pings in ten seconds", c, pings)
+		}
+		asked, end := time.Duration(-1), time.Duration(0)
+		for now := pingEvery; end == 0 && now < time.Minute; now += pingEvery {
+			open := time.Duration(0)
+			if asked >= 0 {
+				open = now - asked
+			}
+			switch ping, dead := pulse(c.busy, c.before+now, open); {
+			case dead:
+				end = now
+			case ping && asked < 0:
+				asked = now
+			}
+		}
+		if end < c.least || end > c.most {
+			t.Errorf("%+v: given up after %v", c, end)
+		}
+	}
+}
