--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -9,6 +9,7 @@
 package entry
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -129,16 +130,11 @@
 		s.gate.Priorities(priorities)
 		s.picker.List(now, lists[b.Name])
 	}
-	for name := range t.graphs {
-		if !slices.ContainsFunc(w.Config.Routes, func(r meshconfig.Route) bool { return r.Name == name }) {
-			delete(t.graphs, name)
-		}
-	}
-	for name := range t.usual {
-		if !slices.ContainsFunc(w.Config.Routes, func(r meshconfig.Route) bool { return r.Name == name }) {
-			delete(t.usual, name)
-		}
+	dropped := func(name string) bool {
+		return !slices.ContainsFunc(w.Config.Routes, func(r meshconfig.Route) bool { return r.Name == name })
 	}
+	maps.DeleteFunc(t.graphs, func(name string, _ map[string]float64) bool { return dropped(name) })
+	maps.DeleteFunc(t.usual, func(name string, _ time.Duration) bool { return dropped(name) })
 	for name := range t.services {
 		if !slices.ContainsFunc(w.Config.Backends, func(b meshconfig.Backend) bool { return b.Name == name }) {
 			delete(t.services, name)
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -17,7 +17,7 @@
 	memory     = 2 * time.Second // after which what was seen counts for a third
 	confidence = 1.64            // one-sided 95 %: how sure a share of failures has to be ...
 	limit      = 0.1             // ... before one over this takes a server out
-	leastBad   = 2               // failures below which none is taken out
+	leastBad   = 1.5             // failures, fading, below which none is taken out: two of late, never one
 	rowBad     = 3               // failures in a row that take one out, whatever was before
 
 	holdFirst = 800 * time.Millisecond // out for so long at first, doubled each time it is out again ...
@@ -284,7 +284,7 @@
 		if now-r.backAt > calmFor {
 			r.outs = 0
 		}
-		if !good && (r.row >= rowBad || r.bad > leastBad-0.5 && low(r.bad, r.total) > limit) {
+		if !good && (r.row >= rowBad || r.bad > leastBad && low(r.bad, r.total) > limit) {
 			r.leave(now)
 			return true, false
 		}
