Let a leader hand the lead over, and elect a new one in 0.3 s

Change: a leader that gets SIGTERM, or whose averaged sync takes over 8 ms and four times another voter's, asks the voter with the whole log to campaign at once (thesis, 3.10); voters answer that at once. What is proposed meanwhile is turned away unrun; an heir that says nothing is waited for 0.3 s. Beats 75 ms, elections after 0.3 to 0.6 s. Ruled out: faster timers alone, which leave a planned end at 0.3 s, and handing over without everything in the log. Also: the reload loop could spin once the program ends and the core did not.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -34,6 +34,8 @@
 	mostWaiting  = 4096
 	mostHeard    = 64
 	diskPause    = 200 * time.Millisecond
+	handoverWait = 400 * time.Millisecond // for another to take the lead, when this process ends
+	lastWords    = 50 * time.Millisecond  // for its vote to go out
 )
 
 // Errors of a change or a read.
@@ -86,10 +88,11 @@
 	cancel  context.CancelFunc
 }
 
-// Run is the whole life of a core machine. It returns once the context ends.
-func Run(ctx context.Context, set *nodefile.Settings, reload func() *nodefile.Settings, log *slog.Logger) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+// Run is the whole life of a core machine. It returns soon after the context ends: a leader gives the lead to another
+// first.
+func Run(stop context.Context, set *nodefile.Settings, reload func() *nodefile.Settings, log *slog.Logger) error {
+	ctx, end := context.WithCancel(context.WithoutCancel(stop))
+	defer end()
 	rng := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), rand.Uint64()))
 	st, err := store.Open(set.DataDir, rng)
 	if err != nil {
@@ -145,17 +148,16 @@
 	n.workers.Go(func() { n.gossip.Run(ctx) })
 	n.workers.Go(func() { n.joinLoop(ctx) })
 	n.workers.Go(func() {
-		for ctx.Err() == nil {
-			if s := reload(); s != nil {
-				n.set.Store(s)
-			}
+		for s := reload(); s != nil; s = reload() { // it returns nothing once the program ends
+			n.set.Store(s)
 		}
 	})
 	log.Info("core.start", "node", set.Node, "identity", fmt.Sprintf("%016x", st.ID), "entries", n.core.Backlog(), "empty", st.Fresh)
-	n.loop()
-	stop, done := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	n.loop(stop.Done())
+	end()
+	shut, done := context.WithTimeout(context.Background(), 500*time.Millisecond)
 	defer done()
-	web.Shutdown(stop)
+	web.Shutdown(shut)
 	web.Close()
 	n.workers.Wait()
 	return st.Close()
@@ -205,13 +207,21 @@
 	}
 }
 
-// loop owns the consensus: events in, disk, messages, state.
-func (n *Node) loop() {
+// loop owns the consensus: events in, disk, messages, state. Once stop is closed it returns as soon as this machine
+// does not lead.
+func (n *Node) loop(stop <-chan struct{}) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	var leave <-chan time.Time // set while it hands the lead over
 	for {
 		select {
-		case <-n.ctx.Done():
+		case <-stop:
+			if !n.core.HandOver(n.now()) {
+				return
+			}
+			stop, leave = nil, time.After(handoverWait)
+			n.log.Info("core.hands", "term", n.core.Term())
+		case <-leave:
 			return
 		case f := <-n.events:
 			f()
@@ -231,6 +241,10 @@
 			n.manage()
 		}
 		n.flush()
+		if leave != nil && !n.core.Leads() {
+			n.pause(lastWords)
+			return
+		}
 		n.touch.Store(int64(n.now() - n.core.Touch(n.now())))
 		timer.Reset(max(time.Millisecond, min(n.core.Next()-n.now(), manageEvery)))
 	}
@@ -289,6 +303,7 @@
 		}
 	}
 	n.shown.Synced(time.Since(began))
+	n.core.Synced(time.Since(began))
 	if took := time.Since(began); took > 300*time.Millisecond {
 		n.log.Warn("disk.slow", "took", took)
 	}
@@ -668,6 +683,10 @@
 		n.wasLead, n.ledSince = true, n.now()
 		n.log.Info("core.leads", "term", n.core.Term(), "members", len(n.core.Peers()))
 	}
+	if n.core.Ill() && n.core.HandOver(n.now()) {
+		n.log.Warn("core.hands", "term", n.core.Term(), "why", "the disk is far slower than another's")
+		return
+	}
 	n.move(n.core.Reconcile(n.fewest()))
 	n.manageServers()
 }
--- a/internal/lab/core.go
+++ b/internal/lab/core.go
@@ -151,6 +151,7 @@
 			return
 		}
 		c.disk.Sync()
+		c.raft.Synced(took)
 		c.busy = false
 		if o.Snapshot != nil {
 			c.s.must(c.catalog.Restore(o.Snapshot.Data))
@@ -227,6 +228,9 @@
 		c.leads, c.ledSince = true, c.s.now
 		c.s.m.newLeader(c.s.now)
 	}
+	if c.raft.Ill() && c.raft.HandOver(c.s.now) {
+		return
+	}
 	if m := c.raft.Reconcile(c.s.fewest()); m.Next != nil {
 		c.raft.Change(c.s.now, m.Next)
 	}
--- /dev/null
+++ b/internal/raft/handover.go
@@ -0,0 +1,76 @@
+package raft
+
+import (
+	"time"
+
+	"curlewring/internal/wire"
+)
+
+const (
+	handoverFor = electionMin            // so long an heir is waited for
+	slowSync    = 8 * time.Millisecond   // a leader whose writes take less keeps the lead ...
+	slowX       = 4                      // ... and so does one that takes less than this many times what another takes
+	syncMost    = 10 * time.Second       // a write counts for as long at most
+	syncGain    = 0.25                   // of the newest write in the average
+	freshLag    = 200 * time.Millisecond // a member that was heard more lately may lead
+)
+
+// Synced takes how long a synced write has taken here. Members tell the leader, which gives the lead away where
+// another's disk is far faster: every change waits for the leader's own.
+func (c *Core) Synced(took time.Duration) {
+	took = max(time.Microsecond, min(took, syncMost))
+	if c.sync == 0 {
+		c.sync = took
+	}
+	c.sync += time.Duration(syncGain * float64(took-c.sync))
+}
+
+// Ill tells whether the leader's disk is far slower than that of another voter that could lead.
+func (c *Core) Ill() bool {
+	if c.role != leader || c.sync < slowSync {
+		return false
+	}
+	p := c.others[c.candidate()]
+	return p != nil && p.sync > 0 && c.sync > slowX*p.sync
+}
+
+// candidate is the voter that could best take the lead: the one that has the most, and of these the one with the
+// fastest disk; 0: nobody is in touch.
+func (c *Core) candidate() (best uint64) {
+	for _, p := range c.Peers() {
+		o := c.others[p.Id]
+		if !p.Voter || o == nil || c.now-o.heard > freshLag || o.match == 0 {
+			continue
+		}
+		if b := c.others[best]; b == nil || o.match > b.match || o.match == b.match && o.sync < b.sync {
+			best = p.Id
+		}
+	}
+	return best
+}
+
+// HandOver gives the lead away, as soon as another voter has all that is in the log; what is proposed meanwhile is
+// turned away unrun. It reports false where this member does not lead or nobody could. An heir that does not take the
+// lead in time is no longer waited for.
+func (c *Core) HandOver(now time.Duration) bool {
+	c.now = now
+	if c.role != leader {
+		return false
+	}
+	if c.heir != 0 {
+		return true
+	}
+	if c.heir = c.candidate(); c.heir == 0 {
+		return false
+	}
+	c.heirFor = now + handoverFor
+	c.handOver(c.heir)
+	return true
+}
+
+// handOver tells the heir to lead, once it has everything.
+func (c *Core) handOver(id uint64) {
+	if p := c.others[id]; id != 0 && id == c.heir && p != nil && p.match == c.last() {
+		c.send(&wire.Raft{Kind: wire.Raft_HANDOVER, To: id})
+	}
+}
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -24,9 +24,9 @@
 
 // Timing of the protocol.
 const (
-	Heartbeat   = 150 * time.Millisecond
-	electionMin = 700 * time.Millisecond
-	electionMax = 1300 * time.Millisecond
+	Heartbeat   = 75 * time.Millisecond
+	electionMin = 300 * time.Millisecond
+	electionMax = 600 * time.Millisecond
 
 	// A process that has just started waits less: it has nothing to give up, and
 	// where a leader is heard, nobody votes for it.
@@ -86,7 +86,7 @@
 	round       uint64 // newest round that it has answered
 	heard       time.Duration
 	snapshot    time.Duration // when a snapshot was last sent
-	sent        time.Duration // last message, for the retry of what got lost
+	sync        time.Duration // that a synced write takes there; 0: not known
 }
 
 // conf is the set of members from an index of the log on.
@@ -130,6 +130,9 @@
 	roundAt map[uint64]time.Duration // when the last rounds began
 	proofAt time.Duration            // begin of the newest round that a majority answered
 	reads   []pendingRead
+	sync    time.Duration // that a synced write takes here, averaged; 0: not known
+	heir    uint64        // the member that is asked to lead; 0: none
+	heirFor time.Duration // until then it is waited for
 
 	out Output
 }
@@ -330,7 +333,7 @@
 	if c.role == leader {
 		c.refuseReads()
 	}
-	c.role, c.lead = follower, lead
+	c.role, c.lead, c.heir = follower, lead, 0
 	c.resetTimer()
 }
 
@@ -349,6 +352,9 @@
 			c.become(c.hard.Term, 0)
 			return
 		}
+		if c.heir != 0 && now >= c.heirFor { // it has not taken the lead
+			c.heir = 0
+		}
 		if now >= c.beatAt {
 			c.beat()
 		}
@@ -359,13 +365,14 @@
 	}
 	c.resetTimer()
 	if c.promotable() {
-		c.campaign(true)
+		c.campaign(true, false)
 	}
 }
 
 // campaign asks for votes, at first only whether they would be given: a member
-// that was away would else unseat a leader that all others hear.
-func (c *Core) campaign(pre bool) {
+// that was away would else unseat a leader that all others hear. One to which the
+// leader has handed the lead needs no such question.
+func (c *Core) campaign(pre, handed bool) {
 	c.lead = 0
 	c.votes = map[uint64]bool{c.id: true}
 	term := c.hard.Term + 1
@@ -377,7 +384,7 @@
 	}
 	for _, p := range c.Peers() {
 		if p.Voter && p.Id != c.id {
-			c.send(&wire.Raft{Kind: wire.Raft_VOTE, To: p.Id, Term: term, Index: c.last(), LogTerm: c.lastTerm(), Pre: pre})
+			c.send(&wire.Raft{Kind: wire.Raft_VOTE, To: p.Id, Term: term, Index: c.last(), LogTerm: c.lastTerm(), Pre: pre, Handed: handed})
 		}
 	}
 	c.count()
@@ -398,10 +405,10 @@
 		return
 	}
 	if c.role == preCandidate {
-		c.campaign(false)
+		c.campaign(false, false)
 		return
 	}
-	c.role, c.lead = leader, c.id
+	c.role, c.lead, c.heir = leader, c.id, 0
 	c.others = map[uint64]*progress{}
 	c.proofAt = c.now
 	clear(c.roundAt)
@@ -484,6 +491,9 @@
 	if c.role != leader {
 		return 0, 0, ErrNotLeader
 	}
+	if c.heir != 0 { // what is taken now would keep the heir from having all
+		return 0, 0, ErrBusy
+	}
 	if c.last()-c.commit > 4*mostEntries {
 		return 0, 0, ErrBusy
 	}
@@ -499,6 +509,9 @@
 	if c.role != leader {
 		return ErrNotLeader
 	}
+	if c.heir != 0 {
+		return ErrChange
+	}
 	// Without an entry of its own term, a leader may not know of a change that
 	// the one before it committed, and two changes from one set may share no
 	// majority.
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -275,6 +275,9 @@
 			}
 		}
 	}
+	if w.rng.IntN(12) == 0 && m.core.HandOver(now) { // its process is to end, say
+		return
+	}
 	peers := slices.Clone(m.core.Peers())
 	if w.churn && w.rng.IntN(2) == 0 {
 		for range 2 { // what is refused, as another change is under way, does no harm
@@ -571,54 +574,74 @@
 	t.Logf("%d calls answered, %d sent again, %d disks lost", answered, resent, wipes)
 }
 
+// ready is a core of n voters with a log of one entry, in a world without troubles.
+func ready(n int, seed uint64) *world {
+	w := &world{batch: mostEntries, rng: rand.New(rand.NewPCG(seed, 9)), cut: map[[2]int]bool{}, pending: map[int]*op{}, lastSeen: map[int]string{}, agreed: map[uint64]uint64{}}
+	peers := &wire.Peers{}
+	for i := range n {
+		peers.Peers = append(peers.Peers, &wire.Peer{Id: uint64(i + 1), Address: fmt.Sprint(i), Voter: true})
+	}
+	for i := range n {
+		m := &machine{n: i, disk: simdisk.Disk{ID: uint64(i + 1), Snap: &wire.RaftSnapshot{Term: 1, Index: 1, Peers: peers}}}
+		w.machines = append(w.machines, m)
+		w.start(m)
+	}
+	return w
+}
+
+// turn is one millisecond in which nothing fails, and a message takes as long.
+func (w *world) turn() {
+	w.now += time.Millisecond
+	for _, m := range w.machines {
+		if m.core == nil {
+			continue
+		}
+		for len(m.inbox) > 0 && m.inbox[0].at <= w.now {
+			m.core.Step(w.now, m.inbox[0].m)
+			m.inbox = m.inbox[1:]
+		}
+		m.core.Tick(w.now)
+		for o := m.core.Take(); !o.Empty(); o = m.core.Take() {
+			m.disk.Write(o.Snapshot, o.Hard, o.Entries)
+			m.disk.Sync()
+			if n := len(o.Entries); n > 0 {
+				m.core.Stable(o.Entries[n-1].Index)
+			}
+			for _, msg := range o.Messages {
+				if to := w.machines[msg.To-1]; !w.cut[[2]int{m.n, to.n}] {
+					to.inbox = append(to.inbox, parcel{w.now + time.Millisecond, m.n, msg})
+				}
+			}
+		}
+	}
+}
+
+// leader is the machine that leads in the newest term; nil: none does.
+func (w *world) leader() (lead *machine) {
+	for _, m := range w.machines {
+		if m.core != nil && m.core.Leads() && (lead == nil || m.core.Term() > lead.core.Term()) {
+			lead = m
+		}
+	}
+	return lead
+}
+
 // TestElectionAfterLoss measures how long a core of three is without a leader
 // after it has lost its own.
 func TestElectionAfterLoss(t *testing.T) {
 	var times []time.Duration
 	for seed := range uint64(*seeds) {
-		w := &world{batch: mostEntries, rng: rand.New(rand.NewPCG(seed, 9)), cut: map[[2]int]bool{}, pending: map[int]*op{}, lastSeen: map[int]string{}, agreed: map[uint64]uint64{}}
-		peers := &wire.Peers{}
-		for i := range uint64(3) {
-			peers.Peers = append(peers.Peers, &wire.Peer{Id: i + 1, Address: fmt.Sprint(i), Voter: true})
-		}
-		for i := range 3 {
-			m := &machine{n: i, disk: simdisk.Disk{ID: uint64(i + 1), Snap: &wire.RaftSnapshot{Term: 1, Index: 1, Peers: peers}}}
-			w.machines = append(w.machines, m)
-			w.start(m)
-		}
-		lost := time.Duration(0)
-		for ; w.now < 30*time.Second; w.now += time.Millisecond {
-			leads := -1
-			for _, m := range w.machines {
-				if m.core == nil {
-					continue
-				}
-				for len(m.inbox) > 0 && m.inbox[0].at <= w.now {
-					m.core.Step(w.now, m.inbox[0].m)
-					m.inbox = m.inbox[1:]
-				}
-				m.core.Tick(w.now)
-				for o := m.core.Take(); !o.Empty(); o = m.core.Take() {
-					m.disk.Write(o.Snapshot, o.Hard, o.Entries)
-					m.disk.Sync()
-					if n := len(o.Entries); n > 0 {
-						m.core.Stable(o.Entries[n-1].Index)
-					}
-					for _, msg := range o.Messages {
-						to := w.machines[msg.To-1]
-						to.inbox = append(to.inbox, parcel{w.now + time.Millisecond, m.n, msg})
-					}
-				}
-				if m.core != nil && m.core.Leads() {
-					leads = m.n
-				}
-			}
-			if lost == 0 && leads >= 0 && w.now > 4*time.Second {
-				w.machines[leads].core, lost = nil, w.now
-			} else if lost > 0 && leads >= 0 {
-				times = append(times, w.now-lost)
-				break
-			}
+		w := ready(3, seed)
+		for w.now < 4*time.Second || w.leader() == nil {
+			w.turn()
+		}
+		w.leader().core = nil
+		lost := w.now
+		for w.now < 30*time.Second && w.leader() == nil {
+			w.turn()
+		}
+		if w.leader() != nil {
+			times = append(times, w.now-lost)
 		}
 	}
 	slices.Sort(times)
@@ -627,7 +650,7 @@
 	}
 	p50, p99 := times[len(times)/2], times[len(times)*99/100]
 	t.Logf("a new leader after %v (p50), %v (p99)", p50, p99)
-	if p99 > 3*time.Second {
+	if p99 > time.Second {
 		t.Errorf("the 99th percentile is %v", p99)
 	}
 }
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -50,6 +50,10 @@
 		c.installFrom(m)
 	case wire.Raft_APPENDED:
 		c.appended(m)
+	case wire.Raft_HANDOVER:
+		if m.From == c.lead && c.promotable() {
+			c.campaign(false, true)
+		}
 	}
 }
 
@@ -57,7 +61,7 @@
 func (c *Core) vote(m *wire.Raft) {
 	reply := &wire.Raft{Kind: wire.Raft_VOTED, To: m.From, Pre: m.Pre, Reject: true}
 	// One that hears its leader helps nobody to unseat it.
-	heard := c.role == leader || c.lead != 0 && c.now-c.heardAt < electionMin
+	heard := !m.Handed && (c.role == leader || c.lead != 0 && c.now-c.heardAt < electionMin)
 	current := m.LogTerm > c.lastTerm() || m.LogTerm == c.lastTerm() && m.Index >= c.last()
 	switch {
 	case m.Term < c.hard.Term || heard:
@@ -89,7 +93,7 @@
 
 // appendFrom takes entries of the leader where they join the own log.
 func (c *Core) appendFrom(m *wire.Raft) {
-	reply := &wire.Raft{Kind: wire.Raft_APPENDED, To: m.From, Round: m.Round}
+	reply := &wire.Raft{Kind: wire.Raft_APPENDED, To: m.From, Round: m.Round, SyncUs: uint32(c.sync.Microseconds())}
 	defer func() { c.send(reply) }()
 	index, entries := m.Index, m.Entries
 	for len(entries) > 0 && index < c.snap.Index { // these are in the snapshot
@@ -152,7 +156,7 @@
 	if c.role != leader || p == nil {
 		return
 	}
-	p.heard = c.now
+	p.heard, p.sync = c.now, time.Duration(m.SyncUs)*time.Microsecond
 	if m.Round > p.round {
 		p.round = m.Round
 		c.contact()
@@ -170,6 +174,7 @@
 		c.advance()
 	}
 	c.replicate(m.From, false)
+	c.handOver(m.From)
 }
 
 // Next is when the core wants a Tick.
