Tell refused clients to come back the later, the worse their odds are

Change: the wait goes from half an aim, where its like is mostly admitted, to the last part of what a client heeds (a third of its time left), where none is; spread in both cases. Never beyond, as it would not be heeded. Ruled out: a wait by the crowd's own length, which nobody knows in its first second.

--- a/decide/mesh.go
+++ b/decide/mesh.go
@@ -22,6 +22,7 @@
 	gateRoom   = time.Second            // over which that is averaged ...
 	gateFew    = 2                      // ... as if so many more had found room
 	gateMemory = 8                      // outcomes over which r is averaged
+	backLeast  = 0.6                    // part of its wait after which a client comes back, where none is let in
 	meshSubset = 8                      // servers of a service that a node keeps to ...
 	meshFar    = 3                      // ... of which so many lie in other zones, where there are any
 	farStep    = 3                      // own calls in flight that a near server may have more than a far one
@@ -109,13 +110,18 @@
 // also kept out where it would crowd a service behind: the gates of those that it calls have their say here,
 // as its calls will pass them without a verdict.
 func (g *Gate) Admit(now time.Duration, priority int, behind ...*Gate) bool {
+	return g.inflight == 0 || g.rng.Float64() < g.Odds(now, priority, behind...)
+}
+
+// Odds is the probability with which a new graph is admitted that calls the services of the gates behind.
+func (g *Gate) Odds(now time.Duration, priority int, behind ...*Gate) float64 {
 	g.roll(now)
 	chance := g.Chance(now, priority)
 	for _, b := range behind {
 		b.roll(now)
 		chance = min(chance, b.Behind(now, priority))
 	}
-	return g.inflight == 0 || g.rng.Float64() < chance
+	return chance
 }
 
 // Behind is the probability with which a priority is admitted whose graphs call this service further inside.
@@ -141,9 +147,14 @@
 	return curve(r, a, a+width)
 }
 
-// RetryAfter is when a refused client should come back: spread, lest all come at once.
-func (g *Gate) RetryAfter(aim time.Duration) time.Duration {
-	return time.Duration((0.5 + g.rng.Float64()) * float64(max(aim/2, gatePeriod/2)))
+// RetryAfter is when a refused client should come back: soon where its like is mostly admitted, and the later
+// the worse its odds are, as it has few tries and a crowd takes its time. It is never beyond the wait, which is
+// as long as the client would heed, and it is spread, lest all come at once.
+func (g *Gate) RetryAfter(aim, wait time.Duration, odds float64) time.Duration {
+	u := g.rng.Float64()
+	soon := (0.5 + u) * float64(max(aim/2, gatePeriod/2))
+	late := (backLeast + (1-backLeast)*u) * float64(wait)
+	return max(time.Millisecond, time.Duration(min(float64(wait), soon+max(0, late-soon)*(1-odds))))
 }
 
 // Begin counts an admitted request.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -13,6 +13,7 @@
 	fullPause     = 15 * time.Millisecond // between looks for a server with room
 	patiencePart  = 5                     // a request without a server is given up after this part of its aim
 	leastPatience = 30 * time.Millisecond
+	heeded        = 3     // a client heeds a Retry-After up to this part of the time that it has left
 	mostTurned    = 12    // servers asked that turned one request away
 	looks         = 2     // servers asked for a slot at once before one is asked to let it wait, while there is work to spare
 	repeatFrom    = 0.999 // chance of a request's like to be admitted, below which it is not repeated
@@ -75,7 +76,7 @@
 		s.budget.Charge(now, 1)
 	}
 	if !e.Inner && !s.gate.Admit(now, e.Route.Priority, t.behind(e.Route)...) {
-		return nil, &Final{503, "overload", s.gate.RetryAfter(e.Route.Aim())}
+		return nil, &Final{503, "overload", t.comeBack(now, s, &e)}
 	}
 	s.gate.Begin(now)
 	return &Request{Entrant: e, Rank: uint32(e.Route.Priority), table: t, service: s, since: e.Arrived}, nil
@@ -131,7 +132,7 @@
 // Next returns the next step.
 func (r *Request) Next(now time.Duration) Step {
 	if now >= r.Until {
-		return Step{Final: r.giveUp("no server in time")}
+		return Step{Final: r.giveUp(now, "no server in time")}
 	}
 	step, ok := r.pick(now)
 	if !ok && r.sick { // a sick server is better than none
@@ -148,7 +149,7 @@
 		r.service.gate.Room(now, false)
 	}
 	if now-r.since > r.patience() {
-		return Step{Final: r.giveUp("no server has room")}
+		return Step{Final: r.giveUp(now, "no server has room")}
 	}
 	r.again()
 	return Step{Wait: min(fullPause, r.Until-now)}
@@ -216,7 +217,7 @@
 			return nil, false
 		}
 		if now-r.since > r.patience() && r.turned >= mostTurned {
-			return r.giveUp("no server has room"), false
+			return r.giveUp(now, "no server has room"), false
 		}
 		return nil, false
 	}
@@ -232,7 +233,7 @@
 		return r.answered(now, int(out.Status))
 	case wire.Outcome_UNRUN:
 		if !r.mayRepeat(now) {
-			return r.giveUp("the servers have no room"), false
+			return r.giveUp(now, "the servers have no room"), false
 		}
 	default: // BROKEN, LATE, and what a later version may say
 		r.ran = true
@@ -265,11 +266,18 @@
 }
 
 // giveUp is the answer to a request for which there is no further try.
-func (r *Request) giveUp(why string) *Final {
+func (r *Request) giveUp(now time.Duration, why string) *Final {
 	if r.ran {
 		return &Final{Status: 502, Why: why}
 	}
-	return &Final{503, why, r.service.gate.RetryAfter(r.Route.Aim())}
+	return &Final{503, why, r.table.comeBack(now, r.service, &r.Entrant)}
+}
+
+// comeBack is when the client of a request that has not run should try again. One that is told to wait for longer
+// than a third of its time would not heed it.
+func (t *Table) comeBack(now time.Duration, s *service, e *Entrant) time.Duration {
+	odds := s.gate.Odds(now, e.Route.Priority, t.behind(e.Route)...)
+	return s.gate.RetryAfter(e.Route.Aim(), (e.Until-now)/heeded, odds)
 }
 
 // mayRepeat tells whether the request may reach one more server, and pays for it.
