Let subsets begin at even places, so that every server has its share of callers

Change: it begins at the node's place among the living nodes of its zone, which all know. Of 59 servers before 80 nodes each is in 0.5 to 1.6 times the mean number of subsets; by hashes one is in 4 where 10.8 is the mean, and of 224 before 320 one in 24 where it is 11.4: there the new test fails. Ruled out: larger subsets, which spread no more evenly at their edges, and a place by the own server's, which nodes of other services do not have.

--- a/decide/mesh.go
+++ b/decide/mesh.go
@@ -22,7 +22,7 @@
 	gateRoom   = time.Second            // over which that is averaged ...
 	gateFew    = 2                      // ... as if so many more had found room
 	gateMemory = 8                      // outcomes over which r is averaged
-	backLeast  = 0.6                    // part of its wait after which a client comes back, where none is let in
+	backLeast  = 0.6                    // part of its wait after which a client returns, if none is let in
 	meshSubset = 8                      // servers of a service that a node keeps to ...
 	meshFar    = 3                      // ... of which so many lie in other zones, where there are any
 	farStep    = 3                      // own calls in flight that a near server may have more than a far one
@@ -148,8 +148,8 @@
 }
 
 // RetryAfter is when a refused client should come back: soon where its like is mostly admitted, and the later
-// the worse its odds are, as it has few tries and a crowd takes its time. It is never beyond the wait, which is
-// as long as the client would heed, and it is spread, lest all come at once.
+// the worse its odds are, as it has few tries and a crowd takes its time. It is never beyond the wait, which
+// is as long as the client would heed, and it is spread, lest all come at once.
 func (g *Gate) RetryAfter(aim, wait time.Duration, odds float64) time.Duration {
 	u := g.rng.Float64()
 	soon := (0.5 + u) * float64(max(aim/2, gatePeriod/2))
@@ -214,19 +214,33 @@
 // Picker picks the servers for one service's calls.
 type Picker struct {
 	rng       *rand.Rand
-	node      string
 	targets   map[string]*target
 	near, far []*target // the subset
 	scratch   []*target
 }
 
-// NewPicker returns a picker without servers. The node's name sets where its subset lies.
-func NewPicker(node string, seed uint64) *Picker {
-	return &Picker{rng: rand.New(rand.NewPCG(seed, 0x91c4)), node: node, targets: map[string]*target{}}
+// NewPicker returns a picker without servers.
+func NewPicker(seed uint64) *Picker {
+	return &Picker{rng: rand.New(rand.NewPCG(seed, 0x91c4)), targets: map[string]*target{}}
 }
 
-// List replaces the list of servers that may be sent to.
-func (p *Picker) List(now time.Duration, list []Target) {
+// Place is a node's place among the nodes of its zone, in [0, 1). Subsets that begin at even places have all
+// servers in nearly as many of them; by a hash of each node's own name some servers were in none.
+func Place(node string, nodes []string) float64 {
+	before, all, own := 0, 1, hash(node)
+	for _, n := range nodes {
+		if n != node {
+			all++
+			if h := hash(n); h < own || h == own && n < node {
+				before++
+			}
+		}
+	}
+	return float64(before) / float64(all)
+}
+
+// List replaces the list of servers that may be sent to. The place is where the subset begins; see Place.
+func (p *Picker) List(now time.Duration, list []Target, place float64) {
 	old := p.targets
 	p.targets, p.near, p.far = make(map[string]*target, len(list)), nil, nil
 	for _, e := range list {
@@ -243,22 +257,16 @@
 		}
 	}
 	far := min(len(p.far), max(meshFar, meshSubset-len(p.near)))
-	p.near = p.stretch(p.near, min(len(p.near), meshSubset-far))
-	p.far = p.stretch(p.far, far)
+	p.near = stretch(p.near, min(len(p.near), meshSubset-far), place)
+	p.far = stretch(p.far, far, place)
 }
 
-// stretch keeps n members of a ring from this node's own place on.
-func (p *Picker) stretch(ring []*target, n int) []*target {
+// stretch keeps n members of a ring from a place on.
+func stretch(ring []*target, n int, place float64) []*target {
 	slices.SortFunc(ring, func(a, b *target) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), strings.Compare(a.ID, b.ID))
 	})
-	start, own := 0, hash(p.node)
-	for i, t := range ring {
-		if t.rank >= own {
-			start = i
-			break
-		}
-	}
+	start := int(place * float64(len(ring)))
 	return append(slices.Clone(ring[start:]), ring[:start]...)[:n]
 }
 
--- a/decide/mesh_test.go
+++ b/decide/mesh_test.go
@@ -95,12 +95,12 @@
 }
 
 func TestPicks(t *testing.T) {
-	p := NewPicker("n", 1)
+	p := NewPicker(1)
 	var list []Target
 	for i := range 4 {
 		list = append(list, Target{ID: fmt.Sprint("near", i), Near: true}, Target{ID: fmt.Sprint("far", i)})
 	}
-	p.List(0, list)
+	p.List(0, list, 0)
 	counts := map[string]int{}
 	for range 40 { // none ends: the load has to spread, over this zone first
 		id, _, ok := p.Pick(0, nil)
@@ -126,7 +126,7 @@
 			t.Errorf("picked %s", id)
 		}
 	}
-	p.List(0, list[:1])
+	p.List(0, list[:1], 0)
 	if id, _, ok := p.Pick(0, nil); !ok || id != "near0" {
 		t.Errorf("the only server, though ejected, is better than none: %q, %v", id, ok)
 	}
@@ -141,12 +141,12 @@
 		all, sick int
 		avoided   bool
 	}{{8, 1, true}, {8, 3, true}, {8, 4, false}, {8, 8, false}, {2, 1, true}, {2, 2, false}, {1, 1, false}, {3, 2, false}} {
-		p := NewPicker("n", 1)
+		p := NewPicker(1)
 		var list []Target
 		for i := range c.all {
 			list = append(list, Target{ID: fmt.Sprint(i), Near: true})
 		}
-		p.List(0, list)
+		p.List(0, list, 0)
 		for i := range c.sick {
 			p.End(0, fmt.Sprint(i), Sick, Word{})
 		}
@@ -165,8 +165,8 @@
 			t.Errorf("%+v: none later", c)
 		}
 	}
-	p := NewPicker("n", 1)
-	p.List(0, []Target{{ID: "a", Near: true}, {ID: "b", Near: true}, {ID: "c", Near: true}})
+	p := NewPicker(1)
+	p.List(0, []Target{{ID: "a", Near: true}, {ID: "b", Near: true}, {ID: "c", Near: true}}, 0)
 	p.End(0, "c", Sick, Word{})
 	if id, sick, ok := p.Pick(0, []string{"a", "b"}); !ok || id != "c" || !sick {
 		t.Errorf("the last that is left: %q, %v, %v", id, sick, ok)
@@ -189,8 +189,8 @@
 		{"one that was full long ago", Word{Pace: 1, Fill: 1}, Word{Pace: 1}, time.Minute, 0.45, 0.55},
 		{"one of which nothing is known", Word{}, Word{Pace: 1}, 0, 0, 0},
 	} {
-		p := NewPicker("n", 1)
-		p.List(0, []Target{{ID: "fast", Near: true}, {ID: "slow", Near: true}})
+		p := NewPicker(1)
+		p.List(0, []Target{{ID: "fast", Near: true}, {ID: "slow", Near: true}}, 0)
 		p.End(0, "slow", Served, c.slow)
 		p.End(0, "fast", Served, c.fast)
 		slow := 0
@@ -203,8 +203,8 @@
 			t.Errorf("%s: %.2f of the calls", c.name, part)
 		}
 	}
-	p := NewPicker("n", 1)
-	p.List(0, []Target{{ID: "fast", Near: true}, {ID: "slow", Near: true}})
+	p := NewPicker(1)
+	p.List(0, []Target{{ID: "fast", Near: true}, {ID: "slow", Near: true}}, 0)
 	p.End(0, "slow", Served, Word{Pace: 1.4})
 	p.End(0, "fast", Served, Word{Pace: 0.7})
 	for range 2 {
@@ -215,23 +215,63 @@
 	}
 }
 
-func TestSubsetsAreSmall(t *testing.T) {
-	var list []Target
-	for i := range 100 {
-		list = append(list, Target{ID: fmt.Sprint(i), Near: i%3 == 0})
+// TestSubsetsCoverAllServers: in each zone the nodes' subsets are small, and every server is in nearly as many of
+// them as any other, whatever the names are.
+func TestSubsetsCoverAllServers(t *testing.T) {
+	const zones = 4
+	for _, c := range []struct{ nodes, servers int }{{80, 59}, {81, 22}, {17, 16}, {320, 224}} {
+		names, zone := make([][]string, zones), func(i int) int { return i % zones }
+		for n := range c.nodes {
+			names[zone(n)] = append(names[zone(n)], fmt.Sprint("node", n))
+		}
+		used := map[string]int{}
+		for n := range c.nodes {
+			var list []Target
+			for i := range c.servers {
+				list = append(list, Target{ID: fmt.Sprint("i-", i), Near: zone(i) == zone(n)})
+			}
+			p := NewPicker(1)
+			p.List(0, list, Place(fmt.Sprint("node", n), names[zone(n)]))
+			if size := len(p.near) + len(p.far); size != meshSubset {
+				t.Fatalf("a subset of %d", size)
+			}
+			for _, s := range slices.Concat(p.near, p.far) {
+				used[s.ID]++
+			}
+		}
+		mean := float64(c.nodes*meshSubset) / float64(c.servers)
+		for i := range c.servers {
+			if n := float64(used[fmt.Sprint("i-", i)]); n < mean/2-1 || n > 1.6*mean+1 {
+				t.Errorf("%d nodes, %d servers: server %d is in %g subsets, %.1f on average", c.nodes, c.servers, i, n, mean)
+			}
+		}
+	}
+	if Place("b", []string{"a", "b"}) == Place("a", []string{"a", "b"}) || Place("x", nil) != 0 {
+		t.Error("places are not each node's own")
 	}
-	all := map[string]int{}
-	for n := range 60 {
-		p := NewPicker(fmt.Sprint("node", n), 1)
-		p.List(0, list)
-		if len(p.near)+len(p.far) != meshSubset || len(p.far) != meshFar {
-			t.Fatalf("%d near and %d far", len(p.near), len(p.far))
+}
+
+// TestComingBack: the worse the odds the later, never beyond what the client heeds, and not all at once.
+func TestComingBack(t *testing.T) {
+	g := NewGate(1, 0)
+	const aim, wait = time.Second, 1300 * time.Millisecond
+	mean := func(odds float64, wait time.Duration) (sum time.Duration) {
+		least, most := time.Hour, time.Duration(0)
+		for range 200 {
+			after := g.RetryAfter(aim, wait, odds)
+			if after <= 0 || after > max(wait, time.Millisecond) {
+				t.Fatalf("%v, with a wait of %v", after, wait)
+			}
+			least, most, sum = min(least, after), max(most, after), sum+after/200
 		}
-		for _, s := range slices.Concat(p.near, p.far) {
-			all[s.ID]++
+		if wait > 0 && most-least < wait/4 {
+			t.Errorf("all between %v and %v", least, most)
 		}
+		return sum
 	}
-	if len(all) < 70 {
-		t.Errorf("60 nodes use %d of 100 servers", len(all))
+	soon, late := mean(1, wait), mean(0, wait)
+	if half := mean(0.5, wait); soon > 600*time.Millisecond || late < 900*time.Millisecond || half < soon || half > late {
+		t.Errorf("%v with good odds, %v with even ones, %v with none", soon, half, late)
 	}
+	mean(0, 0)
 }
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -32,6 +32,7 @@
 type World struct {
 	Config  *meshconfig.Config
 	Servers map[string]*wire.Server // by member, those that may be sent to
+	Nodes   map[string][]string     // sidecar machines that are there, by zone
 }
 
 // NewWorld is the world as the news and the members have it: servers that drain,
@@ -39,12 +40,15 @@
 // it has died or left.
 func NewWorld(config *meshconfig.Config, news *wire.State, members []*wire.Member, gone func(node string) bool) *World {
 	silent := map[string]bool{}
+	w := &World{Config: config, Servers: make(map[string]*wire.Server, len(news.Servers)), Nodes: map[string][]string{}}
 	for _, m := range members {
-		if m.State != wire.Member_ALIVE {
+		switch {
+		case m.State != wire.Member_ALIVE:
 			silent[m.Name] = true
+		case !m.Core:
+			w.Nodes[m.Zone] = append(w.Nodes[m.Zone], m.Name)
 		}
 	}
-	w := &World{Config: config, Servers: make(map[string]*wire.Server, len(news.Servers))}
 	for _, s := range news.Servers {
 		if !s.Draining && !s.Leaving && !silent[s.Node] && !gone(s.Node) {
 			w.Servers[s.Member] = s
@@ -106,7 +110,7 @@
 	if w.Config == nil {
 		return
 	}
-	lists := map[string][]decide.Target{}
+	lists, place := map[string][]decide.Target{}, decide.Place(t.opt.Node, w.Nodes[t.opt.Zone])
 	for _, s := range w.Servers {
 		lists[s.Service] = append(lists[s.Service], decide.Target{ID: s.Member, Near: s.Zone == t.opt.Zone})
 	}
@@ -118,7 +122,7 @@
 		s := t.services[b.Name]
 		if s == nil && len(t.services) < mostServices {
 			s = &service{
-				gate: decide.NewGate(t.rng.Uint64(), now), picker: decide.NewPicker(t.opt.Node, t.rng.Uint64()),
+				gate: decide.NewGate(t.rng.Uint64(), now), picker: decide.NewPicker(t.rng.Uint64()),
 				budget: budget.New(t.opt.Ratio, t.opt.Window), hedges: hedgeSaved,
 			}
 			s.budget.Share(t.slack)
@@ -128,7 +132,7 @@
 			continue
 		}
 		s.gate.Priorities(priorities)
-		s.picker.List(now, lists[b.Name])
+		s.picker.List(now, lists[b.Name], place)
 	}
 	dropped := func(name string) bool {
 		return !slices.ContainsFunc(w.Config.Routes, func(r meshconfig.Route) bool { return r.Name == name })
