Take a request that has to wait for a slot as one without room

Cause: in a crowd the gate heard of it only from requests that found no queue either, and from r, which lags by the time of the waiting. Change: a request that was turned away at two looks counts at once; a tenth may, as with three quarters of the slots taken two servers in a row are full by chance. Queues hold half as many requests as there are slots.

--- a/decide/mesh.go
+++ b/decide/mesh.go
@@ -21,6 +21,7 @@
 	toldFor    = time.Second            // how long one counts
 	gateRoom   = time.Second            // over which that is averaged ...
 	gateFew    = 2                      // ... as if so many more had found room
+	gateSpare  = 0.1                    // part that looks for room in vain also where there is work to spare
 	gateMemory = 8                      // outcomes over which r is averaged
 	backLeast  = 0.6                    // part of its wait after which a client returns, if none is let in
 	meshSubset = 8                      // servers of a service that a node keeps to ...
@@ -42,7 +43,7 @@
 	rng       *rand.Rand
 	levels    []int // priorities, the lowest (largest number) first
 	r         float64
-	full, all float64       // requests that found no server with room at some moment, and all; fading
+	full, all float64       // requests that looked for a server with room in vain, and all; fading
 	roomAt    time.Duration // the last of them
 	told      float64       // pressure that other nodes see, averaged ...
 	toldAt    time.Duration // ... and when one last spoke of it
@@ -67,8 +68,8 @@
 // Reading returns r, in aims.
 func (g *Gate) Reading() float64 { return g.r }
 
-// Room notes whether a request was taken, or found no server with room at some moment. It says at once what r
-// would say once those who wait have been answered.
+// Room notes whether a request was taken at once, or looked for a server with room in vain. It says at once
+// what r would say once those who wait have been answered.
 func (g *Gate) Room(now time.Duration, taken bool) {
 	fade := g.fade(now)
 	g.full, g.all, g.roomAt = g.full*fade, g.all*fade+1, now
@@ -85,7 +86,8 @@
 // Pressure is r, or what stands in for it while requests find no room, in aims.
 func (g *Gate) Pressure(now time.Duration) float64 {
 	fade := g.fade(now)
-	return max(g.r, gateFoot+(gateTop-gateFoot)*gateCrowd*g.full*fade/(g.all*fade+gateFew))
+	vain := max(0, g.full*fade/(g.all*fade+gateFew)-gateSpare) / (1 - gateSpare)
+	return max(g.r, gateFoot+(gateTop-gateFoot)*gateCrowd*vain)
 }
 
 // Calm tells whether nothing is about to be refused.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -207,3 +207,26 @@
 		t.Error("a second server beyond the budget")
 	}
 }
+
+// TestWaitsAreToldAtOnce: a request that is turned away where it looks, and lets itself be queued at last, has not
+// found room. One that is taken at its first or second look has.
+func TestWaitsAreToldAtOnce(t *testing.T) {
+	for _, c := range []struct{ turned, requests int }{{0, 20}, {1, 20}, {2, 20}} {
+		tab := table(t, 6)
+		for range c.requests {
+			r := tab.enter(t, "/safe/")
+			for range c.turned {
+				r.Done(0, r.Next(0).Server, &wire.Outcome{Fate: wire.Outcome_UNSENT, Waiting: true}, decide.Sick)
+			}
+			step := r.Next(0)
+			if queue := c.turned >= looks; step.Queue != queue && tab.services["s"].gate.Calm(0) {
+				t.Errorf("turned away %d times it may wait: %v", c.turned, step.Queue)
+			}
+			r.Done(0, step.Server, &wire.Outcome{Fate: wire.Outcome_ANSWERED, Status: 200}, decide.Served)
+			r.Leave(0)
+		}
+		if crowd := c.turned >= looks; tab.services["s"].gate.Calm(0) == crowd {
+			t.Errorf("all are turned away %d times, and the gate's pressure is %.2f", c.turned, tab.Pressure(0, "s"))
+		}
+	}
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -57,7 +57,7 @@
 	tried   []string      // servers not to be asked again
 	turned  int
 	sick    bool // a server has turned it away for failing too many
-	crowded bool // at some moment no server had room
+	crowded bool // it has looked for a free slot in vain
 }
 
 // Choose draws the service for a request among those that share its route.
@@ -144,10 +144,7 @@
 		return step
 	}
 	// Nobody has room at this moment. Longer waits belong to the client.
-	if !r.crowded {
-		r.crowded = true
-		r.service.gate.Room(now, false)
-	}
+	r.waits(now)
 	if now-r.since > r.patience() {
 		return Step{Final: r.giveUp(now, "no server has room")}
 	}
@@ -155,6 +152,15 @@
 	return Step{Wait: min(fullPause, r.Until-now)}
 }
 
+// waits tells the gate, once, that the request has found no server with a free slot where it looked. To count only
+// those that found no queue either would say so when all queues are full, which is late: each of them is a wait.
+func (r *Request) waits(now time.Duration) {
+	if !r.crowded {
+		r.crowded = true
+		r.service.gate.Room(now, false)
+	}
+}
+
 // again lets those be asked again that turned it away: they may have room by now.
 func (r *Request) again() { r.tried = append(append(r.tried[:0], r.reached...), r.open...) }
 
@@ -166,6 +172,9 @@
 	}
 	r.service.picker.Begin(id)
 	step := Step{Server: id, Insist: sick, Repeat: r.ran || len(r.open) > 0, Queue: r.turned >= looks || !r.service.gate.Calm(now), Usual: r.Usual()}
+	if r.turned >= looks {
+		r.waits(now)
+	}
 	r.open = append(r.open, id)
 	r.tried = append(r.tried, id)
 	return step, true
--- a/internal/station/station.go
+++ b/internal/station/station.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	queueFactor  = 1               // requests that wait for each slot, at most
+	queuePart    = 0.5             // requests that wait, by slots, at most: a longer queue keeps no slot busier ...
+	queueLeast   = 2               // ... but so many may
 	beatsMissed  = 3               // after which a server is taken for gone
 	forgetAfter  = 2 * time.Minute // lives that ended are remembered for as long
 	mostLives    = 64              // remembered at a time
@@ -331,7 +332,7 @@
 	if !q.Wait { // another server may have a slot, and a further hop is shorter than any wait
 		return Full, "no slot", nil
 	}
-	if len(m.queue) >= m.Slots*queueFactor {
+	if len(m.queue) >= max(queueLeast, int(queuePart*float64(m.Slots))) {
 		last := m.queue[len(m.queue)-1]
 		if last.priority <= q.Priority {
 			return Full, "no room", nil
