--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -74,8 +74,8 @@
 // ask makes one try of a request at some node.
 func (s *sim) ask(q *request, n int) {
 	at := s.rng.IntN(len(s.nodes))
-	for range 4 { // clients look for a node that takes connections
-		if s.nodes[at].up {
+	for range 4 { // clients look for a node that is ready, or takes connections at least
+		if s.nodes[at].up && s.nodes[at].ready {
 			break
 		}
 		at = s.rng.IntN(len(s.nodes))
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -23,6 +23,9 @@
 
 const (
 	upkeepEvery  = 500 * time.Millisecond
+	fenceWait    = 6 * time.Second // as the real node's: it starts by what a relay told it after that
+	fencePause   = 100 * time.Millisecond
+	fenceLook    = 20 * time.Millisecond
 	answerMargin = 15 * time.Millisecond
 	headBytes    = 300 // of a request or an answer without its body
 )
@@ -44,6 +47,8 @@
 	began    time.Duration
 	built    [2]uint64 // news and members that the table has been told
 	proposes bool
+	ready    bool   // it takes clients: its news are as new as what had been acknowledged when it started
+	owed     uint64 // the revision that had been
 }
 
 // ticket is a request that waits for a slot at a server.
@@ -60,11 +65,56 @@
 	n.station = station.New[*ticket](ms(s.w.DrainMs), ms(s.w.BeatMs))
 	n.shares = budget.Shares{Slack: s.w.Retry.Slack, Window: sec(s.w.Retry.WindowS), Known: s.now == 0}
 	n.peerView.start(s, &n.machine)
+	n.ready, n.owed = false, s.acked
 	life := n.life
+	n.fence(life)
 	s.after(time.Duration(s.rng.Int64N(int64(upkeepEvery))), func() { n.upkeep(life) })
 	s.after(time.Duration(s.rng.Int64N(int64(200*time.Millisecond))), func() { n.follow(life) })
 }
 
+// fence asks the leader how far the news have come, and waits for them.
+func (n *node) fence(life uint64) {
+	s := n.s
+	over := func() bool { return !n.up || n.life != life || n.ready }
+	if over() {
+		return
+	}
+	if s.now-n.began >= fenceWait {
+		n.ready = true
+		return
+	}
+	var head uint64
+	s.atLeader(&n.machine, rpcBytes, func(c *core, answer func(error)) {
+		c.read(func(ok bool) {
+			if !ok {
+				answer(errLost)
+				return
+			}
+			head = c.catalog.Number
+			answer(nil)
+		})
+	}, func(err error) {
+		if err != nil {
+			s.after(fencePause, func() { n.fence(life) })
+			return
+		}
+		var look func()
+		look = func() {
+			switch {
+			case over():
+			case n.hub.Number() < head:
+				s.after(fenceLook, look)
+			default:
+				n.ready = true
+				if c := s.parse(n.hub.State().Config); n.owed > 0 && (c == nil || c.Revision < n.owed) {
+					s.broken("%s is ready without revision %d, which was acknowledged before its start", n.name, n.owed)
+				}
+			}
+		}
+		look()
+	})
+}
+
 func (n *node) stop(power bool) {
 	if n.up {
 		n.s.down(&n.machine, power)
