End a core machine's process although its loop ends with a question unread

Cause: the loop returns before the context ends since it hands the lead over; the goroutine that asks it whether this machine is a member waited for the answer alone. In service the process would have been killed at the end of its grace. Change: it waits for the context as well. Siblings: all others that ask the loop have a deadline or a context; the new test asks in each way, and fails without the change. Ruled out by the stacks: the servers, the store and the senders, which had all ended or were waiting for the context.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -607,7 +607,13 @@
 		}) {
 			return
 		}
-		if <-member {
+		var joined bool
+		select {
+		case joined = <-member:
+		case <-ctx.Done(): // the loop may have ended with the question unread
+			return
+		}
+		if joined {
 			n.pause(time.Second)
 			continue
 		}
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,36 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// TestQuestionsEndWithTheProcess: whoever has asked the loop something is let go when the loop ends without having read
+// it. One that was not kept the process from ending, until the platform killed it.
+func TestQuestionsEndWithTheProcess(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{events: make(chan func(), 64), ctx: ctx} // nobody reads the events
+	for name, ask := range map[string]func(){
+		"joining": func() { n.joinLoop(ctx) },
+		"leader":  func() { n.ask(ctx) },
+		"status":  func() { n.state(ctx) },
+		"change":  func() { n.change(ctx, nil) },
+		"read":    func() { n.read(ctx, func() {}) },
+		"join":    func() { n.join(ctx, nil) },
+	} {
+		done := make(chan struct{})
+		go func() { defer close(done); ask() }()
+		defer func() {
+			select {
+			case <-done:
+			case <-time.After(20 * time.Second):
+				t.Errorf("%s waits for good", name)
+			}
+		}()
+	}
+	for len(n.events) < 4 { // the questions are there
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+}
--- a/internal/control/web.go
+++ b/internal/control/web.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"curlewring/internal/backup"
 	"curlewring/internal/catalog"
 	"curlewring/internal/meshconfig"
 	"curlewring/internal/metrics"
@@ -22,6 +23,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /config/replace", n.replace)
 	mux.HandleFunc("GET /config/read", n.readConfig)
+	mux.HandleFunc("GET /backup", n.backup)
 	mux.HandleFunc("GET /status", n.status)
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, r *http.Request) {
 		if leader, _ := n.ask(r.Context()); leader == nil {
@@ -183,6 +185,26 @@
 	}
 }
 
+// backup returns all that was acknowledged, as the file that package backup reads.
+func (n *Node) backup(w http.ResponseWriter, r *http.Request) {
+	if n.elsewhere(r.Context(), w, "/backup") {
+		return
+	}
+	var data []byte
+	var failed error
+	if err := n.read(r.Context(), func() { data, failed = backup.Of(n.core.Term(), n.applied, n.catalog).Encode() }); err != nil {
+		reply(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	if failed != nil {
+		reply(w, http.StatusInternalServerError, failed.Error())
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.Write(data)
+}
+
 // readConfig returns the newest configuration as it was sent.
 func (n *Node) readConfig(w http.ResponseWriter, r *http.Request) {
 	if n.elsewhere(r.Context(), w, "/config/read") {
