Back up a running core, restore one that is gone, and name the disk's format

Cause: a core whose disks are all lost was the end of its state, and a folder told nothing of its format; a record in another's place passed for good. Change: ivydeckctl store backup, export, show and restore. A backup is what a majority has confirmed, in one file under a checksum. A restore makes an empty folder the one machine of a new core, refuses any other, and says what is lost where a folder of the old core is left. Its news begin far ahead, so that nodes that outlived the core take them. Records are sealed with CRC-32C of key and value; the first format is brought up in one synced write, a later one is refused untouched. Ruled out: a restore into a running core, which would take acknowledged changes back by itself.

--- a/cmd/ivydeckctl/main.go
+++ b/cmd/ivydeckctl/main.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"os"
 	"slices"
 	"strings"
@@ -15,6 +16,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/willabides/kongplete"
 
+	"curlewring/internal/backup"
 	"curlewring/internal/catalog"
 	"curlewring/internal/control"
 	"curlewring/internal/meshconfig"
@@ -37,7 +39,11 @@
 	Store   struct {
 		Inspect inspectCmd `cmd:"" help:"Print what the folder of a stopped core machine holds; nothing is changed."`
 		Verify  verifyCmd  `cmd:"" help:"Check the folder of a stopped core machine, entry by entry; nothing is changed."`
-	} `cmd:"" help:"The disk of a core machine."`
+		Backup  backupCmd  `cmd:"" help:"Write all that a running core has acknowledged to a file."`
+		Export  exportCmd  `cmd:"" help:"The same out of the folder of a stopped core machine; nothing in it is changed."`
+		Show    showCmd    `cmd:"" help:"Print what a backup holds."`
+		Restore restoreCmd `cmd:"" help:"Make an empty folder the first machine of a new core, out of a backup."`
+	} `cmd:"" help:"The disk of a core machine, and backups."`
 	Completion kongplete.InstallCompletions `cmd:"" help:"Print what to put into the shell's start file for completion."`
 }
 
@@ -268,6 +274,95 @@
 	return nil
 }
 
+type backupCmd struct {
+	coreFlags
+	File string `arg:"" help:"It must not exist yet."`
+}
+
+func (c *backupCmd) Run(ctx context.Context) error {
+	b, err := c.core().Backup(ctx)
+	if err != nil {
+		return err
+	}
+	if err := b.Save(c.File); err != nil {
+		return err
+	}
+	fmt.Printf("%s: %s\n", c.File, b.Summary())
+	return nil
+}
+
+type exportCmd struct {
+	Dir  string `arg:"" type:"existingdir" help:"The machine's data_dir."`
+	File string `arg:"" help:"It must not exist yet."`
+}
+
+func (c *exportCmd) Run() error {
+	b, beyond, err := backup.OfStore(c.Dir)
+	if err != nil {
+		return err
+	}
+	if err := b.Save(c.File); err != nil {
+		return err
+	}
+	fmt.Printf("%s: %s; the last %d changes are on this disk, and may not have been acknowledged\n", c.File, b.Summary(), beyond)
+	return nil
+}
+
+type showCmd struct {
+	File   string `arg:"" type:"existingfile"`
+	Output string `help:"json or table, of its configuration." enum:"json,table" default:"table"`
+}
+
+func (c *showCmd) Run() error {
+	b, err := backup.Load(c.File)
+	if err != nil {
+		return err
+	}
+	if c.Output == "table" {
+		fmt.Println(b.Summary())
+	}
+	if len(b.State.Config) == 0 {
+		return nil
+	}
+	config, err := meshconfig.Parse(b.State.Config)
+	if err != nil {
+		return err
+	}
+	return show(config, c.Output)
+}
+
+type restoreCmd struct {
+	File     string `arg:"" type:"existingfile" help:"A backup."`
+	Dir      string `arg:"" help:"The machine's data_dir, empty or not there yet."`
+	Internal string `required:"" placeholder:"HOST:PORT" help:"Where the machine listens to nodes: its ip_address and the first of its internal_ports."`
+	Control  string `required:"" placeholder:"HOST:PORT" help:"Its listeners.control_plane."`
+	Was      string `type:"existingdir" placeholder:"DIR" help:"A folder that is left of the old core: say what of it the backup lacks, and stop there unless --lose is given."`
+	Lose     bool   `help:"Go on although changes are lost."`
+}
+
+func (c *restoreCmd) Run() error {
+	b, err := backup.Load(c.File)
+	if err != nil {
+		return err
+	}
+	if c.Was != "" {
+		loss, err := b.Loss(c.Was)
+		if err != nil {
+			return err
+		}
+		if loss != "" && !c.Lose {
+			return fmt.Errorf("%s; give --lose to go on, or export that folder instead", loss)
+		}
+	}
+	if err := b.Restore(c.Dir, c.Internal, c.Control, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))); err != nil {
+		return err
+	}
+	fmt.Printf("%s holds %s, as the one machine of a new core.\n", c.Dir, b.Summary())
+	fmt.Println("Start it with bootstrap=false, then the others with empty folders, bootstrap=false and this one among their seeds.")
+	fmt.Println("No machine of the old core may start with its old folder: it would be a second core.")
+	return nil
+}
+
 func main() {
 	program.Tool("ivydeckctl", "The operator's tool of the ivydeck mesh.", new(commands))
 }
--- a/internal/data/mesh_test.go
+++ b/internal/data/mesh_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -227,6 +228,32 @@
 	delete(stops, 1)
 	m.until("the configuration after the loss of a machine", func() bool { return bytes.Equal(read(), third) })
 	m.until("its routes on the node", func() bool { return get("/three/x") == 200 })
+
+	// All that the core has is lost but a backup, and a change that came after it.
+	kept, err := core.Backup(ctx)
+	if err != nil || kept.State.Revision() != 9 || len(kept.State.Servers) != 1 {
+		t.Fatalf("a backup: %v, %v", kept, err)
+	}
+	m.until("a fourth configuration", func() bool { return core.Apply(ctx, 9, config(t, 11, "/four/")) == nil })
+	m.until("its routes on the node", func() bool { return get("/four/x") == 200 })
+	for n := 2; n <= 3; n++ {
+		stops[n]()
+		delete(stops, n)
+	}
+	for n := 1; n <= 3; n++ {
+		set := m.settings(n, nodefile.Core, false)
+		set.DataDir = filepath.Join(m.dir, fmt.Sprint("restored", n))
+		if n == 1 {
+			if err := kept.Restore(set.DataDir, set.Internal(), set.Control, rand.New(rand.NewPCG(1, 1))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		stops[n] = m.start(control.Run, set)
+	}
+	m.until("the configuration of the backup", func() bool { return bytes.Equal(read(), third) })
+	m.until("its routes on a node that has outlived the core", func() bool { return get("/three/x") == 200 && get("/four/x") == 404 })
+	m.until("a change on top of it", func() bool { return core.Apply(ctx, 9, config(t, 12, "/five/")) == nil })
+	m.until("its routes on the node", func() bool { return get("/five/x") == 200 })
 }
 
 // BenchmarkChanges measures configurations that are acknowledged one after another by
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -20,6 +20,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"gopkg.in/yaml.v3"
 
+	"curlewring/internal/backup"
 	"curlewring/internal/control"
 	"curlewring/internal/meshconfig"
 )
@@ -29,6 +30,8 @@
 	tryWait   = 3 * time.Second
 	firstWait = 200 * time.Millisecond // doubled up to mostWait
 	mostWait  = 2 * time.Second
+
+	mostAnswer = meshconfig.MostBytes + 16<<20 // a configuration, and a list of servers in a backup
 )
 
 // Load reads a configuration from a file: .toml, .yaml, .json, or MessagePack for
@@ -153,7 +156,7 @@
 		return 0, nil, err
 	}
 	defer resp.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, meshconfig.MostBytes+1))
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, mostAnswer))
 	return resp.StatusCode, answer, err
 }
 
@@ -188,6 +191,18 @@
 	return fmt.Errorf("the core answers %d: %s", status, bytes.TrimSpace(answer))
 }
 
+// Backup returns all that the core has acknowledged.
+func (c *Core) Backup(ctx context.Context) (*backup.Backup, error) {
+	status, body, err := c.call(ctx, http.MethodGet, "/backup", nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, fmt.Errorf("the core answers %d: %s", status, bytes.TrimSpace(body))
+	}
+	return backup.Decode(body)
+}
+
 // Status asks each machine for what it says of itself; what failed is in errs.
 func (c *Core) Status(ctx context.Context) (all []control.Status, errs []error) {
 	for _, a := range c.Addresses {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,12 +1,19 @@
 // Package store keeps a core machine's part of the log on disk, in goleveldb.
 // What Save returns from without an error is synced. A store that is damaged
 // beyond a torn last write does not open: a guess is never served.
+//
+// Each record is sealed with a checksum of its key and its value, below those of
+// the library: a record that stands in another's place is found too. The folder
+// names its format; an older one is brought up at the first open, a newer one is
+// left alone.
 package store
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -26,9 +33,33 @@
 	keyID       = []byte("id")
 	keyHard     = []byte("hard")
 	keySnapshot = []byte("snapshot")
+	keyFormat   = []byte("format")
 	entryPrefix = byte('e')
 )
 
+// format is the newest that this version knows: 1 has sealed records. Folders of
+// the first format name none.
+const format = 1
+
+// ErrNewer is a folder that a later version has written. Nothing in it is changed.
+var ErrNewer = errors.New("written by a later version")
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// seal puts a record's checksum in front of it.
+func seal(key, value []byte) []byte {
+	sum := crc32.Update(crc32.Checksum(key, castagnoli), castagnoli, value)
+	return append(binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(value)), sum), value...)
+}
+
+// unseal returns a record without its checksum.
+func unseal(key, sealed []byte) ([]byte, error) {
+	if len(sealed) < 4 || binary.BigEndian.Uint32(sealed) != crc32.Update(crc32.Checksum(key, castagnoli), castagnoli, sealed[4:]) {
+		return nil, fmt.Errorf("%w: the record %q fails its checksum", errDamaged, key)
+	}
+	return sealed[4:], nil
+}
+
 func entryKey(index uint64) []byte {
 	return binary.BigEndian.AppendUint64([]byte{entryPrefix}, index)
 }
@@ -39,6 +70,7 @@
 	db    *leveldb.DB
 	files storage.Storage
 	last  uint64 // index of the last entry stored; 0: none
+	plain bool   // records are of the first format, without seals
 
 	ID       uint64 // the identity, drawn when the folder was empty
 	Fresh    bool   // the folder was empty
@@ -213,13 +245,70 @@
 	if err != nil {
 		return false, fmt.Errorf("reading %q: %w", key, err)
 	}
+	if data, err = s.record(key, data); err != nil {
+		return false, err
+	}
 	if err := proto.Unmarshal(data, m); err != nil {
 		return false, fmt.Errorf("%w: reading %q: %w", errDamaged, key, err)
 	}
 	return true, nil
 }
 
+// record returns what a stored record says.
+func (s *Store) record(key, stored []byte) ([]byte, error) {
+	if s.plain {
+		return stored, nil
+	}
+	return unseal(key, stored)
+}
+
+// readFormat finds how records are stored.
+func (s *Store) readFormat() error {
+	b, err := s.db.Get(keyFormat, nil)
+	switch {
+	case errors.Is(err, leveldb.ErrNotFound):
+		s.plain = true
+	case err != nil:
+		return fmt.Errorf("reading the format: %w", err)
+	case len(b) != 4:
+		return fmt.Errorf("%w: the format has %d bytes, not 4", errDamaged, len(b))
+	default:
+		if f := binary.BigEndian.Uint32(b); f > format {
+			return fmt.Errorf("%w: format %d, and this one knows up to %d", ErrNewer, f, format)
+		}
+	}
+	return nil
+}
+
+// upgrade seals the records of the first format, all of them or none.
+func (s *Store) upgrade() error {
+	w := new(leveldb.Batch)
+	it := s.db.NewIterator(nil, nil)
+	defer it.Release()
+	for it.Next() {
+		w.Put(bytes.Clone(it.Key()), seal(it.Key(), it.Value()))
+	}
+	if err := it.Error(); err != nil {
+		return fmt.Errorf("reading records of the first format: %w", err)
+	}
+	w.Put(keyFormat, binary.BigEndian.AppendUint32(nil, format))
+	if err := s.db.Write(w, &opt.WriteOptions{Sync: true}); err != nil {
+		return fmt.Errorf("writing the records anew: %w", err)
+	}
+	s.plain = false
+	return nil
+}
+
+// load reads the folder. Without rng nothing in it is changed.
 func (s *Store) load(rng *rand.Rand) error {
+	if err := s.readFormat(); err != nil {
+		return err
+	}
+	if s.plain && rng != nil { // an empty folder has nothing to seal, and becomes one of this format
+		if err := s.upgrade(); err != nil {
+			return err
+		}
+	}
 	id, err := s.db.Get(keyID, nil)
 	switch {
 	case errors.Is(err, leveldb.ErrNotFound):
@@ -227,10 +316,14 @@
 		for s.ID == 0 {
 			s.ID = rng.Uint64()
 		}
-		return s.db.Put(keyID, binary.BigEndian.AppendUint64(nil, s.ID), &opt.WriteOptions{Sync: true})
+		return s.db.Put(keyID, seal(keyID, binary.BigEndian.AppendUint64(nil, s.ID)), &opt.WriteOptions{Sync: true})
 	case err != nil:
 		return fmt.Errorf("reading the identity: %w", err)
-	case len(id) != 8:
+	}
+	if id, err = s.record(keyID, id); err != nil {
+		return err
+	}
+	if len(id) != 8 {
 		return fmt.Errorf("%w: the identity has %d bytes, not 8", errDamaged, len(id))
 	}
 	s.ID = binary.BigEndian.Uint64(id)
@@ -251,7 +344,11 @@
 	defer it.Release()
 	for it.Next() {
 		e := new(wire.Entry)
-		if err := proto.Unmarshal(it.Value(), e); err != nil {
+		value, err := s.record(it.Key(), it.Value())
+		if err != nil {
+			return err
+		}
+		if err := proto.Unmarshal(value, e); err != nil {
 			return fmt.Errorf("%w: entry %d: %w", errDamaged, next, err)
 		}
 		if e.Index != next {
@@ -282,7 +379,7 @@
 	put := func(key []byte, m proto.Message) error {
 		data, err := proto.Marshal(m)
 		if err == nil {
-			w.Put(key, data)
+			w.Put(key, seal(key, data))
 		}
 		return err
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -1,12 +1,16 @@
 package store
 
 import (
+	"errors"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
+	"github.com/syndtr/goleveldb/leveldb"
+	"google.golang.org/protobuf/proto"
+
 	"curlewring/internal/wire"
 )
 
@@ -143,3 +147,60 @@
 		}
 	}
 }
+
+// TestFormats: a folder of the first format, which had no seals, is brought up and holds what it held; one of a later
+// format is left as it is; a record in another's place, which the library takes for good, is found.
+func TestFormats(t *testing.T) {
+	write := func(t *testing.T, records map[string][]byte) string {
+		dir := t.TempDir()
+		s := open(t, dir)
+		w := new(leveldb.Batch)
+		for key, value := range records {
+			if value == nil {
+				w.Delete([]byte(key))
+			} else {
+				w.Put([]byte(key), value)
+			}
+		}
+		if err := s.db.Write(w, nil); err != nil {
+			t.Fatal(err)
+		}
+		s.Close()
+		return dir
+	}
+	marshal := func(m proto.Message) []byte {
+		b, err := proto.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	one, two := entries(1, 1, 1)[0], entries(1, 2, 2)[0]
+	first := write(t, map[string][]byte{
+		string(keyFormat): nil, string(keyID): {0, 0, 0, 0, 0, 0, 0, 7}, string(keyHard): marshal(&wire.HardState{Term: 3, Vote: 7}),
+		string(entryKey(1)): marshal(one), string(entryKey(2)): marshal(two),
+	})
+	if s, err := Inspect(first); err != nil || s.ID != 7 || len(s.Entries) != 2 {
+		t.Fatalf("inspected: %v", err)
+	}
+	for range 2 { // brought up, and as it is from then on
+		s := open(t, first)
+		if s.ID != 7 || s.Fresh || s.Damaged != nil || s.Hard.GetVote() != 7 || len(s.Entries) != 2 || s.plain {
+			t.Errorf("%+v", s)
+		}
+		s.Close()
+	}
+	newer := write(t, map[string][]byte{string(keyFormat): {0, 0, 0, 9}})
+	if _, err := Open(newer, rand.New(rand.NewPCG(1, 1))); !errors.Is(err, ErrNewer) {
+		t.Errorf("a newer format: %v", err)
+	}
+	if _, err := Inspect(newer); !errors.Is(err, ErrNewer) {
+		t.Errorf("a newer format, inspected: %v", err)
+	}
+	moved := write(t, map[string][]byte{string(entryKey(1)): seal(entryKey(2), marshal(one))})
+	if s := open(t, moved); s.Damaged == nil || !s.Fresh {
+		t.Error("a record in another's place passes")
+	} else {
+		s.Close()
+	}
+}
