Name the module ivydeck

The inherited name stays where something binds it: deploy/balancer.toml starts cmd/curlewring, and that program says its own name.

--- a/cmd/benchlink/host.go
+++ b/cmd/benchlink/host.go
@@ -8,8 +8,8 @@
 	"io"
 	"time"
 
-	"curlewring/decide"
-	"curlewring/internal/settings"
+	"ivydeck/decide"
+	"ivydeck/internal/settings"
 )
 
 const rosters = 16 // list numbers run from 0 to 15
--- a/cmd/benchlink/wire.go
+++ b/cmd/benchlink/wire.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"time"
 
-	"curlewring/decide"
-	"curlewring/internal/settings"
+	"ivydeck/decide"
+	"ivydeck/internal/settings"
 )
 
 // message is one line of input: an object with a single key, the event's name.
--- a/cmd/curlewring/main.go
+++ b/cmd/curlewring/main.go
@@ -13,7 +13,7 @@
 	"sync"
 	"syscall"
 
-	"curlewring/internal/node"
+	"ivydeck/internal/node"
 )
 
 func main() {
--- a/cmd/ivydeck-control/main.go
+++ b/cmd/ivydeck-control/main.go
@@ -3,9 +3,9 @@
 package main
 
 import (
-	"curlewring/internal/control"
-	"curlewring/internal/nodefile"
-	"curlewring/internal/program"
+	"ivydeck/internal/control"
+	"ivydeck/internal/nodefile"
+	"ivydeck/internal/program"
 )
 
 func main() {
--- a/cmd/ivydeck-data/main.go
+++ b/cmd/ivydeck-data/main.go
@@ -3,9 +3,9 @@
 package main
 
 import (
-	"curlewring/internal/data"
-	"curlewring/internal/nodefile"
-	"curlewring/internal/program"
+	"ivydeck/internal/data"
+	"ivydeck/internal/nodefile"
+	"ivydeck/internal/program"
 )
 
 func main() {
--- a/cmd/ivydeckctl/main.go
+++ b/cmd/ivydeckctl/main.go
@@ -16,13 +16,13 @@
 	"github.com/alecthomas/kong"
 	"github.com/willabides/kongplete"
 
-	"curlewring/internal/backup"
-	"curlewring/internal/catalog"
-	"curlewring/internal/control"
-	"curlewring/internal/meshconfig"
-	"curlewring/internal/operator"
-	"curlewring/internal/program"
-	"curlewring/internal/store"
+	"ivydeck/internal/backup"
+	"ivydeck/internal/catalog"
+	"ivydeck/internal/control"
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/operator"
+	"ivydeck/internal/program"
+	"ivydeck/internal/store"
 )
 
 type commands struct {
--- a/cmd/meshlab/check.go
+++ b/cmd/meshlab/check.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"curlewring/internal/explore"
-	"curlewring/internal/planted"
+	"ivydeck/internal/explore"
+	"ivydeck/internal/planted"
 )
 
 type checkCmd struct {
--- a/cmd/meshlab/demo.go
+++ b/cmd/meshlab/demo.go
@@ -6,7 +6,7 @@
 	"path/filepath"
 	"time"
 
-	"curlewring/internal/demo"
+	"ivydeck/internal/demo"
 )
 
 type demoCmd struct {
--- a/cmd/meshlab/main.go
+++ b/cmd/meshlab/main.go
@@ -11,8 +11,8 @@
 	"github.com/alecthomas/kong"
 	"github.com/schollz/progressbar/v3"
 
-	"curlewring/internal/lab"
-	"curlewring/internal/program"
+	"ivydeck/internal/lab"
+	"ivydeck/internal/program"
 )
 
 type commands struct {
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"curlewring/decide"
+	"ivydeck/decide"
 )
 
 // A node keeps one Balancer, hands it each event with the time, and carries out what comes back.
--- a/internal/backup/backup.go
+++ b/internal/backup/backup.go
@@ -15,9 +15,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"curlewring/internal/catalog"
-	"curlewring/internal/store"
-	"curlewring/internal/wire"
+	"ivydeck/internal/catalog"
+	"ivydeck/internal/store"
+	"ivydeck/internal/wire"
 )
 
 // magic begins a backup's file; its last byte is the format. A checksum follows, big-endian, and the message.
--- a/internal/backup/backup_test.go
+++ b/internal/backup/backup_test.go
@@ -11,9 +11,9 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"google.golang.org/protobuf/proto"
 
-	"curlewring/internal/meshconfig"
-	"curlewring/internal/store"
-	"curlewring/internal/wire"
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/store"
+	"ivydeck/internal/wire"
 )
 
 func rng() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -13,8 +13,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"curlewring/internal/meshconfig"
-	"curlewring/internal/wire"
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/wire"
 )
 
 const (
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -7,7 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"google.golang.org/protobuf/proto"
 
-	"curlewring/internal/wire"
+	"ivydeck/internal/wire"
 )
 
 func config(t *testing.T, revision uint64, change func(map[string]any)) []byte {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,15 +17,15 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"curlewring/internal/catalog"
-	"curlewring/internal/gossip"
-	"curlewring/internal/metrics"
-	"curlewring/internal/nodefile"
-	"curlewring/internal/raft"
-	"curlewring/internal/relay"
-	"curlewring/internal/rpc"
-	"curlewring/internal/store"
-	"curlewring/internal/wire"
+	"ivydeck/internal/catalog"
+	"ivydeck/internal/gossip"
+	"ivydeck/internal/metrics"
+	"ivydeck/internal/nodefile"
+	"ivydeck/internal/raft"
+	"ivydeck/internal/relay"
+	"ivydeck/internal/rpc"
+	"ivydeck/internal/store"
+	"ivydeck/internal/wire"
 )
 
 const (
--- a/internal/control/web.go
+++ b/internal/control/web.go
@@ -10,12 +10,12 @@
 	"strconv"
 	"time"
 
-	"curlewring/internal/backup"
-	"curlewring/internal/catalog"
-	"curlewring/internal/meshconfig"
-	"curlewring/internal/metrics"
-	"curlewring/internal/raft"
-	"curlewring/internal/wire"
+	"ivydeck/internal/backup"
+	"ivydeck/internal/catalog"
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/metrics"
+	"ivydeck/internal/raft"
+	"ivydeck/internal/wire"
 )
 
 // routes is what the operator calls.
--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -15,15 +15,15 @@
 	"sync/atomic"
 	"time"
 
-	"curlewring/internal/budget"
-	"curlewring/internal/entry"
-	"curlewring/internal/gossip"
-	"curlewring/internal/meshconfig"
-	"curlewring/internal/nodefile"
-	"curlewring/internal/proxy"
-	"curlewring/internal/relay"
-	"curlewring/internal/rpc"
-	"curlewring/internal/wire"
+	"ivydeck/internal/budget"
+	"ivydeck/internal/entry"
+	"ivydeck/internal/gossip"
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/nodefile"
+	"ivydeck/internal/proxy"
+	"ivydeck/internal/relay"
+	"ivydeck/internal/rpc"
+	"ivydeck/internal/wire"
 )
 
 const (
--- a/internal/data/leader_test.go
+++ b/internal/data/leader_test.go
@@ -5,10 +5,10 @@
 	"log/slog"
 	"testing"
 
-	"curlewring/internal/gossip"
-	"curlewring/internal/nodefile"
-	"curlewring/internal/rpc"
-	"curlewring/internal/wire"
+	"ivydeck/internal/gossip"
+	"ivydeck/internal/nodefile"
+	"ivydeck/internal/rpc"
+	"ivydeck/internal/wire"
 )
 
 // TestSilentCoreMachinesAreNotWaitedFor: the first that is asked says nothing, the second names the leader, which
--- a/internal/data/mesh_test.go
+++ b/internal/data/mesh_test.go
@@ -18,9 +18,9 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"curlewring/internal/control"
-	"curlewring/internal/nodefile"
-	"curlewring/internal/operator"
+	"ivydeck/internal/control"
+	"ivydeck/internal/nodefile"
+	"ivydeck/internal/operator"
 )
 
 // mesh is a whole one on the loopback range: each machine has an address of its
--- a/internal/data/metrics.go
+++ b/internal/data/metrics.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 
-	"curlewring/internal/metrics"
-	"curlewring/internal/wire"
+	"ivydeck/internal/metrics"
+	"ivydeck/internal/wire"
 )
 
 const shownPriorities = 4 // chances of 0 to 3
--- a/internal/data/servers.go
+++ b/internal/data/servers.go
@@ -10,9 +10,9 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"curlewring/internal/proxy"
-	"curlewring/internal/station"
-	"curlewring/internal/wire"
+	"ivydeck/internal/proxy"
+	"ivydeck/internal/station"
+	"ivydeck/internal/wire"
 )
 
 const (
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -24,8 +24,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"curlewring/internal/meshconfig"
-	"curlewring/internal/operator"
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/operator"
 )
 
 const (
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"curlewring/decide"
-	"curlewring/internal/meshconfig"
-	"curlewring/internal/wire"
+	"ivydeck/decide"
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/wire"
 )
 
 const ms = time.Millisecond
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -4,9 +4,9 @@
 	"slices"
 	"time"
 
-	"curlewring/decide"
-	"curlewring/internal/meshconfig"
-	"curlewring/internal/wire"
+	"ivydeck/decide"
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/wire"
 )
 
 const (
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -14,10 +14,10 @@
 	"slices"
 	"time"
 
-	"curlewring/decide"
-	"curlewring/internal/budget"
-	"curlewring/internal/meshconfig"
-	"curlewring/internal/wire"
+	"ivydeck/decide"
+	"ivydeck/internal/budget"
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/wire"
 )
 
 const (
--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -20,8 +20,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"curlewring/internal/raft"
-	"curlewring/internal/wire"
+	"ivydeck/internal/raft"
+	"ivydeck/internal/wire"
 )
 
 // Bounds limit what may happen in one history.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"curlewring/internal/membership"
-	"curlewring/internal/rpc"
-	"curlewring/internal/wire"
+	"ivydeck/internal/membership"
+	"ivydeck/internal/rpc"
+	"ivydeck/internal/wire"
 )
 
 const mostAway = 32 // probes under way
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -6,9 +6,9 @@
 	"math"
 	"time"
 
-	"curlewring/internal/catalog"
-	"curlewring/internal/entry"
-	"curlewring/internal/wire"
+	"ivydeck/internal/catalog"
+	"ivydeck/internal/entry"
+	"ivydeck/internal/wire"
 )
 
 // request is what a client wants; it may take several tries.
--- a/internal/lab/core.go
+++ b/internal/lab/core.go
@@ -6,12 +6,12 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"curlewring/internal/catalog"
-	"curlewring/internal/membership"
-	"curlewring/internal/raft"
-	"curlewring/internal/relay"
-	"curlewring/internal/simdisk"
-	"curlewring/internal/wire"
+	"ivydeck/internal/catalog"
+	"ivydeck/internal/membership"
+	"ivydeck/internal/raft"
+	"ivydeck/internal/relay"
+	"ivydeck/internal/simdisk"
+	"ivydeck/internal/wire"
 )
 
 const (
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"curlewring/internal/entry"
-	"curlewring/internal/station"
+	"ivydeck/internal/entry"
+	"ivydeck/internal/station"
 )
 
 func town(t *testing.T) *World {
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -7,7 +7,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"curlewring/internal/entry"
+	"ivydeck/internal/entry"
 )
 
 // What a request is worth to its client.
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -6,14 +6,14 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"curlewring/decide"
-	"curlewring/internal/budget"
-	"curlewring/internal/entry"
-	"curlewring/internal/health"
-	"curlewring/internal/meshconfig"
-	"curlewring/internal/relay"
-	"curlewring/internal/station"
-	"curlewring/internal/wire"
+	"ivydeck/decide"
+	"ivydeck/internal/budget"
+	"ivydeck/internal/entry"
+	"ivydeck/internal/health"
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/relay"
+	"ivydeck/internal/station"
+	"ivydeck/internal/wire"
 )
 
 var (
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -5,9 +5,9 @@
 	"math"
 	"time"
 
-	"curlewring/internal/entry"
-	"curlewring/internal/station"
-	"curlewring/internal/wire"
+	"ivydeck/internal/entry"
+	"ivydeck/internal/station"
+	"ivydeck/internal/wire"
 )
 
 // server is an application server beside a node.
--- a/internal/lab/sim.go
+++ b/internal/lab/sim.go
@@ -10,9 +10,9 @@
 	"strings"
 	"time"
 
-	"curlewring/internal/meshconfig"
-	"curlewring/internal/raft"
-	"curlewring/internal/wire"
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/raft"
+	"ivydeck/internal/wire"
 )
 
 // sim is one play of a world.
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -15,7 +15,7 @@
 	"github.com/BurntSushi/toml"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"curlewring/internal/meshconfig"
+	"ivydeck/internal/meshconfig"
 )
 
 // World describes a mesh and what happens to it. Times end in their unit.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -17,7 +17,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"curlewring/internal/wire"
+	"ivydeck/internal/wire"
 )
 
 // Timing and bounds of the protocol.
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"curlewring/internal/wire"
+	"ivydeck/internal/wire"
 )
 
 // fleet plays groups in simulated time; a message takes no time, or gets lost.
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"curlewring/decide"
+	"ivydeck/decide"
 )
 
 const (
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -8,8 +8,8 @@
 	"net"
 	"os"
 
-	"curlewring/decide"
-	"curlewring/internal/settings"
+	"ivydeck/decide"
+	"ivydeck/internal/settings"
 )
 
 const (
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"curlewring/decide"
+	"ivydeck/decide"
 )
 
 const (
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"curlewring/decide"
+	"ivydeck/decide"
 )
 
 // Each watch must ask from the generation of the last answer, or changes in
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"curlewring/decide"
+	"ivydeck/decide"
 )
 
 const (
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"curlewring/decide"
+	"ivydeck/decide"
 )
 
 // The code must pass on method, path, query and body byte for byte, and the
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -18,8 +18,8 @@
 	"syscall"
 	"time"
 
-	"curlewring/decide"
-	"curlewring/internal/sock"
+	"ivydeck/decide"
+	"ivydeck/internal/sock"
 )
 
 const mostBody = 64 << 10
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -20,9 +20,9 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"gopkg.in/yaml.v3"
 
-	"curlewring/internal/backup"
-	"curlewring/internal/control"
-	"curlewring/internal/meshconfig"
+	"ivydeck/internal/backup"
+	"ivydeck/internal/control"
+	"ivydeck/internal/meshconfig"
 )
 
 const (
--- a/internal/proxy/appconn.go
+++ b/internal/proxy/appconn.go
@@ -9,8 +9,8 @@
 	"syscall"
 	"time"
 
-	"curlewring/internal/http1"
-	"curlewring/internal/sock"
+	"ivydeck/internal/http1"
+	"ivydeck/internal/sock"
 )
 
 const (
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"curlewring/internal/http1"
+	"ivydeck/internal/http1"
 )
 
 const (
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -10,10 +10,10 @@
 	"sync"
 	"time"
 
-	"curlewring/internal/health"
-	"curlewring/internal/http1"
-	"curlewring/internal/station"
-	"curlewring/internal/wire"
+	"ivydeck/internal/health"
+	"ivydeck/internal/http1"
+	"ivydeck/internal/station"
+	"ivydeck/internal/wire"
 )
 
 const (
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -8,12 +8,12 @@
 	"sync"
 	"time"
 
-	"curlewring/decide"
-	"curlewring/internal/entry"
-	"curlewring/internal/http1"
-	"curlewring/internal/metrics"
-	"curlewring/internal/rpc"
-	"curlewring/internal/wire"
+	"ivydeck/decide"
+	"ivydeck/internal/entry"
+	"ivydeck/internal/http1"
+	"ivydeck/internal/metrics"
+	"ivydeck/internal/rpc"
+	"ivydeck/internal/wire"
 )
 
 const (
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -16,10 +16,10 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"curlewring/internal/http1"
-	"curlewring/internal/meshconfig"
-	"curlewring/internal/rpc"
-	"curlewring/internal/wire"
+	"ivydeck/internal/http1"
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/rpc"
+	"ivydeck/internal/wire"
 )
 
 // bed is one node with both sides, and stand-ins for two servers.
--- a/internal/raft/handover.go
+++ b/internal/raft/handover.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"curlewring/internal/wire"
+	"ivydeck/internal/wire"
 )
 
 const (
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -19,7 +19,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"curlewring/internal/wire"
+	"ivydeck/internal/wire"
 )
 
 // Timing of the protocol.
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"curlewring/internal/wire"
+	"ivydeck/internal/wire"
 )
 
 // TestOlderTermsAreNotCommittedByCount: an entry of an earlier term that a majority
--- a/internal/raft/roster.go
+++ b/internal/raft/roster.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"curlewring/internal/wire"
+	"ivydeck/internal/wire"
 )
 
 const (
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -15,10 +15,10 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"google.golang.org/protobuf/proto"
 
-	"curlewring/internal/catalog"
-	"curlewring/internal/meshconfig"
-	"curlewring/internal/simdisk"
-	"curlewring/internal/wire"
+	"ivydeck/internal/catalog"
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/simdisk"
+	"ivydeck/internal/wire"
 )
 
 var (
--- a/internal/raft/state.go
+++ b/internal/raft/state.go
@@ -10,7 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"curlewring/internal/wire"
+	"ivydeck/internal/wire"
 )
 
 // Clone returns a copy that goes its own way, for those who look at what could happen next. It is to be called once
--- a/internal/relay/climb.go
+++ b/internal/relay/climb.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"curlewring/internal/wire"
+	"ivydeck/internal/wire"
 )
 
 const (
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"curlewring/internal/rpc"
-	"curlewring/internal/wire"
+	"ivydeck/internal/rpc"
+	"ivydeck/internal/wire"
 )
 
 // Follower keeps a node's hub fed by a parent.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,9 +13,9 @@
 	"sync"
 	"time"
 
-	"curlewring/internal/catalog"
-	"curlewring/internal/rpc"
-	"curlewring/internal/wire"
+	"ivydeck/internal/catalog"
+	"ivydeck/internal/rpc"
+	"ivydeck/internal/wire"
 )
 
 // Timing and shape of the tree.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"curlewring/internal/wire"
+	"ivydeck/internal/wire"
 )
 
 func members(n, zones int) (list []*wire.Member) {
--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -22,8 +22,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"curlewring/internal/sock"
-	"curlewring/internal/wire"
+	"ivydeck/internal/sock"
+	"ivydeck/internal/wire"
 )
 
 const (
--- a/internal/rpc/fuzz_test.go
+++ b/internal/rpc/fuzz_test.go
@@ -10,7 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"curlewring/internal/wire"
+	"ivydeck/internal/wire"
 )
 
 // framed puts frames behind each other as they go over a connection.
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -11,7 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"curlewring/internal/wire"
+	"ivydeck/internal/wire"
 )
 
 const (
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"curlewring/internal/wire"
+	"ivydeck/internal/wire"
 )
 
 func serve(t testing.TB) (addr string, pool *Pool, hold chan struct{}) {
--- a/internal/rpc/stream.go
+++ b/internal/rpc/stream.go
@@ -9,7 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"curlewring/internal/wire"
+	"ivydeck/internal/wire"
 )
 
 // Stream is an exchange of messages on a connection. One goroutine may send
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"curlewring/decide"
+	"ivydeck/decide"
 )
 
 // Object is the settings object. Keys that it does not name are passed over.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"curlewring/decide"
+	"ivydeck/decide"
 )
 
 // What the settings say must reach the module; a word that is not known must be
--- a/internal/simdisk/simdisk.go
+++ b/internal/simdisk/simdisk.go
@@ -6,7 +6,7 @@
 import (
 	"math/rand/v2"
 
-	"curlewring/internal/wire"
+	"ivydeck/internal/wire"
 )
 
 // Disk is one machine's. Its zero value is empty.
--- a/internal/station/register.go
+++ b/internal/station/register.go
@@ -5,7 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"curlewring/internal/wire"
+	"ivydeck/internal/wire"
 )
 
 // Machine is where the servers of a station are registered.
--- a/internal/station/station.go
+++ b/internal/station/station.go
@@ -14,8 +14,8 @@
 	"strings"
 	"time"
 
-	"curlewring/internal/health"
-	"curlewring/internal/wire"
+	"ivydeck/internal/health"
+	"ivydeck/internal/wire"
 )
 
 const (
--- a/internal/station/station_test.go
+++ b/internal/station/station_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"curlewring/internal/health"
+	"ivydeck/internal/health"
 )
 
 const ms = time.Millisecond
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -25,7 +25,7 @@
 	"github.com/syndtr/goleveldb/leveldb/util"
 	"google.golang.org/protobuf/proto"
 
-	"curlewring/internal/wire"
+	"ivydeck/internal/wire"
 )
 
 // The keys. Entries follow their prefix by index, big-endian.
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -11,7 +11,7 @@
 	"github.com/syndtr/goleveldb/leveldb"
 	"google.golang.org/protobuf/proto"
 
-	"curlewring/internal/wire"
+	"ivydeck/internal/wire"
 )
 
 func open(t testing.TB, dir string) *Store {
