--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -236,7 +236,7 @@
 		case <-timer.C:
 		}
 		n.core.Tick(n.now())
-		if now := n.now(); now-n.managed >= manageEvery {
+		if now := n.now(); now-n.managed >= manageEvery || n.core.Leads() != n.wasLead {
 			n.managed = now
 			n.manage()
 		}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -89,6 +89,12 @@
 			s.acked = 99
 			s.atEnd()
 		},
+		"is ready without revision 99": func(s *sim) {
+			n := s.nodes[0]
+			n.ready, n.owed = false, 99
+			n.fence(n.life)
+			s.run(7 * time.Second)
+		},
 		"shared budget": func(s *sim) {
 			for range 1000 {
 				s.m.repeated(s.now, "shop")
