Name the hand-over by its term, and drop a constructor that made nothing

The voter that takes the lead is its successor (candidate is a role already), the lab's line is matched by one expression made once, and a backup is made where its parts are known.

--- a/internal/backup/backup.go
+++ b/internal/backup/backup.go
@@ -35,9 +35,6 @@
 	State       *catalog.Catalog
 }
 
-// Of returns the backup of a state.
-func Of(term, index uint64, state *catalog.Catalog) *Backup { return &Backup{term, index, state} }
-
 // OfStore returns the backup of a stopped machine's folder. It has all that is on this disk, also what may not have been
 // acknowledged; beyond says how many entries that can be.
 func OfStore(dir string) (b *Backup, beyond int, err error) {
--- a/internal/control/web.go
+++ b/internal/control/web.go
@@ -192,7 +192,11 @@
 	}
 	var data []byte
 	var failed error
-	if err := n.read(r.Context(), func() { data, failed = backup.Of(n.core.Term(), n.applied, n.catalog).Encode() }); err != nil {
+	look := func() {
+		b := backup.Backup{Term: n.core.Term(), Index: n.applied, State: n.catalog}
+		data, failed = b.Encode()
+	}
+	if err := n.read(r.Context(), look); err != nil {
 		reply(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
--- a/internal/planted/planted.go
+++ b/internal/planted/planted.go
@@ -199,6 +199,7 @@
 var (
 	checkerLine = regexp.MustCompile(`meshlab: (\w+): after (\d+) steps (.*)`)
 	seedLine    = regexp.MustCompile(`seed (\d+): (.*)`)
+	labLine     = regexp.MustCompile(`broken with seed (\d+): (.*)`)
 	failLine    = regexp.MustCompile(`(?m)^--- FAIL: (\w+)`)
 )
 
@@ -234,7 +235,7 @@
 }
 
 func labSays(out string) string {
-	if m := regexp.MustCompile(`broken with seed (\d+): (.*)`).FindStringSubmatch(out); m != nil {
+	if m := labLine.FindStringSubmatch(out); m != nil {
 		return fmt.Sprintf("seed %s: %s", m[1], m[2])
 	}
 	return fault(out)
--- a/internal/raft/handover.go
+++ b/internal/raft/handover.go
@@ -30,13 +30,13 @@
 	if c.role != leader || c.sync < slowSync {
 		return false
 	}
-	p := c.others[c.candidate()]
+	p := c.others[c.successor()]
 	return p != nil && p.sync > 0 && c.sync > slowX*p.sync
 }
 
-// candidate is the voter that could best take the lead: the one that has the most, and of these the one with the
+// successor is the voter that could best take the lead: the one that has the most, and of these the one with the
 // fastest disk; 0: nobody is in touch.
-func (c *Core) candidate() (best uint64) {
+func (c *Core) successor() (best uint64) {
 	for _, p := range c.Peers() {
 		o := c.others[p.Id]
 		if !p.Voter || o == nil || c.now-o.heard > freshLag || o.match == 0 {
@@ -49,7 +49,7 @@
 	return best
 }
 
-// HandOver gives the lead away, as soon as another voter has all that is in the log; what is proposed meanwhile is
+// HandOver is the leadership transfer of the thesis (3.10): it gives the lead away, as soon as another voter has all that is in the log; what is proposed meanwhile is
 // turned away unrun. It reports false where this member does not lead or nobody could. An heir that does not take the
 // lead in time is no longer waited for.
 func (c *Core) HandOver(now time.Duration) bool {
@@ -60,7 +60,7 @@
 	if c.heir != 0 {
 		return true
 	}
-	if c.heir = c.candidate(); c.heir == 0 {
+	if c.heir = c.successor(); c.heir == 0 {
 		return false
 	}
 	c.heirFor = now + handoverFor
