--- a/internal/raft/handover.go
+++ b/internal/raft/handover.go
@@ -49,9 +49,9 @@
 	return best
 }
 
-// HandOver is the leadership transfer of the thesis (3.10): it gives the lead away, as soon as another voter has all that is in the log; what is proposed meanwhile is
-// turned away unrun. It reports false where this member does not lead or nobody could. An heir that does not take the
-// lead in time is no longer waited for.
+// HandOver is the leadership transfer of the thesis (3.10): it gives the lead away as soon as another voter has all that
+// is in the log; what is proposed meanwhile is turned away unrun. It reports false where this member does not lead or
+// nobody could. An heir that does not take the lead in time is no longer waited for.
 func (c *Core) HandOver(now time.Duration) bool {
 	c.now = now
 	if c.role != leader {
