Look at a connection without making two closures each time

Cause: each look at an idle socket made a closure and a flag on the heap, once a request at both nodes. Change: a Look is made with the connection and kept.

--- a/internal/proxy/appconn.go
+++ b/internal/proxy/appconn.go
@@ -25,7 +25,7 @@
 type appConn struct {
 	nc    net.Conn
 	r     *bufio.Reader
-	raw   syscall.RawConn
+	look  *sock.Look
 	idle  time.Duration // that the server allows
 	until time.Time     // an idle one is not used after this
 
@@ -46,7 +46,7 @@
 		c := a.idle[n-1]
 		a.idle = a.idle[:n-1]
 		a.in.mu.Unlock()
-		if now.Before(c.until) && sock.Quiet(c.raw) {
+		if now.Before(c.until) && c.look.Quiet() {
 			return c, nil
 		}
 		c.nc.Close()
@@ -61,7 +61,7 @@
 		nc.Close()
 		return nil, err
 	}
-	return &appConn{nc: nc, r: bufio.NewReaderSize(nc, 4<<10), raw: raw, idle: idleUsual}, nil
+	return &appConn{nc: nc, r: bufio.NewReaderSize(nc, 4<<10), look: sock.NewLook(raw), idle: idleUsual}, nil
 }
 
 // keep puts a connection back.
@@ -101,7 +101,7 @@
 
 // answered notes for how long the server keeps the connection.
 func (c *appConn) answered(resp *http1.Response) {
-	for _, part := range strings.Split(resp.Headers.Get("Keep-Alive"), ",") {
+	for part := range strings.SplitSeq(resp.Headers.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if n, err := strconv.Atoi(value); strings.EqualFold(name, "timeout") && err == nil && n >= 0 {
 			c.idle = time.Duration(n)*time.Second - idleMargin
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -10,17 +10,30 @@
 	"golang.org/x/sys/unix"
 )
 
+// Look looks at one connection; not for use by several goroutines.
+type Look struct {
+	raw   syscall.RawConn
+	one   [1]byte
+	quiet bool
+	read  func(fd uintptr) bool // made once, as it is needed for each request
+}
+
+// NewLook returns a Look at a connection.
+func NewLook(raw syscall.RawConn) *Look {
+	l := &Look{raw: raw}
+	l.read = func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), l.one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		l.quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		return true
+	}
+	return l
+}
+
 // Quiet tells whether an idle connection has nothing to read, not even its end.
 // Its read deadline must not be past.
-func Quiet(raw syscall.RawConn) bool {
-	quiet := false
-	err := raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && quiet
+func (l *Look) Quiet() bool {
+	l.quiet = false
+	return l.raw.Read(l.read) == nil && l.quiet
 }
 
 // UserTimeout bounds how long the kernel waits for the peer to take in what was sent. A system that has no such bound
