Send a call's one message as its last, and keep frames' buffers with their connection

Cause: the accepting side could not know that a call has one message, so it granted credit for more: a frame, a write and a wake-up at both ends for each call. Frames, their lengths and messages in the making were made anew each time, and each connection kept 16 KiB to read into, though most are quiet. Change: a call ends its side with its message; buffers are used again, up to 8 KiB each; a stream's room for one message and its context come without further allocations.

--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -33,6 +33,7 @@
 	mostMessage  = 72 << 20 // bytes of a whole message
 	mostStreams  = 4096     // open on one connection
 	mostHeld     = 128 << 20
+	mostKept     = 8 << 10 // bytes of a buffer that stays with a connection: most are quiet for most of the time
 	pingEvery    = 600 * time.Millisecond
 	idlePing     = 3 * time.Second         // the same without a stream: whoever opens one looks before
 	askedFor     = time.Second             // a ping is given so long at least
@@ -64,7 +65,8 @@
 	asked   atomic.Int64 // when the first ping since then was sent, the same
 	waiting atomic.Int32 // goroutines in live
 	writeMu sync.Mutex
-	out     []byte // reused; guarded by writeMu
+	out     []byte     // reused; guarded by writeMu
+	data    wire.Frame // the same: of messages under way
 
 	mu      sync.Mutex
 	streams map[uint32]*Stream
@@ -94,6 +96,31 @@
 func (c *conn) write(f *wire.Frame) error {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
+	return c.put(f)
+}
+
+// part is a piece of a message under way.
+type part struct {
+	stream    uint32
+	method    string // with the first
+	waitMs    uint32 // the same
+	data      []byte
+	last, fin bool
+}
+
+// writePart sends one piece, as write does.
+func (c *conn) writePart(p part) error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	f := &c.data
+	f.Stream, f.Method, f.WaitMs, f.Data, f.Last, f.Fin = p.stream, p.method, p.waitMs, p.data, p.last, p.fin
+	err := c.put(f)
+	f.Data = nil
+	return err
+}
+
+// put is write with writeMu held.
+func (c *conn) put(f *wire.Frame) error {
 	if c.ctx.Err() != nil {
 		return context.Cause(c.ctx)
 	}
@@ -102,7 +129,9 @@
 		return fmt.Errorf("encoding a frame: %w", err)
 	}
 	binary.BigEndian.PutUint32(buf, uint32(len(buf)-4))
-	c.out = buf
+	if c.out = buf; cap(buf) > mostKept {
+		c.out = nil
+	}
 	c.nc.SetWriteDeadline(time.Now().Add(writeWait))
 	if _, err := c.nc.Write(buf); err != nil {
 		err = fmt.Errorf("writing to %s: %w", c.nc.RemoteAddr(), err)
@@ -132,25 +161,26 @@
 
 // read handles frames until the connection ends.
 func (c *conn) read() error {
-	r := bufio.NewReaderSize(c.nc, 16<<10)
+	r := bufio.NewReaderSize(c.nc, 4<<10)
 	var buf []byte
+	var f wire.Frame
 	for {
-		var head [4]byte
-		if _, err := io.ReadFull(r, head[:]); err != nil {
+		head, err := r.Peek(4)
+		if err != nil {
 			return err
 		}
-		n := binary.BigEndian.Uint32(head[:])
+		n := binary.BigEndian.Uint32(head)
+		r.Discard(4)
 		if n > mostFrame {
 			return fmt.Errorf("a frame of %d bytes from %s, at most %d are allowed", n, c.nc.RemoteAddr(), mostFrame)
 		}
-		if cap(buf) < int(n) {
-			buf = make([]byte, n)
+		if cap(buf) < int(n) || cap(buf) > mostKept {
+			buf = make([]byte, n, max(n, 512))
 		}
 		buf = buf[:n]
 		if _, err := io.ReadFull(r, buf); err != nil {
 			return fmt.Errorf("a torn frame: %w", err)
 		}
-		var f wire.Frame
 		if err := proto.Unmarshal(buf, &f); err != nil {
 			return fmt.Errorf("a frame from %s: %w", c.nc.RemoteAddr(), err)
 		}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -67,9 +67,11 @@
 func (s *Server) serve(st *Stream, method string, h Handler) {
 	defer s.running.Done()
 	defer st.cancel()
-	err := fmt.Errorf("no method %q", method)
+	var err error
 	if h != nil {
 		err = h(st)
+	} else {
+		err = fmt.Errorf("no method %q", method)
 	}
 	st.c.drop(st)
 	if err != nil && st.c.ctx.Err() == nil {
@@ -231,18 +233,26 @@
 // Open begins a stream with its first message. An error that is ErrUnsent
 // means that the peer has not had the message.
 func (p *Pool) Open(ctx context.Context, addr, method string, req proto.Message) (*Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	s, err := p.open(ctx, cancel, addr, method, req, false)
+	if err != nil {
+		cancel()
+	}
+	return s, err
+}
+
+// open is Open with a context that ends with the stream, by cancel at the latest. fin: req is the only message.
+func (p *Pool) open(ctx context.Context, cancel context.CancelFunc, addr, method string, req proto.Message, fin bool) (*Stream, error) {
 	c, err := p.get(ctx, addr)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
-	sctx, cancel := context.WithCancel(ctx)
 	c.mu.Lock()
 	if c.closed || len(c.streams) >= mostStreams {
 		c.mu.Unlock()
-		cancel()
 		return nil, fmt.Errorf("%w: %s takes no stream", ErrUnsent, addr)
 	}
-	s := newStream(c, c.next, sctx, cancel)
+	s := newStream(c, c.next, ctx, cancel)
 	c.next++
 	c.streams[s.id] = s
 	c.mu.Unlock()
@@ -250,7 +260,7 @@
 	if until, ok := ctx.Deadline(); ok {
 		waitMs = uint32(max(1, time.Until(until).Milliseconds()))
 	}
-	if err := s.send(req, method, waitMs, false); err != nil {
+	if err := s.send(req, method, waitMs, fin); err != nil {
 		s.Close()
 		return nil, err
 	}
@@ -259,7 +269,8 @@
 
 // Call sends one message and waits for the one that answers it.
 func (p *Pool) Call(ctx context.Context, addr, method string, req, resp proto.Message) error {
-	s, err := p.Open(ctx, addr, method, req)
+	// The caller's context is the stream's: what ends the stream before it wakes Recv by itself.
+	s, err := p.open(ctx, func() {}, addr, method, req, true)
 	if err != nil {
 		return err
 	}
--- a/internal/rpc/stream.go
+++ b/internal/rpc/stream.go
@@ -25,22 +25,23 @@
 	credit   int           // bytes that may still be sent
 	part     []byte        // of the message in the making
 	messages [][]byte
+	one      [1][]byte // room for messages: most streams have but one
 	fin      bool
 	err      error
 
-	creditWake chan struct{}
+	creditWake chan struct{} // as wake, for credit; made where someone waits for it
 }
 
 func newStream(c *conn, id uint32, ctx context.Context, cancel context.CancelFunc) *Stream {
-	return &Stream{
-		c: c, id: id, ctx: ctx, cancel: cancel, credit: window,
-		wake: make(chan struct{}, 1), creditWake: make(chan struct{}, 1),
-	}
+	s := &Stream{c: c, id: id, ctx: ctx, cancel: cancel, credit: window, wake: make(chan struct{}, 1)}
+	s.messages = s.one[:0]
+	return s
 }
 
 // Context ends with the stream.
 func (s *Stream) Context() context.Context { return s.ctx }
 
+// signal wakes whoever waits; a nil channel is one that nobody waits for.
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -51,8 +52,9 @@
 func (s *Stream) addCredit(n int) {
 	s.mu.Lock()
 	s.credit += n
+	waits := s.creditWake
 	s.mu.Unlock()
-	signal(s.creditWake)
+	signal(waits)
 }
 
 // end closes the stream with an error; nil is a peer that has no more to say.
@@ -64,9 +66,10 @@
 	s.fin = true
 	held.Add(-int64(len(s.part)))
 	s.part = nil
+	waits := s.creditWake
 	s.mu.Unlock()
 	signal(s.wake)
-	signal(s.creditWake)
+	signal(waits)
 	if err != nil {
 		s.cancel()
 	}
@@ -159,11 +162,19 @@
 	return context.Cause(s.ctx)
 }
 
+// scratch has room for messages in the making.
+var scratch = sync.Pool{New: func() any { return new([]byte) }}
+
 // Send sends a message, waiting for credit where the peer is slow.
 func (s *Stream) Send(m proto.Message) error { return s.send(m, "", 0, false) }
 
 func (s *Stream) send(m proto.Message, method string, waitMs uint32, fin bool) error {
-	data, err := proto.Marshal(m)
+	buf := scratch.Get().(*[]byte)
+	data, err := proto.MarshalOptions{}.MarshalAppend((*buf)[:0], m)
+	if cap(data) <= mostChunk {
+		*buf = data
+		defer scratch.Put(buf)
+	}
 	if err != nil {
 		return fmt.Errorf("%w: encoding a message: %w", ErrUnsent, err)
 	}
@@ -176,11 +187,11 @@
 		if err := s.spend(len(chunk)); err != nil {
 			return fmt.Errorf("%w: %w", ErrUnsent, err)
 		}
-		f := &wire.Frame{Stream: s.id, Data: chunk, Last: len(data) == 0, Fin: fin && len(data) == 0}
+		p := part{stream: s.id, data: chunk, last: len(data) == 0, fin: fin && len(data) == 0}
 		if first {
-			f.Method, f.WaitMs = method, waitMs
+			p.method, p.waitMs = method, waitMs
 		}
-		if err := s.c.write(f); err != nil {
+		if err := s.c.writePart(p); err != nil {
 			return fmt.Errorf("%w: %w", ErrUnsent, err)
 		}
 	}
@@ -200,6 +211,9 @@
 			s.mu.Unlock()
 			return nil
 		}
+		if s.creditWake == nil {
+			s.creditWake = make(chan struct{}, 1)
+		}
 		s.mu.Unlock()
 		select {
 		case <-s.creditWake:
