Carry the fields of a head as lines between nodes, and read a head into one string

Cause: each field of a request and of its answer was a string, a message and a pointer of its own at each of four steps between the client and the server, and its name was folded to lower case to be looked up. Change: a head is read into one string with the fields as its slices; between nodes the lines go as they stand on the wire, without the id that the message names anyway; buffers of what is written to clients and servers are used again. A node says in the list of servers what it understands (Server.speaks), so that one of the version before gets fields one by one, and answers so, while a mesh is renewed. Ruled out: a generated codec, as most of the messages' cost were these fields.

--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -55,6 +55,7 @@
 	reached []string      // servers that it has arrived at
 	ran     bool          // it may have run
 	tried   []string      // servers not to be asked again
+	room    [3][2]string  // for the three lists: most requests need no more
 	turned  int
 	sick    bool // a server has turned it away for failing too many
 	crowded bool // it has looked for a free slot in vain
@@ -79,7 +80,9 @@
 		return nil, &Final{503, "overload", t.comeBack(now, s, &e)}
 	}
 	s.gate.Begin(now)
-	return &Request{Entrant: e, Rank: uint32(e.Route.Priority), table: t, service: s, since: e.Arrived}, nil
+	r := &Request{Entrant: e, Rank: uint32(e.Route.Priority), table: t, service: s, since: e.Arrived}
+	r.open, r.reached, r.tried = r.room[0][:0], r.room[1][:0], r.room[2][:0]
+	return r, nil
 }
 
 // Leave books the end of an admitted request.
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -23,7 +23,7 @@
 // Get returns the first value of a name.
 func (h Headers) Get(name string) string {
 	for i := range h {
-		if strings.EqualFold(h[i].Name, name) {
+		if SameName(h[i].Name, name) {
 			return h[i].Value
 		}
 	}
@@ -34,7 +34,7 @@
 func (h Headers) Count(name string) int {
 	n := 0
 	for i := range h {
-		if strings.EqualFold(h[i].Name, name) {
+		if SameName(h[i].Name, name) {
 			n++
 		}
 	}
@@ -128,38 +128,56 @@
 	return b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
 }
 
-func token(s string) bool {
-	for i := 0; i < len(s); i++ {
-		if !isToken(s[i]) {
+func token(s []byte) bool {
+	for _, b := range s {
+		if !isToken(b) {
 			return false
 		}
 	}
-	return s != ""
+	return len(s) > 0
 }
 
-// fields reads header fields up to the empty line.
-func (h *headReader) fields() (Headers, error) {
-	fields := make(Headers, 0, 8)
+// field is where a header line's parts stand in a head.
+type field struct{ name, value, end int }
+
+// fields reads header fields up to the empty line. They are slices of one string, which is all of a head that stays:
+// it begins with first.
+func (h *headReader) fields(first []byte) (head string, _ Headers, _ error) {
+	var text [768]byte // heads are seldom longer; a longer one takes memory of its own
+	var places [24]field
+	buf, at := append(text[:0], first...), places[:0]
 	for {
 		line, err := h.line()
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
-			return nil, err
+			return "", nil, err
 		}
 		if len(line) == 0 {
-			return fields, nil
+			break
 		}
 		if line[0] == ' ' || line[0] == '\t' {
-			return nil, bad("a folded header line")
-		}
-		name, value, ok := strings.Cut(string(line), ":")
-		if !ok || !token(name) {
-			return nil, bad("a header line without a proper name")
-		}
-		fields = append(fields, Header{name, strings.Trim(value, " \t")})
-	}
+			return "", nil, bad("a folded header line")
+		}
+		colon := bytes.IndexByte(line, ':')
+		if colon < 0 || !token(line[:colon]) {
+			return "", nil, bad("a header line without a proper name")
+		}
+		value := bytes.Trim(line[colon+1:], " \t")
+		f := field{name: len(buf)}
+		buf = append(buf, line[:colon]...)
+		f.value = len(buf)
+		buf = append(buf, value...)
+		f.end = len(buf)
+		at = append(at, f)
+	}
+	head = string(buf)
+	fields := make(Headers, len(at))
+	for i, f := range at {
+		fields[i] = Header{head[f.name:f.value], head[f.value:f.end]}
+	}
+	return head, fields, nil
 }
 
 // framing finds where a message's body ends. present is false where no header
@@ -220,29 +238,31 @@
 	if err != nil {
 		return nil, err
 	}
-	method, rest, ok1 := strings.Cut(string(line), " ")
-	target, version, ok2 := strings.Cut(rest, " ")
+	method, rest, ok1 := bytes.Cut(line, []byte(" "))
+	target, version, ok2 := bytes.Cut(rest, []byte(" "))
 	if !ok1 || !ok2 || !token(method) {
 		return nil, bad("not a request line")
 	}
-	if version != "HTTP/1.1" {
-		if version == "HTTP/1.0" {
+	if string(version) != "HTTP/1.1" {
+		if string(version) == "HTTP/1.0" {
 			return nil, &Error{505, "HTTP/1.1 is spoken here"}
 		}
 		return nil, bad("not a request line")
 	}
-	if method == "CONNECT" || !strings.HasPrefix(target, "/") || strings.Contains(target, "#") {
+	if string(method) == "CONNECT" || len(target) == 0 || target[0] != '/' || bytes.IndexByte(target, '#') >= 0 {
 		return nil, bad("the target is no path")
 	}
-	for i := 0; i < len(target); i++ {
-		if target[i] <= ' ' || target[i] > '~' {
+	for _, b := range target {
+		if b <= ' ' || b > '~' {
 			return nil, bad("a character in the target that has to be escaped")
 		}
 	}
-	req := &Request{Method: method, Target: target}
-	if req.Headers, err = h.fields(); err != nil {
+	ends, begins, over := len(method), len(method)+1, len(method)+1+len(target) // the line goes with the next read
+	head, fields, err := h.fields(line[:over])
+	if err != nil {
 		return nil, err
 	}
+	req := &Request{Method: head[:ends], Target: head[begins:over], Headers: fields}
 	if req.Headers.Count("Host") != 1 {
 		return nil, bad("not exactly one Host")
 	}
@@ -275,7 +295,7 @@
 		if err != nil || status < 100 || status > 599 {
 			return nil, bad("not a status line")
 		}
-		fields, err := h.fields()
+		_, fields, err := h.fields(nil)
 		if err != nil {
 			return nil, err
 		}
@@ -336,7 +356,7 @@
 		}
 		if n == 0 {
 			trailer := headReader{r, 8 << 10}
-			_, err := trailer.fields()
+			_, _, err := trailer.fields(nil)
 			return body, torn(0, err)
 		}
 		if int64(len(body))+n > limits.Body {
@@ -371,64 +391,82 @@
 
 // hop lists the fields that concern one connection only, and those that a
 // message of ours states itself.
-var hop = map[string]bool{
-	"connection": true, "keep-alive": true, "proxy-connection": true, "proxy-authenticate": true,
-	"proxy-authorization": true, "te": true, "trailer": true, "transfer-encoding": true, "upgrade": true,
-	"content-length": true, "expect": true,
+var hop = []string{
+	"connection", "content-length", "transfer-encoding", "keep-alive", "expect", "te", "trailer", "upgrade",
+	"proxy-connection", "proxy-authenticate", "proxy-authorization",
 }
 
-// EndToEnd returns the fields that go along with a message to the next hop,
-// without those whose lower-case names are given as well.
-func EndToEnd(h Headers, but ...string) Headers {
-	out := make(Headers, 0, len(h))
-next:
-	for _, f := range h {
-		name := strings.ToLower(f.Name)
-		if hop[name] || hasToken(h, "Connection", name) {
-			continue
+// SameName tells whether two names are of the same field.
+func SameName(a, b string) bool { return len(a) == len(b) && strings.EqualFold(a, b) }
+
+// isOneOf tells whether a field's name is in a list.
+func isOneOf(name string, list []string) bool {
+	for _, l := range list {
+		if SameName(l, name) {
+			return true
 		}
-		for _, b := range but {
-			if name == b {
-				continue next
-			}
+	}
+	return false
+}
+
+// AppendEndToEnd writes the fields that go along with a message to the next hop,
+// as lines of a head, without those whose names are given as well.
+func AppendEndToEnd(dst []byte, h Headers, but ...string) []byte {
+	options := h.Count("Connection") > 0
+	for i := range h {
+		if name := h[i].Name; isOneOf(name, hop) || isOneOf(name, but) || options && hasToken(h, "Connection", name) {
+			continue
 		}
-		out = append(out, f)
+		dst = AppendField(dst, h[i].Name, h[i].Value)
 	}
-	return out
+	return dst
 }
 
-// AppendRequest writes a request with a body of known length.
-func AppendRequest(dst []byte, method, target string, h Headers, body []byte) []byte {
+// AppendField writes one line of a head.
+func AppendField(dst []byte, name, value string) []byte {
+	dst = append(dst, name...)
+	dst = append(dst, ": "...)
+	dst = append(dst, value...)
+	return append(dst, "\r\n"...)
+}
+
+// AppendRequestLine writes a request's first line.
+func AppendRequestLine(dst []byte, method, target string) []byte {
 	dst = append(dst, method...)
 	dst = append(dst, ' ')
 	dst = append(dst, target...)
-	dst = append(dst, " HTTP/1.1\r\n"...)
-	dst = appendFields(dst, h)
+	return append(dst, " HTTP/1.1\r\n"...)
+}
+
+// AppendRequestBody ends a request's head, behind its fields, and writes its body.
+func AppendRequestBody(dst []byte, method string, body []byte) []byte {
 	if len(body) > 0 || method == "POST" || method == "PUT" || method == "PATCH" {
-		dst = append(dst, "Content-Length: "...)
-		dst = strconv.AppendInt(dst, int64(len(body)), 10)
-		dst = append(dst, "\r\n"...)
+		dst = appendLength(dst, len(body))
 	}
 	dst = append(dst, "\r\n"...)
 	return append(dst, body...)
 }
 
-// AppendResponse writes an answer with a body of known length. bodyless is an
-// answer that may not have one.
-func AppendResponse(dst []byte, status int, h Headers, body []byte, bodyless, close bool) []byte {
+func appendLength(dst []byte, n int) []byte {
+	dst = append(dst, "Content-Length: "...)
+	dst = strconv.AppendInt(dst, int64(n), 10)
+	return append(dst, "\r\n"...)
+}
+
+// AppendResponse writes an answer with a body of known length. fields are lines of
+// its head; bodyless is an answer that may not have a body.
+func AppendResponse(dst []byte, status int, fields, body []byte, bodyless, close bool) []byte {
 	dst = append(dst, "HTTP/1.1 "...)
 	dst = strconv.AppendInt(dst, int64(status), 10)
 	dst = append(dst, ' ')
 	dst = append(dst, reason(status)...)
 	dst = append(dst, "\r\n"...)
-	dst = appendFields(dst, h)
+	dst = append(dst, fields...)
 	if close {
 		dst = append(dst, "Connection: close\r\n"...)
 	}
 	if !bodyless {
-		dst = append(dst, "Content-Length: "...)
-		dst = strconv.AppendInt(dst, int64(len(body)), 10)
-		dst = append(dst, "\r\n"...)
+		dst = appendLength(dst, len(body))
 	}
 	dst = append(dst, "\r\n"...)
 	if bodyless {
@@ -437,16 +475,6 @@
 	return append(dst, body...)
 }
 
-func appendFields(dst []byte, h Headers) []byte {
-	for _, f := range h {
-		dst = append(dst, f.Name...)
-		dst = append(dst, ": "...)
-		dst = append(dst, f.Value...)
-		dst = append(dst, "\r\n"...)
-	}
-	return dst
-}
-
 var reasons = map[int]string{
 	200: "OK", 201: "Created", 204: "No Content", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout",
 	413: "Content Too Large", 421: "Misdirected Request", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -107,9 +107,9 @@
 }
 
 func TestHopByHopHeadersStay(t *testing.T) {
-	got := EndToEnd(Headers{{"Connection", "X-A, keep-alive"}, {"X-A", "1"}, {"X-B", "2"}, {"TE", "x"}, {"Target-Instance", "i"}}, "target-instance")
-	if len(got) != 1 || got[0].Name != "X-B" {
-		t.Errorf("%v", got)
+	got := string(AppendEndToEnd(nil, Headers{{"Connection", "X-A, keep-alive"}, {"X-A", "1"}, {"X-B", "2"}, {"TE", "x"}, {"Target-Instance", "i"}}, "target-instance"))
+	if got != "X-B: 2\r\n" {
+		t.Errorf("%q", got)
 	}
 }
 
@@ -146,7 +146,7 @@
 			t.Errorf("%s %s %q here, %s %s %q there", req.Method, req.Target, body, want.Method, want.RequestURI, wantBody)
 		}
 		// What was written again must be read alike.
-		again := AppendRequest(nil, req.Method, req.Target, EndToEnd(req.Headers), body)
+		again := AppendRequestBody(AppendEndToEnd(AppendRequestLine(nil, req.Method, req.Target), req.Headers), req.Method, body)
 		if req2, body2, _, err := read(string(again)); err != nil || req2.Target != req.Target || !bytes.Equal(body, body2) {
 			t.Errorf("%q written as %q: %v", data, again, err)
 		}
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -37,10 +37,11 @@
 
 // Answer is a final answer.
 type Answer struct {
-	Status  int
-	Headers http1.Headers
-	Body    []byte
-	Close   bool
+	Status int
+	Fields []byte // lines of its head
+	Body   []byte
+	Close  bool
+	Back   bool // it says when to come back
 }
 
 // Bounds are what a client may do; they may change with the configuration.
@@ -198,8 +199,9 @@
 			var e *http1.Error
 			if errors.As(err, &e) {
 				done := make(chan struct{})
-				c.answer(turn, done, "", &Answer{Status: e.Status, Body: []byte(e.Text + "\n"), Close: true,
-					Headers: http1.Headers{{Name: "Content-Type", Value: "text/plain"}}})
+				a := text(e.Status, e.Text)
+				a.Close = true
+				c.answer(turn, done, "", a)
 				turn = done
 			}
 			break
@@ -211,14 +213,17 @@
 		done := make(chan struct{})
 		before := turn
 		turn = done
-		running.Go(func() {
+		closes := call.Close
+		running.Add(1)
+		go func() {
+			defer running.Done()
 			defer func() { <-places }()
 			a := f.Handle(c.requests, call)
 			f.release(call.Body)
 			a.Close = a.Close || call.Close
 			c.answer(before, done, call.Method, a)
-		})
-		if call.Close {
+		}()
+		if closes {
 			break
 		}
 	}
@@ -412,9 +417,12 @@
 		return
 	}
 	bodyless := method == "HEAD" || a.Status == 204 || a.Status == 304
-	buf := http1.AppendResponse(make([]byte, 0, 512+len(a.Body)), a.Status, a.Headers, a.Body, bodyless, a.Close)
+	buf := messages.Get().(*[]byte)
+	message := http1.AppendResponse((*buf)[:0], a.Status, a.Fields, a.Body, bodyless, a.Close)
 	c.nc.SetWriteDeadline(time.Now().Add(writeWait))
-	if _, err := c.nc.Write(buf); err != nil {
+	_, err := c.nc.Write(message)
+	recycle(buf, message)
+	if err != nil {
 		c.cancel()
 		c.nc.Close()
 	}
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -337,22 +337,17 @@
 	if err != nil {
 		return unsent(false, "connecting: %v", err)
 	}
-	headers := make(http1.Headers, 0, len(q.Headers)+3)
-	for _, h := range q.Headers {
-		headers = append(headers, http1.Header{Name: h.Name, Value: h.Value})
-	}
-	headers = append(headers,
-		http1.Header{Name: "Time-Budget", Value: strconv.FormatInt(max(1, left.Milliseconds()), 10)},
-		http1.Header{Name: "Target-Instance", Value: q.Member},
-		http1.Header{Name: "Caller-Service", Value: q.Caller})
-	message := http1.AppendRequest(make([]byte, 0, 512+len(q.Body)), q.Method, q.Target, headers, q.Body)
+	buf := messages.Get().(*[]byte)
+	message := appendForward((*buf)[:0], q, left)
+	whole := len(message)
 	c.nc.SetDeadline(until)
 	stop := context.AfterFunc(ctx, func() { c.nc.SetDeadline(time.Unix(1, 0)) })
 	n, err := c.nc.Write(message)
+	recycle(buf, message)
 	if err != nil {
 		stop()
 		c.nc.Close()
-		if n < len(message) {
+		if n < whole {
 			// Its end never left, but what a server makes of a part is its own affair.
 			return &wire.Outcome{Fate: wire.Outcome_BROKEN, Why: "writing: " + err.Error()}
 		}
@@ -379,6 +374,23 @@
 	return judge(q, resp, body, c.used)
 }
 
+// appendForward writes a request as its server gets it.
+func appendForward(dst []byte, q *wire.Forward, left time.Duration) []byte {
+	dst = http1.AppendRequestLine(dst, q.Method, q.Target)
+	if len(q.Headers) > 0 {
+		dst = append(dst, lines(q.Headers)...)
+	} else {
+		dst = append(dst, q.Fields...)
+	}
+	dst = http1.AppendField(dst, "Attempt-Id", q.Attempt)
+	dst = append(dst, "Time-Budget: "...)
+	dst = strconv.AppendInt(dst, max(1, left.Milliseconds()), 10)
+	dst = append(dst, "\r\n"...)
+	dst = http1.AppendField(dst, "Target-Instance", q.Member)
+	dst = http1.AppendField(dst, "Caller-Service", q.Caller)
+	return http1.AppendRequestBody(dst, q.Method, q.Body)
+}
+
 // judge tells what an answer means. used says that the connection has carried a request before, so that an answer
 // may be a surplus one to it. Only its id tells whose an answer is, and nothing that it says is believed before
 // that: a promise that another request has not run, or another's body, must not become this one's.
@@ -398,8 +410,9 @@
 		return &wire.Outcome{Fate: wire.Outcome_BROKEN, Why: "not the server's own body"}
 	}
 	out := &wire.Outcome{Fate: wire.Outcome_ANSWERED, Status: int32(resp.Status), Body: body}
-	for _, h := range http1.EndToEnd(resp.Headers) {
-		out.Headers = append(out.Headers, &wire.Header{Name: h.Name, Value: h.Value})
+	out.Fields = http1.AppendEndToEnd(make([]byte, 0, 256), resp.Headers, "Attempt-Id")
+	if len(q.Headers) > 0 {
+		out.Headers, out.Fields = spell(out.Fields, q.Attempt), nil
 	}
 	return out
 }
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -13,6 +13,7 @@
 	"ivydeck/internal/http1"
 	"ivydeck/internal/metrics"
 	"ivydeck/internal/rpc"
+	"ivydeck/internal/station"
 	"ivydeck/internal/wire"
 )
 
@@ -112,15 +113,15 @@
 }
 
 func text(status int, why string) *Answer {
-	return &Answer{Status: status, Headers: http1.Headers{{Name: "Content-Type", Value: "text/plain"}}, Body: []byte(why + "\n")}
+	return &Answer{Status: status, Fields: []byte("Content-Type: text/plain\r\n"), Body: []byte(why + "\n")}
 }
 
 // say makes an answer of a final one of the node's own.
 func say(f *entry.Final) *Answer {
 	a := text(f.Status, f.Why)
 	if f.After > 0 {
-		after := strconv.FormatFloat(f.After.Seconds(), 'f', 3, 64)
-		a.Headers = append(a.Headers, http1.Header{Name: "Retry-After", Value: after})
+		a.Fields = http1.AppendField(a.Fields, "Retry-After", strconv.FormatFloat(f.After.Seconds(), 'f', 3, 64))
+		a.Back = true
 	}
 	return a
 }
@@ -135,7 +136,7 @@
 				name = route.Name
 			}
 		}
-		o.Metrics.Request(name, a.Status, a.Headers.Count("Retry-After") > 0, time.Since(c.Arrived))
+		o.Metrics.Request(name, a.Status, a.Back, time.Since(c.Arrived))
 	}
 	return a
 }
@@ -206,68 +207,59 @@
 
 // serve makes tries until there is a final answer.
 func (o *Outbound) serve(client context.Context, c *Call, world *World, r *entry.Request) *Answer {
+	if r.Once() { // one try at a time, which ends with its client
+		ctx, cancel := context.WithDeadline(client, o.began.Add(r.Until))
+		defer cancel()
+		for {
+			o.mu.Lock()
+			step := r.Next(o.now())
+			o.mu.Unlock()
+			if a := o.take(ctx, c, world, r, step); a != nil {
+				return a
+			}
+			if client.Err() != nil {
+				return leftAnswer()
+			}
+		}
+	}
 	// What a server works on when the answer is there goes on: its work would be lost, not saved.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(client), o.began.Add(r.Until))
-	leaves := context.AfterFunc(client, cancel)
+	ctx, cancel := context.WithDeadline(context.Background(), o.began.Add(r.Until))
 	tries := make(chan try, 2) // as many as there can be at a time
 	open := 0
 	defer func() {
-		leaves()
-		if open == 0 {
+		if open == 0 || client.Err() != nil {
 			cancel()
-			return
 		}
-		o.strays.Go(func() {
-			defer cancel()
-			for range open {
-				t := <-tries
-				o.mu.Lock()
-				r.Late(o.now(), t.server, t.out, t.result)
-				o.mu.Unlock()
-			}
-		})
+		if open > 0 {
+			o.strays.Go(func() {
+				defer cancel()
+				for range open {
+					t := <-tries
+					o.mu.Lock()
+					r.Late(o.now(), t.server, t.out, t.result)
+					o.mu.Unlock()
+				}
+			})
+		}
 	}()
 	begin := func(step entry.Step) {
 		open++
-		o.strays.Go(func() {
+		o.strays.Add(1)
+		go func() {
+			defer o.strays.Done()
 			out, result := o.attempt(ctx, c, world, r, step)
 			tries <- try{step.Server, out, result}
-		})
-	}
-	done := func(t try) *Answer {
-		o.mu.Lock()
-		final, pass := r.Done(o.now(), t.server, t.out, t.result)
-		o.mu.Unlock()
-		switch {
-		case final != nil:
-			return say(final)
-		case pass:
-			return served(t.out)
-		}
-		return nil
+		}()
 	}
 	for {
 		o.mu.Lock()
 		step := r.Next(o.now())
 		hedge := r.HedgeAfter()
 		o.mu.Unlock()
-		switch {
-		case step.Final != nil:
-			return say(step.Final)
-		case step.Server == "":
-			timer := time.NewTimer(step.Wait)
-			select {
-			case <-timer.C:
-			case <-ctx.Done():
-			}
-			timer.Stop()
-		case hedge == 0:
-			out, result := o.attempt(ctx, c, world, r, step)
-			if a := done(try{step.Server, out, result}); a != nil {
-				return a
-			}
-		default:
+		if step.Server != "" {
 			begin(step)
+		} else if a := o.take(ctx, c, world, r, step); a != nil {
+			return a
 		}
 		for open > 0 {
 			var later <-chan time.Time
@@ -277,9 +269,11 @@
 			select {
 			case t := <-tries:
 				open--
-				if a := done(t); a != nil {
+				if a := o.done(c, r, t); a != nil {
 					return a
 				}
+			case <-client.Done(): // it reads no answer
+				return leftAnswer()
 			case <-later:
 				hedge = 0 // once
 				o.mu.Lock()
@@ -290,12 +284,47 @@
 				}
 			}
 		}
-		if client.Err() != nil { // it has left, and reads no answer
-			return text(504, "called off")
+		if client.Err() != nil {
+			return leftAnswer()
 		}
 	}
 }
 
+// leftAnswer is for a client that has left.
+func leftAnswer() *Answer { return text(504, "called off") }
+
+// take does what a step says, and returns the final answer where that brings it.
+func (o *Outbound) take(ctx context.Context, c *Call, world *World, r *entry.Request, step entry.Step) *Answer {
+	switch {
+	case step.Final != nil:
+		return say(step.Final)
+	case step.Server != "":
+		out, result := o.attempt(ctx, c, world, r, step)
+		return o.done(c, r, try{step.Server, out, result})
+	}
+	timer := time.NewTimer(step.Wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// done books the end of a try, and returns the final answer where it is one.
+func (o *Outbound) done(c *Call, r *entry.Request, t try) *Answer {
+	o.mu.Lock()
+	final, pass := r.Done(o.now(), t.server, t.out, t.result)
+	o.mu.Unlock()
+	switch {
+	case final != nil:
+		return say(final)
+	case pass:
+		return served(t.out, c.Headers.Get("Attempt-Id"))
+	}
+	return nil
+}
+
 // Wait returns once no try is under way. Tries may outlast the requests that they are of, but not their time.
 func (o *Outbound) Wait() { o.strays.Wait() }
 
@@ -315,8 +344,9 @@
 		LeftMs: uint32(max(1, (r.Until - o.now()).Milliseconds())),
 		Zone:   o.Zone, Once: r.Once(), UsualMs: uint32(step.Usual.Milliseconds()), Insist: step.Insist, Wait: step.Queue,
 	}
-	for _, h := range http1.EndToEnd(c.Headers, "time-budget", "target-instance", "caller-service") {
-		q.Headers = append(q.Headers, &wire.Header{Name: h.Name, Value: h.Value})
+	q.Fields = http1.AppendEndToEnd(make([]byte, 0, 256), c.Headers, "Attempt-Id", "Time-Budget", "Target-Instance", "Caller-Service")
+	if server.Speaks < station.Speaks {
+		q.Headers, q.Fields = spell(q.Fields, q.Attempt), nil
 	}
 	out := new(wire.Outcome)
 	err := o.Pool.Live(ctx, server.Address)
@@ -336,11 +366,12 @@
 	return out, entry.Result(out)
 }
 
-// served is a server's answer as the client gets it.
-func served(out *wire.Outcome) *Answer {
-	a := &Answer{Status: int(out.Status), Body: out.Body}
-	for _, h := range out.Headers {
-		a.Headers = append(a.Headers, http1.Header{Name: h.Name, Value: h.Value})
+// served is a server's answer to the request with this id as the client gets it.
+func served(out *wire.Outcome, attempt string) *Answer {
+	a := &Answer{Status: int(out.Status), Fields: out.Fields, Body: out.Body}
+	if len(out.Headers) > 0 {
+		a.Fields = lines(out.Headers)
 	}
+	a.Fields = http1.AppendField(a.Fields, "Attempt-Id", attempt)
 	return a
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"reflect"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,6 +20,7 @@
 	"ivydeck/internal/http1"
 	"ivydeck/internal/meshconfig"
 	"ivydeck/internal/rpc"
+	"ivydeck/internal/station"
 	"ivydeck/internal/wire"
 )
 
@@ -138,7 +140,7 @@
 	w := &World{Config: config, Servers: map[string]*wire.Server{}}
 	for _, id := range []string{"i-1", "i-2"} {
 		b.in.Beat(Beat{ID: id, Service: "s", Address: b.app(id, gate), Zone: "z", Slots: 8}, time.Now())
-		w.Servers[id] = &wire.Server{Member: id, Service: "s", Address: nodes.Addr().String(), Zone: "z"}
+		w.Servers[id] = &wire.Server{Member: id, Service: "s", Address: nodes.Addr().String(), Zone: "z", Speaks: station.Speaks}
 	}
 	b.out.Update(w)
 	return b
@@ -168,6 +170,37 @@
 	return resp.StatusCode, string(answer), resp.Header
 }
 
+// TestAnOlderNodeGetsWhatItUnderstands: while the mesh is renewed, half of the nodes are of the version before. They
+// read fields one by one, and answer so.
+func TestAnOlderNodeGetsWhatItUnderstands(t *testing.T) {
+	b := newBed(t, nil)
+	_, want, wantHeaders := b.ask("POST", "/once/x", "new", "payload", "X-A", "1: 2")
+	w := *b.out.world()
+	w.Servers = map[string]*wire.Server{}
+	for id, s := range b.out.world().Servers {
+		w.Servers[id] = &wire.Server{Member: id, Service: s.Service, Address: s.Address, Zone: s.Zone}
+	}
+	b.out.Update(&w)
+	_, got, gotHeaders := b.ask("POST", "/once/x", "old", "payload", "X-A", "1: 2")
+	if got != want {
+		t.Errorf("the body is %q, want %q", got, want)
+	}
+	for name, values := range map[string][2]http.Header{"at the server": {b.headers["old"], b.headers["new"]}, "at the client": {gotHeaders, wantHeaders}} {
+		for _, h := range values {
+			for _, own := range []string{"Attempt-Id", "Date", "Time-Budget", "Target-Instance"} {
+				if h.Get(own) == "" {
+					delete(h, own)
+				} else {
+					h.Set(own, "there")
+				}
+			}
+		}
+		if !reflect.DeepEqual(values[0], values[1]) {
+			t.Errorf("%s: %v, want %v", name, values[0], values[1])
+		}
+	}
+}
+
 func (b *bed) servers(id string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -411,22 +444,27 @@
 	}
 }
 
+// BenchmarkRequest measures a request's way through both nodes; "direct" is what its client and server cost without.
 func BenchmarkRequest(b *testing.B) {
 	bed := newBed(b, nil)
-	nc, err := net.Dial("tcp", bed.front)
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer nc.Close()
-	r := bufio.NewReader(nc)
-	msg := []byte("GET /safe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: p\r\nTime-Budget: 15000\r\n\r\n")
-	b.ReportAllocs()
-	for b.Loop() {
-		nc.Write(msg)
-		resp, err := http.ReadResponse(r, nil)
-		if err != nil {
-			b.Fatal(err)
-		}
-		io.Copy(io.Discard, resp.Body)
+	for name, address := range map[string]string{"mesh": bed.front, "direct": bed.app("direct", nil)} {
+		b.Run(name, func(b *testing.B) {
+			nc, err := net.Dial("tcp", address)
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer nc.Close()
+			r := bufio.NewReader(nc)
+			msg := []byte("GET /safe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: p\r\nTime-Budget: 15000\r\n\r\n")
+			b.ReportAllocs()
+			for b.Loop() {
+				nc.Write(msg)
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				io.Copy(io.Discard, resp.Body)
+			}
+		})
 	}
 }
--- a/internal/station/register.go
+++ b/internal/station/register.go
@@ -14,6 +14,9 @@
 	Leaving             bool   // the node goes, so its servers take nothing new
 }
 
+// Speaks is what a node of this version understands: see wire.Server.
+const Speaks = 1
+
 // Difference is what has to change in the core's list, so that it says of a
 // machine what stands there. A node that has just started keeps what is listed
 // until its server has called: then whatever else is listed was before it.
@@ -28,7 +31,7 @@
 	for _, b := range servers {
 		want := &wire.Server{
 			Member: b.ID, Service: b.Service, Node: m.Node, Address: m.Address, Zone: m.Zone,
-			Slots: uint32(b.Slots), Draining: b.Draining, Leaving: m.Leaving,
+			Slots: uint32(b.Slots), Draining: b.Draining, Leaving: m.Leaving, Speaks: Speaks,
 		}
 		if !proto.Equal(want, old[b.ID]) {
 			todo = append(todo, &wire.Command{What: &wire.Command_Server{Server: want}})
