Wait for a call's answer by kept timers, and find a fresh peer without a context

Cause: a request made a context with a deadline at each node and up to three timers with their channels. Change: a call has a time of its own; a peer that is known to live is handed out as such; a stream whose caller can no longer say that its time is up is ended by the connection's tick; timers are kept when they are not in use.

--- a/internal/proxy/appconn.go
+++ b/internal/proxy/appconn.go
@@ -31,6 +31,8 @@
 
 	used    bool // it has carried a request before
 	surplus bool // it has brought an answer that nobody waited for
+
+	interrupt func() // ends a read or write under way; made once
 }
 
 // connect returns the idle connection that was used last, or a new one.
@@ -61,7 +63,10 @@
 		nc.Close()
 		return nil, err
 	}
-	return &appConn{nc: nc, r: bufio.NewReaderSize(nc, 4<<10), look: sock.NewLook(raw), idle: idleUsual}, nil
+	return &appConn{
+		nc: nc, r: bufio.NewReaderSize(nc, 4<<10), look: sock.NewLook(raw), idle: idleUsual,
+		interrupt: func() { nc.SetDeadline(time.Unix(1, 0)) },
+	}, nil
 }
 
 // keep puts a connection back.
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -13,6 +13,7 @@
 	"ivydeck/internal/health"
 	"ivydeck/internal/http1"
 	"ivydeck/internal/station"
+	"ivydeck/internal/timers"
 	"ivydeck/internal/wire"
 )
 
@@ -300,8 +301,8 @@
 
 // await waits for a slot; it says why there is none.
 func (in *Inbound) await(ctx context.Context, ask station.Ask, t *ticket, until time.Time) (why string) {
-	timer := time.NewTimer(time.Until(until) - leastLeft)
-	defer timer.Stop()
+	timer := timers.Get(time.Until(until) - leastLeft)
+	defer timers.Put(timer)
 	select {
 	case ok := <-t.verdict:
 		if !ok {
@@ -341,7 +342,7 @@
 	message := appendForward((*buf)[:0], q, left)
 	whole := len(message)
 	c.nc.SetDeadline(until)
-	stop := context.AfterFunc(ctx, func() { c.nc.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, c.interrupt)
 	n, err := c.nc.Write(message)
 	recycle(buf, message)
 	if err != nil {
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -14,6 +14,7 @@
 	"ivydeck/internal/metrics"
 	"ivydeck/internal/rpc"
 	"ivydeck/internal/station"
+	"ivydeck/internal/timers"
 	"ivydeck/internal/wire"
 )
 
@@ -208,13 +209,11 @@
 // serve makes tries until there is a final answer.
 func (o *Outbound) serve(client context.Context, c *Call, world *World, r *entry.Request) *Answer {
 	if r.Once() { // one try at a time, which ends with its client
-		ctx, cancel := context.WithDeadline(client, o.began.Add(r.Until))
-		defer cancel()
 		for {
 			o.mu.Lock()
 			step := r.Next(o.now())
 			o.mu.Unlock()
-			if a := o.take(ctx, c, world, r, step); a != nil {
+			if a := o.take(client, c, world, r, step); a != nil {
 				return a
 			}
 			if client.Err() != nil {
@@ -223,10 +222,14 @@
 		}
 	}
 	// What a server works on when the answer is there goes on: its work would be lost, not saved.
-	ctx, cancel := context.WithDeadline(context.Background(), o.began.Add(r.Until))
+	ctx, cancel := context.WithCancel(context.Background())
 	tries := make(chan try, 2) // as many as there can be at a time
 	open := 0
+	var slow *time.Timer // fires once a try has taken far longer than its like
 	defer func() {
+		if slow != nil {
+			timers.Put(slow)
+		}
 		if open == 0 || client.Err() != nil {
 			cancel()
 		}
@@ -261,11 +264,16 @@
 		} else if a := o.take(ctx, c, world, r, step); a != nil {
 			return a
 		}
-		for open > 0 {
-			var later <-chan time.Time
-			if hedge > 0 && open == 1 {
-				later = time.After(hedge)
+		var later <-chan time.Time
+		if hedge > 0 && open > 0 {
+			if slow == nil {
+				slow = timers.Get(hedge)
+			} else {
+				slow.Reset(hedge)
 			}
+			later = slow.C
+		}
+		for open > 0 {
 			select {
 			case t := <-tries:
 				open--
@@ -274,8 +282,7 @@
 				}
 			case <-client.Done(): // it reads no answer
 				return leftAnswer()
-			case <-later:
-				hedge = 0 // once
+			case <-later: // once
 				o.mu.Lock()
 				step, ok := r.Hedge(o.now())
 				o.mu.Unlock()
@@ -302,8 +309,8 @@
 		out, result := o.attempt(ctx, c, world, r, step)
 		return o.done(c, r, try{step.Server, out, result})
 	}
-	timer := time.NewTimer(step.Wait)
-	defer timer.Stop()
+	timer := timers.Get(step.Wait)
+	defer timers.Put(timer)
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
@@ -349,15 +356,16 @@
 		q.Headers, q.Fields = spell(q.Fields, q.Attempt), nil
 	}
 	out := new(wire.Outcome)
-	err := o.Pool.Live(ctx, server.Address)
+	until := o.began.Add(r.Until)
+	peer, err := o.Pool.Live(ctx, until, server.Address)
 	if err == nil {
-		err = o.Pool.Call(ctx, server.Address, "forward", q, out)
+		err = peer.Call(ctx, until, "forward", q, out)
 	}
 	if err != nil {
 		switch {
 		case errors.Is(err, rpc.ErrUnsent):
 			return unsent(false, "%v", err), decide.Unconnected
-		case ctx.Err() != nil:
+		case ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded):
 			return &wire.Outcome{Fate: wire.Outcome_LATE, Why: "no answer in time"}, decide.TimedOut
 		}
 		o.Log.Debug("request.broken", "attempt", q.Attempt, "server", id, "err", err)
--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -23,25 +23,25 @@
 	"google.golang.org/protobuf/proto"
 
 	"ivydeck/internal/sock"
+	"ivydeck/internal/timers"
 	"ivydeck/internal/wire"
 )
 
 const (
-	mostFrame    = 64 << 10 // bytes of a frame; a longer length is nonsense
-	mostChunk    = 32 << 10 // bytes of a message in one frame
-	window       = 256 << 10
-	mostMessage  = 72 << 20 // bytes of a whole message
-	mostStreams  = 4096     // open on one connection
-	mostHeld     = 128 << 20
-	mostKept     = 8 << 10 // bytes of a buffer that stays with a connection: most are quiet for most of the time
-	pingEvery    = 600 * time.Millisecond
-	idlePing     = 3 * time.Second         // the same without a stream: whoever opens one looks before
-	askedFor     = time.Second             // a ping is given so long at least
-	silentFor    = 1800 * time.Millisecond // a peer that says nothing for so long is given up
-	freshFor     = 250 * time.Millisecond  // a sign of life counts for so long
-	signWait     = 250 * time.Millisecond  // for one that was asked for
-	writeWait    = 3 * time.Second
-	mostPatience = 24 * time.Hour // of a caller that gives none: one that subscribes
+	mostFrame   = 64 << 10 // bytes of a frame; a longer length is nonsense
+	mostChunk   = 32 << 10 // bytes of a message in one frame
+	window      = 256 << 10
+	mostMessage = 72 << 20 // bytes of a whole message
+	mostStreams = 4096     // open on one connection
+	mostHeld    = 128 << 20
+	mostKept    = 8 << 10 // bytes of a buffer that stays with a connection: most are quiet for most of the time
+	pingEvery   = 600 * time.Millisecond
+	idlePing    = 3 * time.Second         // the same without a stream: whoever opens one looks before
+	askedFor    = time.Second             // a ping is given so long at least
+	silentFor   = 1800 * time.Millisecond // a peer that says nothing for so long is given up
+	freshFor    = 250 * time.Millisecond  // a sign of life counts for so long
+	signWait    = 250 * time.Millisecond  // for one that was asked for
+	writeWait   = 3 * time.Second
 )
 
 // ErrUnsent says that the message did not reach the peer whole, so that nothing
@@ -211,16 +211,16 @@
 			c.mu.Unlock()
 			return c.write(&wire.Frame{Stream: f.Stream, Fin: true, Error: "too many streams"})
 		}
-		patience := mostPatience
+		ctx, cancel := context.WithCancel(c.ctx)
+		s = newStream(c, f.Stream, ctx, cancel)
 		if f.WaitMs > 0 {
-			patience = time.Duration(f.WaitMs) * time.Millisecond
+			s.until = time.Now().Add(time.Duration(f.WaitMs) * time.Millisecond)
 		}
-		ctx, cancel := context.WithTimeout(c.ctx, patience)
-		s = newStream(c, f.Stream, ctx, cancel)
 		c.streams[f.Stream] = s
 		handler := c.server.handlers[f.Method]
 		c.server.running.Add(1)
-		go c.server.serve(s, f.Method, handler)
+		// It begins with its first frame taken in, which most often is all that it gets.
+		defer func(method string) { go c.server.serve(s, method, handler) }(f.Method)
 	}
 	c.mu.Unlock()
 	if s == nil {
@@ -255,9 +255,7 @@
 			return
 		case <-tick.C:
 		}
-		c.mu.Lock()
-		busy := len(c.streams) > 0
-		c.mu.Unlock()
+		busy := c.expire(time.Now())
 		now, heard, asked := steadyMs(), c.heard.Load(), c.asked.Load()
 		quiet, open := time.Duration(now-heard)*time.Millisecond, time.Duration(0)
 		if asked > heard {
@@ -275,6 +273,27 @@
 	}
 }
 
+// expire ends the streams whose time is up, and tells whether there are others. A caller whose time is up says so:
+// this is for one that no longer can, so that a tick's delay does no harm.
+func (c *conn) expire(now time.Time) (busy bool) {
+	c.mu.Lock()
+	var over []*Stream
+	for _, s := range c.streams {
+		if !s.until.IsZero() && now.After(s.until) {
+			over = append(over, s)
+		}
+	}
+	busy = len(c.streams) > len(over)
+	c.mu.Unlock()
+	for _, s := range over {
+		s.end(context.DeadlineExceeded)
+	}
+	return busy
+}
+
+// fresh tells whether the peer has given a sign of life within the last moments.
+func (c *conn) fresh() bool { return steadyMs()-c.heard.Load() < freshFor.Milliseconds() }
+
 // pulse decides on a connection from which nothing has come for quiet, with a ping that has been without an answer
 // for open; 0: none has. Most of a large mesh's connections carry nothing most of the time: they are asked seldom.
 func pulse(busy bool, quiet, open time.Duration) (ping, dead bool) {
@@ -295,7 +314,7 @@
 // live reports whether the peer has lately given a sign of life, and asks for
 // one where it has not.
 func (c *conn) live(ctx context.Context) bool {
-	if steadyMs()-c.heard.Load() < freshFor.Milliseconds() {
+	if c.fresh() {
 		return true
 	}
 	c.waiting.Add(1)
@@ -306,8 +325,8 @@
 	if c.ping() != nil {
 		return false
 	}
-	timer := time.NewTimer(signWait)
-	defer timer.Stop()
+	timer := timers.Get(signWait)
+	defer timers.Put(timer)
 	select {
 	case <-sign:
 		return true
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -216,16 +216,61 @@
 	context.AfterFunc(c.ctx, func() { nc.Close() })
 }
 
-// Live returns an error that is ErrUnsent unless a peer has given a sign of life
-// within the last moments. What may not be sent twice is better not sent at all
-// to a machine that has just lost its power.
-func (p *Pool) Live(ctx context.Context, addr string) error {
+// Peer is a connection to a node that has lately given a sign of life.
+type Peer struct{ c *conn }
+
+// Live returns the connection to a node that has given a sign of life within the
+// last moments, or an error that is ErrUnsent: what may not be sent twice is better
+// not sent at all to a machine that has just lost its power. It waits until a time
+// at the latest.
+func (p *Pool) Live(ctx context.Context, until time.Time, addr string) (Peer, error) {
+	if c := p.up(addr); c != nil && c.fresh() {
+		return Peer{c}, nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
 	c, err := p.get(ctx, addr)
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrUnsent, err)
+		return Peer{}, fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
 	if !c.live(ctx) {
-		return fmt.Errorf("%w: no sign of life from %s", ErrUnsent, addr)
+		return Peer{}, fmt.Errorf("%w: no sign of life from %s", ErrUnsent, addr)
+	}
+	return Peer{c}, nil
+}
+
+// up returns the connection to an address, where there is one.
+func (p *Pool) up(addr string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := p.conns[addr]
+	if d == nil {
+		return nil
+	}
+	select {
+	case <-d.ready:
+	default:
+		return nil
+	}
+	if d.err != nil || d.c.ctx.Err() != nil {
+		return nil
+	}
+	d.used = time.Now()
+	return d.c
+}
+
+// Call sends one message and waits for the one that answers it, until a time at
+// the latest: context.DeadlineExceeded is an answer that has not come. An error
+// that is ErrUnsent means that the peer has not had the message.
+func (p Peer) Call(ctx context.Context, until time.Time, method string, req, resp proto.Message) error {
+	// The caller's context is the stream's: what ends the stream before it wakes Recv by itself.
+	s, err := p.c.open(ctx, func() {}, until, method, req, true)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	if err := s.Recv(resp); err != nil {
+		return fmt.Errorf("%s at %s: %w", method, p.c.nc.RemoteAddr(), err)
 	}
 	return nil
 }
@@ -233,31 +278,34 @@
 // Open begins a stream with its first message. An error that is ErrUnsent
 // means that the peer has not had the message.
 func (p *Pool) Open(ctx context.Context, addr, method string, req proto.Message) (*Stream, error) {
+	c, err := p.get(ctx, addr)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
+	}
 	ctx, cancel := context.WithCancel(ctx)
-	s, err := p.open(ctx, cancel, addr, method, req, false)
+	until, _ := ctx.Deadline()
+	s, err := c.open(ctx, cancel, until, method, req, false)
 	if err != nil {
 		cancel()
 	}
 	return s, err
 }
 
-// open is Open with a context that ends with the stream, by cancel at the latest. fin: req is the only message.
-func (p *Pool) open(ctx context.Context, cancel context.CancelFunc, addr, method string, req proto.Message, fin bool) (*Stream, error) {
-	c, err := p.get(ctx, addr)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
-	}
+// open begins a stream whose context is given, and which ends it by cancel at the
+// latest. A zero until is no time; fin: req is the only message.
+func (c *conn) open(ctx context.Context, cancel context.CancelFunc, until time.Time, method string, req proto.Message, fin bool) (*Stream, error) {
 	c.mu.Lock()
 	if c.closed || len(c.streams) >= mostStreams {
 		c.mu.Unlock()
-		return nil, fmt.Errorf("%w: %s takes no stream", ErrUnsent, addr)
+		return nil, fmt.Errorf("%w: %s takes no stream", ErrUnsent, c.nc.RemoteAddr())
 	}
 	s := newStream(c, c.next, ctx, cancel)
+	s.until = until
 	c.next++
 	c.streams[s.id] = s
 	c.mu.Unlock()
 	var waitMs uint32
-	if until, ok := ctx.Deadline(); ok {
+	if !until.IsZero() {
 		waitMs = uint32(max(1, time.Until(until).Milliseconds()))
 	}
 	if err := s.send(req, method, waitMs, fin); err != nil {
@@ -267,16 +315,13 @@
 	return s, nil
 }
 
-// Call sends one message and waits for the one that answers it.
+// Call is Peer.Call over the connection to an address, which is made where there
+// is none, until the context ends.
 func (p *Pool) Call(ctx context.Context, addr, method string, req, resp proto.Message) error {
-	// The caller's context is the stream's: what ends the stream before it wakes Recv by itself.
-	s, err := p.open(ctx, func() {}, addr, method, req, true)
+	c, err := p.get(ctx, addr)
 	if err != nil {
-		return err
-	}
-	defer s.Close()
-	if err := s.Recv(resp); err != nil {
-		return fmt.Errorf("%s at %s: %w", method, addr, err)
+		return fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
-	return nil
+	until, _ := ctx.Deadline()
+	return Peer{c}.Call(ctx, until, method, req, resp)
 }
--- a/internal/rpc/stream.go
+++ b/internal/rpc/stream.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"io"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"ivydeck/internal/timers"
 	"ivydeck/internal/wire"
 )
 
@@ -20,8 +22,11 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	// The stream ends by then; zero: by its context alone. A peer that gives up sooner says so.
+	until time.Time
+
 	mu       sync.Mutex
-	wake     chan struct{} // has room for one: something changed
+	wake     chan struct{} // has room for one: something changed; made where someone waits for it
 	credit   int           // bytes that may still be sent
 	part     []byte        // of the message in the making
 	messages [][]byte
@@ -33,7 +38,7 @@
 }
 
 func newStream(c *conn, id uint32, ctx context.Context, cancel context.CancelFunc) *Stream {
-	s := &Stream{c: c, id: id, ctx: ctx, cancel: cancel, credit: window, wake: make(chan struct{}, 1)}
+	s := &Stream{c: c, id: id, ctx: ctx, cancel: cancel, credit: window}
 	s.messages = s.one[:0]
 	return s
 }
@@ -66,10 +71,10 @@
 	s.fin = true
 	held.Add(-int64(len(s.part)))
 	s.part = nil
-	waits := s.creditWake
+	wake, creditWake := s.wake, s.creditWake
 	s.mu.Unlock()
-	signal(s.wake)
-	signal(waits)
+	signal(wake)
+	signal(creditWake)
 	if err != nil {
 		s.cancel()
 	}
@@ -109,8 +114,9 @@
 	if f.Fin {
 		s.fin = true
 	}
+	wake := s.wake
 	s.mu.Unlock()
-	signal(s.wake)
+	signal(wake)
 	if !f.Last && !f.Fin && len(f.Data) > 0 { // the rest may come; the whole waits for its reader
 		return s.c.write(&wire.Frame{Kind: wire.Frame_CREDIT, Stream: s.id, Credit: uint32(len(f.Data))})
 	}
@@ -136,7 +142,10 @@
 			}
 			return nil
 		}
-		err, fin := s.err, s.fin
+		if s.wake == nil {
+			s.wake = make(chan struct{}, 1)
+		}
+		err, fin, wake := s.err, s.fin, s.wake
 		s.mu.Unlock()
 		if err != nil {
 			return err
@@ -144,14 +153,30 @@
 		if fin {
 			return io.EOF
 		}
-		select {
-		case <-s.wake:
-		case <-s.ctx.Done():
-			return s.cause()
+		if err := s.wait(wake); err != nil {
+			return err
 		}
 	}
 }
 
+// wait waits for one of the stream's channels, or its end.
+func (s *Stream) wait(wake <-chan struct{}) error {
+	var over <-chan time.Time
+	if !s.until.IsZero() {
+		timer := timers.Get(time.Until(s.until))
+		defer timers.Put(timer)
+		over = timer.C
+	}
+	select {
+	case <-wake:
+	case <-over:
+		return context.DeadlineExceeded
+	case <-s.ctx.Done():
+		return s.cause()
+	}
+	return nil
+}
+
 // cause tells why the stream's context ended.
 func (s *Stream) cause() error {
 	s.mu.Lock()
@@ -214,11 +239,10 @@
 		if s.creditWake == nil {
 			s.creditWake = make(chan struct{}, 1)
 		}
+		wake := s.creditWake
 		s.mu.Unlock()
-		select {
-		case <-s.creditWake:
-		case <-s.ctx.Done():
-			return s.cause()
+		if err := s.wait(wake); err != nil {
+			return err
 		}
 	}
 }
