Wait for a first try without a goroutine, and make a stream the context of its handler

Change: a call is begun and then waited for beside the timer and the client; only a second try has a goroutine. A stream is its handler's context. What ends with each request and begins with the next is kept: runs, tickets, heads of answers. Ruled out: one goroutine a connection to a server, which would hold up what comes next behind a slow write. Two tests: a second server's answer with the slow run left at work, and clients that leave; both seen to fail.

--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -77,6 +77,7 @@
 	all      record
 	zones    map[string]*record
 	running  map[string]*run
+	spare    []*run // that have ended, for those to come
 	pace     float64
 	paced    int           // runs that it is of
 	warm     time.Duration // until then it is slow from its start
@@ -178,7 +179,8 @@
 	if len(s.running) >= mostRunning {
 		return
 	}
-	r := &run{Call: c, began: now}
+	r := s.fresh()
+	r.Call, r.began, r.overdue = c, now, false
 	for _, rec := range []*record{&s.all, s.zones[c.Zone]} {
 		if rec != nil && rec.out && now >= rec.until {
 			rec.trying++
@@ -201,6 +203,7 @@
 	if r == nil {
 		return false, false
 	}
+	defer func() { s.spare = append(s.spare, r) }()
 	r.tried()
 	// One that came with little time left would have been late anywhere.
 	if how == Late && r.Usual > 0 && now-r.began < lateX*r.Usual {
@@ -222,7 +225,18 @@
 	for _, rec := range r.trial {
 		rec.trying--
 	}
-	r.trial = nil
+	r.trial = r.trial[:0]
+}
+
+// fresh returns room for a request. What is kept is no more than what has run at once.
+func (s *Server) fresh() *run {
+	n := len(s.spare)
+	if n == 0 {
+		return new(run)
+	}
+	r := s.spare[n-1]
+	s.spare = s.spare[:n-1]
+	return r
 }
 
 // note books what one request has shown: for the callers of its zone, and for all unless it is that zone's affair.
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -141,8 +142,8 @@
 type field struct{ name, value, end int }
 
 // fields reads header fields up to the empty line. They are slices of one string, which is all of a head that stays:
-// it begins with first.
-func (h *headReader) fields(first []byte) (head string, _ Headers, _ error) {
+// it begins with first. The fields take the place of those in into.
+func (h *headReader) fields(first []byte, into Headers) (head string, _ Headers, _ error) {
 	var text [768]byte // heads are seldom longer; a longer one takes memory of its own
 	var places [24]field
 	buf, at := append(text[:0], first...), places[:0]
@@ -173,9 +174,9 @@
 		at = append(at, f)
 	}
 	head = string(buf)
-	fields := make(Headers, len(at))
-	for i, f := range at {
-		fields[i] = Header{head[f.name:f.value], head[f.value:f.end]}
+	fields := slices.Grow(into[:0], len(at))
+	for _, f := range at {
+		fields = append(fields, Header{head[f.name:f.value], head[f.value:f.end]})
 	}
 	return head, fields, nil
 }
@@ -230,95 +231,113 @@
 // ReadRequest reads the head of a request. io.EOF means that the peer has ended
 // the connection between requests.
 func ReadRequest(r *bufio.Reader, limits Limits) (*Request, error) {
+	req := new(Request)
+	if err := req.Read(r, limits); err != nil {
+		return nil, err
+	}
+	return req, nil
+}
+
+// Read is ReadRequest into req. After an error it holds nothing of use.
+func (req *Request) Read(r *bufio.Reader, limits Limits) error {
 	h := headReader{r, limits.Head}
 	line, err := h.line()
 	for err == nil && len(line) == 0 && h.left > limits.Head-4 { // RFC 9112, 2.2
 		line, err = h.line()
 	}
 	if err != nil {
-		return nil, err
+		return err
 	}
 	method, rest, ok1 := bytes.Cut(line, []byte(" "))
 	target, version, ok2 := bytes.Cut(rest, []byte(" "))
 	if !ok1 || !ok2 || !token(method) {
-		return nil, bad("not a request line")
+		return bad("not a request line")
 	}
 	if string(version) != "HTTP/1.1" {
 		if string(version) == "HTTP/1.0" {
-			return nil, &Error{505, "HTTP/1.1 is spoken here"}
+			return &Error{505, "HTTP/1.1 is spoken here"}
 		}
-		return nil, bad("not a request line")
+		return bad("not a request line")
 	}
 	if string(method) == "CONNECT" || len(target) == 0 || target[0] != '/' || bytes.IndexByte(target, '#') >= 0 {
-		return nil, bad("the target is no path")
+		return bad("the target is no path")
 	}
 	for _, b := range target {
 		if b <= ' ' || b > '~' {
-			return nil, bad("a character in the target that has to be escaped")
+			return bad("a character in the target that has to be escaped")
 		}
 	}
 	ends, begins, over := len(method), len(method)+1, len(method)+1+len(target) // the line goes with the next read
-	head, fields, err := h.fields(line[:over])
+	head, fields, err := h.fields(line[:over], req.Headers)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	req := &Request{Method: head[:ends], Target: head[begins:over], Headers: fields}
+	*req = Request{Method: head[:ends], Target: head[begins:over], Headers: fields}
 	if req.Headers.Count("Host") != 1 {
-		return nil, bad("not exactly one Host")
+		return bad("not exactly one Host")
 	}
 	req.Host = req.Headers.Get("Host")
 	if strings.ContainsAny(req.Host, " \t,/@") {
-		return nil, bad("Host is %q", req.Host)
+		return bad("Host is %q", req.Host)
 	}
 	if req.Length, _, err = framing(req.Headers, limits.Body); err != nil {
-		return nil, err
+		return err
 	}
 	req.Close = hasToken(req.Headers, "Connection", "close")
 	req.Expect = req.Length != 0 && strings.EqualFold(req.Headers.Get("Expect"), "100-continue")
-	return req, nil
+	return nil
 }
 
 // ReadResponse reads the head of an answer to a request with the given method;
 // interim answers are passed over.
 func ReadResponse(r *bufio.Reader, method string, limits Limits) (*Response, error) {
+	resp := new(Response)
+	if err := resp.Read(r, method, limits); err != nil {
+		return nil, err
+	}
+	return resp, nil
+}
+
+// Read is ReadResponse into resp. After an error it holds nothing of use.
+func (resp *Response) Read(r *bufio.Reader, method string, limits Limits) error {
 	h := headReader{r, limits.Head}
 	for {
 		line, err := h.line()
 		if err != nil {
-			return nil, err
+			return err
 		}
 		// HTTP/1.1 SSS reason
 		if len(line) < 12 || string(line[:9]) != "HTTP/1.1 " || len(line) > 12 && line[12] != ' ' {
-			return nil, bad("not a status line")
+			return bad("not a status line")
 		}
 		status, err := strconv.Atoi(string(line[9:12]))
 		if err != nil || status < 100 || status > 599 {
-			return nil, bad("not a status line")
+			return bad("not a status line")
 		}
-		_, fields, err := h.fields(nil)
+		_, fields, err := h.fields(nil, resp.Headers)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		if status == 101 {
-			return nil, bad("a change of protocol that nobody asked for")
+			return bad("a change of protocol that nobody asked for")
 		}
 		if status < 200 {
 			continue
 		}
-		resp := &Response{Status: status, Headers: fields, Close: hasToken(fields, "Connection", "close")}
+		*resp = Response{Status: status, Headers: fields, Close: hasToken(fields, "Connection", "close")}
 		length, present, err := framing(fields, limits.Body)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		switch {
 		case method == "HEAD" || status == 204 || status == 304:
 		case !present:
 			// It would end with the connection, and so would one that broke off.
-			return nil, bad("the answer does not say where it ends")
+			return bad("the answer does not say where it ends")
 		default:
 			resp.Length = length
 		}
-		return resp, nil
+		return nil
 	}
 }
 
@@ -356,7 +375,7 @@
 		}
 		if n == 0 {
 			trailer := headReader{r, 8 << 10}
-			_, _, err := trailer.fields(nil)
+			_, _, err := trailer.fields(nil, nil)
 			return body, torn(0, err)
 		}
 		if int64(len(body))+n > limits.Body {
--- a/internal/proxy/appconn.go
+++ b/internal/proxy/appconn.go
@@ -32,7 +32,8 @@
 	used    bool // it has carried a request before
 	surplus bool // it has brought an answer that nobody waited for
 
-	interrupt func() // ends a read or write under way; made once
+	resp      http1.Response // the last answer's head
+	interrupt func()         // ends a read or write under way; made once
 }
 
 // connect returns the idle connection that was used last, or a new one.
@@ -83,30 +84,29 @@
 	a.idle = append(a.idle, c)
 }
 
-// read reads a whole answer. One to another request may be a surplus one in front of the right one, which is worth
+// read reads a whole answer, its head into resp. One to another request may be a surplus one in front of the right one, which is worth
 // waiting for: a request that may run once has no other chance. The connection is not used again.
-func (c *appConn) read(method, attempt string) (*http1.Response, []byte, error) {
+func (c *appConn) read(method, attempt string) (body []byte, err error) {
 	limits := http1.Limits{Head: serverHead, Body: serverBody}
 	for n := 0; ; n++ {
-		resp, err := http1.ReadResponse(c.r, method, limits)
-		if err != nil {
-			return nil, nil, err
+		if err := c.resp.Read(c.r, method, limits); err != nil {
+			return nil, err
 		}
-		body, err := http1.ReadBody(c.r, resp.Length, limits)
+		body, err := http1.ReadBody(c.r, c.resp.Length, limits)
 		if err != nil {
-			return nil, nil, err
+			return nil, err
 		}
-		id := resp.Headers.Get("Attempt-Id")
-		if id == "" || id == attempt || resp.Close || n >= mostSurplus {
-			return resp, body, nil
+		id := c.resp.Headers.Get("Attempt-Id")
+		if id == "" || id == attempt || c.resp.Close || n >= mostSurplus {
+			return body, nil
 		}
 		c.surplus = true
 	}
 }
 
 // answered notes for how long the server keeps the connection.
-func (c *appConn) answered(resp *http1.Response) {
-	for part := range strings.SplitSeq(resp.Headers.Get("Keep-Alive"), ",") {
+func (c *appConn) answered() {
+	for part := range strings.SplitSeq(c.resp.Headers.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if n, err := strconv.Atoi(value); strings.EqualFold(name, "timeout") && err == nil && n >= 0 {
 			c.idle = time.Duration(n)*time.Second - idleMargin
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -29,7 +29,7 @@
 
 // Call is a request that has been read whole.
 type Call struct {
-	*http1.Request
+	http1.Request
 	Body    []byte
 	Arrived time.Time // of its last byte
 	Remote  net.Addr
@@ -359,11 +359,12 @@
 func (c *client) take(r *bufio.Reader) (*Call, error) {
 	b := c.f.Bounds()
 	c.readUntil(time.Now().Add(b.HeadWait))
-	req, err := http1.ReadRequest(r, b.Limits)
+	call := &Call{Remote: c.nc.RemoteAddr()}
+	req := &call.Request
+	err := req.Read(r, b.Limits)
 	if err != nil {
 		return nil, c.late(err, "the head did not come in time")
 	}
-	call := &Call{Request: req, Remote: c.nc.RemoteAddr()}
 	if req.Length != 0 {
 		if req.Expect {
 			c.nc.SetWriteDeadline(time.Now().Add(writeWait))
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -12,6 +12,7 @@
 
 	"ivydeck/internal/health"
 	"ivydeck/internal/http1"
+	"ivydeck/internal/rpc"
 	"ivydeck/internal/station"
 	"ivydeck/internal/timers"
 	"ivydeck/internal/wire"
@@ -43,6 +44,7 @@
 
 	mu      sync.Mutex
 	station *station.Station[*ticket]
+	spare   *ticket         // of a request that had no need to wait
 	apps    map[string]*app // by member, those in service
 }
 
@@ -244,11 +246,16 @@
 		Member: q.Member, Service: q.Service, Attempt: q.Attempt, Priority: q.Priority, Repeat: q.Repeat, Wait: q.Wait,
 		Call: health.Call{Zone: q.Zone, Usual: time.Duration(q.UsualMs) * time.Millisecond, Once: q.Once, Insist: q.Insist},
 	}
-	t := new(ticket)
 	in.mu.Lock()
+	t := in.spare
+	if in.spare = nil; t == nil {
+		t = new(ticket)
+	}
 	place, why, verdicts := in.station.Arrive(in.now(), ask, t)
 	if place == station.Queue { // the verdict can't come before mu is free again
 		t.verdict = make(chan bool, 1)
+	} else {
+		in.spare = t
 	}
 	tell(verdicts)
 	a := in.apps[q.Member]
@@ -342,7 +349,7 @@
 	message := appendForward((*buf)[:0], q, left)
 	whole := len(message)
 	c.nc.SetDeadline(until)
-	stop := context.AfterFunc(ctx, c.interrupt)
+	stop := atEnd(ctx, c.interrupt)
 	n, err := c.nc.Write(message)
 	recycle(buf, message)
 	if err != nil {
@@ -353,7 +360,7 @@
 			return &wire.Outcome{Fate: wire.Outcome_BROKEN, Why: "writing: " + err.Error()}
 		}
 	}
-	resp, body, err := c.read(q.Method, q.Attempt)
+	body, err := c.read(q.Method, q.Attempt)
 	clean := stop()
 	if err != nil {
 		c.nc.Close()
@@ -366,13 +373,24 @@
 		}
 		return out
 	}
-	if clean && !resp.Close && !c.surplus && c.r.Buffered() == 0 {
-		c.answered(resp)
-		a.keep(c)
+	out := judge(q, &c.resp, body, c.used)
+	if clean && !c.resp.Close && !c.surplus && c.r.Buffered() == 0 {
+		c.answered()
+		a.keep(c) // nothing of it is ours any more
 	} else {
 		c.nc.Close()
 	}
-	return judge(q, resp, body, c.used)
+	return out
+}
+
+// atEnd has f called at the end of a context, unless the stop that it returns comes before: then that reports true.
+// A call's own context is a stream, which needs no help for it.
+func atEnd(ctx context.Context, f func()) (stop func() bool) {
+	if s, ok := ctx.(*rpc.Stream); ok {
+		s.OnEnd(f)
+		return s.Clear
+	}
+	return context.AfterFunc(ctx, f)
 }
 
 // appendForward writes a request as its server gets it.
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"ivydeck/decide"
 	"ivydeck/internal/entry"
 	"ivydeck/internal/http1"
@@ -199,7 +201,7 @@
 	return a
 }
 
-// try is the end of one.
+// try is one, with its end where it has ended.
 type try struct {
 	server string
 	out    *wire.Outcome
@@ -208,114 +210,119 @@
 
 // serve makes tries until there is a final answer.
 func (o *Outbound) serve(client context.Context, c *Call, world *World, r *entry.Request) *Answer {
-	if r.Once() { // one try at a time, which ends with its client
-		for {
-			o.mu.Lock()
-			step := r.Next(o.now())
-			o.mu.Unlock()
-			if a := o.take(client, c, world, r, step); a != nil {
-				return a
-			}
-			if client.Err() != nil {
-				return leftAnswer()
-			}
-		}
-	}
-	// What a server works on when the answer is there goes on: its work would be lost, not saved.
-	ctx, cancel := context.WithCancel(context.Background())
-	tries := make(chan try, 2) // as many as there can be at a time
-	open := 0
-	var slow *time.Timer // fires once a try has taken far longer than its like
-	defer func() {
-		if slow != nil {
-			timers.Put(slow)
-		}
-		if open == 0 || client.Err() != nil {
-			cancel()
-		}
-		if open > 0 {
-			o.strays.Go(func() {
-				defer cancel()
-				for range open {
-					t := <-tries
-					o.mu.Lock()
-					r.Late(o.now(), t.server, t.out, t.result)
-					o.mu.Unlock()
-				}
-			})
-		}
-	}()
-	begin := func(step entry.Step) {
-		open++
-		o.strays.Add(1)
-		go func() {
-			defer o.strays.Done()
-			out, result := o.attempt(ctx, c, world, r, step)
-			tries <- try{step.Server, out, result}
-		}()
-	}
 	for {
 		o.mu.Lock()
 		step := r.Next(o.now())
-		hedge := r.HedgeAfter()
 		o.mu.Unlock()
-		if step.Server != "" {
-			begin(step)
-		} else if a := o.take(ctx, c, world, r, step); a != nil {
+		if a := o.take(client, c, world, r, step); a != nil {
 			return a
 		}
-		var later <-chan time.Time
-		if hedge > 0 && open > 0 {
-			if slow == nil {
-				slow = timers.Get(hedge)
-			} else {
-				slow.Reset(hedge)
-			}
-			later = slow.C
-		}
-		for open > 0 {
-			select {
-			case t := <-tries:
-				open--
-				if a := o.done(c, r, t); a != nil {
-					return a
-				}
-			case <-client.Done(): // it reads no answer
-				return leftAnswer()
-			case <-later: // once
-				o.mu.Lock()
-				step, ok := r.Hedge(o.now())
-				o.mu.Unlock()
-				if ok {
-					begin(step)
-				}
-			}
-		}
 		if client.Err() != nil {
-			return leftAnswer()
+			return text(504, leftText)
 		}
 	}
 }
 
-// leftAnswer is for a client that has left.
-func leftAnswer() *Answer { return text(504, "called off") }
+// leftText is for a client that has left, and reads no answer.
+const leftText = "called off"
 
 // take does what a step says, and returns the final answer where that brings it.
-func (o *Outbound) take(ctx context.Context, c *Call, world *World, r *entry.Request, step entry.Step) *Answer {
+func (o *Outbound) take(client context.Context, c *Call, world *World, r *entry.Request, step entry.Step) *Answer {
 	switch {
 	case step.Final != nil:
 		return say(step.Final)
-	case step.Server != "":
-		out, result := o.attempt(ctx, c, world, r, step)
-		return o.done(c, r, try{step.Server, out, result})
+	case step.Server == "":
+		timer := timers.Get(step.Wait)
+		defer timers.Put(timer)
+		select {
+		case <-timer.C:
+		case <-client.Done():
+		}
+		return nil
+	case r.Once():
+		return o.done(c, r, o.attempt(client, c, world, r, step))
 	}
-	timer := timers.Get(step.Wait)
+	// What a server works on when the answer is there goes on: its work would be lost, not saved.
+	call, t := o.begin(client, context.Background(), c, world, r, step)
+	if call == nil {
+		return o.done(c, r, t)
+	}
+	return o.race(client, c, world, r, call, t)
+}
+
+// race waits for a try that is under way, with a second one beside it where it takes far longer than its like. It
+// returns the final answer; nil: there is none yet, and no try is left.
+func (o *Outbound) race(client context.Context, c *Call, world *World, r *entry.Request, call *rpc.Stream, first try) (final *Answer) {
+	o.mu.Lock()
+	hedge := r.HedgeAfter()
+	o.mu.Unlock()
+	until := o.began.Add(r.Until)
+	wait := time.Until(until)
+	if hedge > 0 {
+		wait = min(wait, hedge)
+	}
+	timer := timers.Get(wait)
 	defer timers.Put(timer)
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	woken := call.Woken()      // nil: the first has ended
+	var second chan try        // nil: there is none
+	var off context.CancelFunc // calls the second off
+	for final == nil && (woken != nil || second != nil) {
+		over := false // the first's answer, or its time
+		select {
+		case <-woken:
+			over = true
+		case t := <-second:
+			second = nil
+			final = o.done(c, r, t)
+		case <-client.Done():
+			final = text(504, leftText)
+		case <-timer.C:
+			if over = time.Until(until) <= 0; !over {
+				timer.Reset(time.Until(until))
+			}
+			if hedge > 0 && !over {
+				hedge = 0 // once
+				o.mu.Lock()
+				step, ok := r.Hedge(o.now())
+				o.mu.Unlock()
+				if ok {
+					second = make(chan try, 1)
+					off = o.aside(c, world, r, step, second)
+				}
+			}
+		}
+		if over && woken != nil { // it returns at once
+			woken = nil
+			final = o.done(c, r, o.end(context.Background(), c, call, first))
+		}
 	}
-	return nil
+	left := client.Err() != nil
+	switch {
+	case woken == nil:
+	case left:
+		call.Close()
+		first.out, first.result = noAnswer(), decide.TimedOut
+		o.late(r, first)
+	default:
+		o.strays.Go(func() { o.late(r, o.end(context.Background(), c, call, first)) })
+	}
+	if second != nil {
+		if left {
+			off()
+		}
+		o.strays.Go(func() { o.late(r, <-second) })
+	}
+	return final
+}
+
+// aside makes a second try beside the first, and returns what calls it off.
+func (o *Outbound) aside(c *Call, world *World, r *entry.Request, step entry.Step, end chan<- try) context.CancelFunc {
+	ctx, cancel := context.WithCancel(context.Background())
+	o.strays.Go(func() {
+		defer cancel()
+		end <- o.attempt(ctx, c, world, r, step)
+	})
+	return cancel
 }
 
 // done books the end of a try, and returns the final answer where it is one.
@@ -332,46 +339,91 @@
 	return nil
 }
 
+// late books the end of a try after the final answer.
+func (o *Outbound) late(r *entry.Request, t try) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r.Late(o.now(), t.server, t.out, t.result)
+}
+
 // Wait returns once no try is under way. Tries may outlast the requests that they are of, but not their time.
 func (o *Outbound) Wait() { o.strays.Wait() }
 
-// attempt asks the node beside a server to pass the request on.
-func (o *Outbound) attempt(ctx context.Context, c *Call, world *World, r *entry.Request, step entry.Step) (*wire.Outcome, decide.Result) {
-	id := step.Server
-	server := world.Servers[id]
+// attempt asks the node beside a server to pass the request on, and waits for what becomes of it.
+func (o *Outbound) attempt(ctx context.Context, c *Call, world *World, r *entry.Request, step entry.Step) try {
+	call, t := o.begin(ctx, ctx, c, world, r, step)
+	if call == nil {
+		return t
+	}
+	return o.end(ctx, c, call, t)
+}
+
+var forwards = sync.Pool{New: func() any { return new(wire.Forward) }}
+
+// begin asks the node beside a server to pass the request on. Where there is no call then, the try has ended. dial is
+// the context of the way there, ctx that of the call.
+func (o *Outbound) begin(dial, ctx context.Context, c *Call, world *World, r *entry.Request, step entry.Step) (*rpc.Stream, try) {
+	t := try{server: step.Server}
+	server := world.Servers[t.server]
 	if server == nil { // the list is newer than the request's
-		server = o.world().Servers[id]
+		server = o.world().Servers[t.server]
 	}
 	if server == nil {
-		return unsent(true, "not listed"), decide.NotSent
-	}
-	q := &wire.Forward{
-		Member: id, Service: r.Service, Method: c.Method, Target: c.Target, Body: c.Body, Caller: o.Backend,
-		Priority: r.Rank, Attempt: c.Headers.Get("Attempt-Id"), Repeat: step.Repeat,
-		LeftMs: uint32(max(1, (r.Until - o.now()).Milliseconds())),
-		Zone:   o.Zone, Once: r.Once(), UsualMs: uint32(step.Usual.Milliseconds()), Insist: step.Insist, Wait: step.Queue,
-	}
-	q.Fields = http1.AppendEndToEnd(make([]byte, 0, 256), c.Headers, "Attempt-Id", "Time-Budget", "Target-Instance", "Caller-Service")
-	if server.Speaks < station.Speaks {
-		q.Headers, q.Fields = spell(q.Fields, q.Attempt), nil
+		t.out, t.result = unsent(true, "not listed"), decide.NotSent
+		return nil, t
 	}
-	out := new(wire.Outcome)
 	until := o.began.Add(r.Until)
-	peer, err := o.Pool.Live(ctx, until, server.Address)
+	peer, err := o.Pool.Live(dial, until, server.Address)
 	if err == nil {
-		err = peer.Call(ctx, until, "forward", q, out)
-	}
-	if err != nil {
-		switch {
-		case errors.Is(err, rpc.ErrUnsent):
-			return unsent(false, "%v", err), decide.Unconnected
-		case ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded):
-			return &wire.Outcome{Fate: wire.Outcome_LATE, Why: "no answer in time"}, decide.TimedOut
+		q := forwards.Get().(*wire.Forward)
+		fields := messages.Get().(*[]byte)
+		q.Member, q.Service, q.Method, q.Target, q.Body, q.Caller = t.server, r.Service, c.Method, c.Target, c.Body, o.Backend
+		q.Priority, q.Attempt, q.Repeat = r.Rank, c.Headers.Get("Attempt-Id"), step.Repeat
+		q.LeftMs = uint32(max(1, (r.Until - o.now()).Milliseconds()))
+		q.Zone, q.Once, q.UsualMs, q.Insist, q.Wait = o.Zone, r.Once(), uint32(step.Usual.Milliseconds()), step.Insist, step.Queue
+		q.Fields = http1.AppendEndToEnd((*fields)[:0], c.Headers, "Attempt-Id", "Time-Budget", "Target-Instance", "Caller-Service")
+		line := q.Fields
+		if server.Speaks < station.Speaks {
+			q.Headers, q.Fields = spell(q.Fields, q.Attempt), nil
+		}
+		var call *rpc.Stream
+		call, err = peer.Begin(ctx, until, "forward", q)
+		recycle(fields, line)
+		proto.Reset(q)
+		forwards.Put(q)
+		if err == nil {
+			return call, t
 		}
-		o.Log.Debug("request.broken", "attempt", q.Attempt, "server", id, "err", err)
-		return &wire.Outcome{Fate: wire.Outcome_BROKEN, Why: err.Error()}, decide.Broken
 	}
-	return out, entry.Result(out)
+	return nil, o.failed(ctx, c, t, err)
+}
+
+// end waits for what becomes of a call.
+func (o *Outbound) end(ctx context.Context, c *Call, call *rpc.Stream, t try) try {
+	out := new(wire.Outcome)
+	if err := call.Answer(out); err != nil {
+		return o.failed(ctx, c, t, err)
+	}
+	t.out, t.result = out, entry.Result(out)
+	return t
+}
+
+func noAnswer() *wire.Outcome {
+	return &wire.Outcome{Fate: wire.Outcome_LATE, Why: "no answer in time"}
+}
+
+// failed is a try that has brought no word of what has become of it.
+func (o *Outbound) failed(ctx context.Context, c *Call, t try, err error) try {
+	switch {
+	case errors.Is(err, rpc.ErrUnsent):
+		t.out, t.result = unsent(false, "%v", err), decide.Unconnected
+	case ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded):
+		t.out, t.result = noAnswer(), decide.TimedOut
+	default:
+		o.Log.Debug("request.broken", "attempt", c.Headers.Get("Attempt-Id"), "server", t.server, "err", err)
+		t.out, t.result = &wire.Outcome{Fate: wire.Outcome_BROKEN, Why: err.Error()}, decide.Broken
+	}
+	return t
 }
 
 // served is a server's answer to the request with this id as the client gets it.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -55,6 +55,10 @@
 		switch do := r.URL.Path; {
 		case strings.Contains(do, "wait"):
 			<-gate
+		case strings.Contains(do, "stuck") && first:
+			<-gate
+		case strings.Contains(do, "work"): // for long enough to be told
+			time.Sleep(2 * time.Millisecond)
 		case strings.Contains(do, "full") && first:
 			w.Header().Set("Not-Executed", "1")
 			w.WriteHeader(503)
@@ -424,6 +428,50 @@
 	}
 }
 
+// TestASecondServerIsAsked: a request that may run again does not wait for a run that takes far longer than its like,
+// and the slow run goes on to its end.
+func TestASecondServerIsAsked(t *testing.T) {
+	gate := make(chan struct{})
+	b := newBed(t, gate)
+	b.ask("GET", "/safe/work", "like", "") // now its usual time is known
+	status, answer, _ := b.ask("GET", "/safe/stuck", "slow", "")
+	if status != 200 || answer != "GET /safe/stuck " || b.servers("slow") != 2 {
+		t.Errorf("%d %q after %d servers", status, answer, b.servers("slow"))
+	}
+	if b.in.Busy() != 1 {
+		t.Errorf("%d runs go on, want the slow one", b.in.Busy())
+	}
+	close(gate)
+	b.out.Wait()
+	if b.in.Busy() != 0 {
+		t.Error("the slow run has no end")
+	}
+}
+
+// TestAClientLeaves: what runs for a client that has left is called off, also where a second server was asked.
+func TestAClientLeaves(t *testing.T) {
+	gate := make(chan struct{})
+	b := newBed(t, gate)
+	defer close(gate)
+	b.ask("GET", "/safe/work", "like", "")
+	for i, path := range []string{"/safe/wait", "/once/wait"} {
+		id := fmt.Sprint("left", i)
+		nc, err := net.Dial("tcp", b.front)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(nc, "GET %s HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: %s\r\nTime-Budget: 15000\r\n\r\n", path, id)
+		for b.servers(id) < 2-i {
+			time.Sleep(time.Millisecond)
+		}
+		nc.Close()
+		for b.in.Busy() > 0 { // a run that goes on would hold the test up until its own limit
+			time.Sleep(time.Millisecond)
+		}
+	}
+	b.out.Wait()
+}
+
 func TestInnerCallsAreTold(t *testing.T) {
 	gate := make(chan struct{})
 	b := newBed(t, gate)
--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -211,8 +211,7 @@
 			c.mu.Unlock()
 			return c.write(&wire.Frame{Stream: f.Stream, Fin: true, Error: "too many streams"})
 		}
-		ctx, cancel := context.WithCancel(c.ctx)
-		s = newStream(c, f.Stream, ctx, cancel)
+		s = newStream(c, f.Stream, nil, nil)
 		if f.WaitMs > 0 {
 			s.until = time.Now().Add(time.Duration(f.WaitMs) * time.Millisecond)
 		}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -66,7 +66,7 @@
 // serve runs one handler.
 func (s *Server) serve(st *Stream, method string, h Handler) {
 	defer s.running.Done()
-	defer st.cancel()
+	defer st.finish(context.Canceled)
 	var err error
 	if h != nil {
 		err = h(st)
@@ -263,18 +263,43 @@
 // the latest: context.DeadlineExceeded is an answer that has not come. An error
 // that is ErrUnsent means that the peer has not had the message.
 func (p Peer) Call(ctx context.Context, until time.Time, method string, req, resp proto.Message) error {
-	// The caller's context is the stream's: what ends the stream before it wakes Recv by itself.
-	s, err := p.c.open(ctx, func() {}, until, method, req, true)
+	s, err := p.Begin(ctx, until, method, req)
 	if err != nil {
 		return err
 	}
+	return s.Answer(resp)
+}
+
+// Begin is the first half of Call. Answer is the other half, which has to follow;
+// it comes at once where Woken has told.
+func (p Peer) Begin(ctx context.Context, until time.Time, method string, req proto.Message) (*Stream, error) {
+	// The caller's context is the stream's: what ends the stream before it wakes Recv by itself.
+	return p.c.open(ctx, nil, until, method, req, true)
+}
+
+// Answer waits for the only message of a stream from Begin, and ends it.
+func (s *Stream) Answer(resp proto.Message) error {
 	defer s.Close()
 	if err := s.Recv(resp); err != nil {
-		return fmt.Errorf("%s at %s: %w", method, p.c.nc.RemoteAddr(), err)
+		return fmt.Errorf("calling %s: %w", s.c.nc.RemoteAddr(), err)
 	}
 	return nil
 }
 
+// Woken tells once when Recv would return at once, but for the end of the stream's
+// time and context; before the first Recv only.
+func (s *Stream) Woken() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.wake == nil {
+		s.wake = make(chan struct{}, 1)
+		if s.fin || len(s.messages) > 0 {
+			s.wake <- struct{}{}
+		}
+	}
+	return s.wake
+}
+
 // Open begins a stream with its first message. An error that is ErrUnsent
 // means that the peer has not had the message.
 func (p *Pool) Open(ctx context.Context, addr, method string, req proto.Message) (*Stream, error) {
--- a/internal/rpc/stream.go
+++ b/internal/rpc/stream.go
@@ -15,12 +15,14 @@
 )
 
 // Stream is an exchange of messages on a connection. One goroutine may send
-// while another receives.
+// while another receives. It is the context of its handler as well: most streams
+// are over before anybody asks for more than that, and contexts of the library's
+// making cost a call a third of its allocations.
 type Stream struct {
 	c      *conn
 	id     uint32
-	ctx    context.Context
-	cancel context.CancelFunc
+	ctx    context.Context    // of the caller; the stream itself where it came from the peer
+	cancel context.CancelFunc // the caller's; nil: there is nothing to cancel
 
 	// The stream ends by then; zero: by its context alone. A peer that gives up sooner says so.
 	until time.Time
@@ -35,10 +37,18 @@
 	err      error
 
 	creditWake chan struct{} // as wake, for credit; made where someone waits for it
+
+	over  error         // why the stream has ended as a context
+	done  chan struct{} // closed then; made where someone asks for it
+	onEnd func()        // called then
 }
 
+// newStream returns a stream of a caller's context; nil: it came from the peer.
 func newStream(c *conn, id uint32, ctx context.Context, cancel context.CancelFunc) *Stream {
 	s := &Stream{c: c, id: id, ctx: ctx, cancel: cancel, credit: window}
+	if ctx == nil {
+		s.ctx = s
+	}
 	s.messages = s.one[:0]
 	return s
 }
@@ -46,6 +56,78 @@
 // Context ends with the stream.
 func (s *Stream) Context() context.Context { return s.ctx }
 
+// Deadline is when the peer's patience ends.
+func (s *Stream) Deadline() (time.Time, bool) { return s.until, !s.until.IsZero() }
+
+// Done is closed once the peer has called the stream off, the connection has
+// ended, or the handler has returned.
+func (s *Stream) Done() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.done == nil {
+		s.done = make(chan struct{})
+		if s.over != nil {
+			close(s.done)
+		}
+	}
+	return s.done
+}
+
+// Err tells why Done is closed.
+func (s *Stream) Err() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.over != nil && !errors.Is(s.over, context.DeadlineExceeded) {
+		return context.Canceled
+	}
+	return s.over
+}
+
+// Value knows of nothing.
+func (s *Stream) Value(any) any { return nil }
+
+// OnEnd has a function called when Done is closed, if it is before Clear; one at a
+// time, which must not wait.
+func (s *Stream) OnEnd(f func()) {
+	s.mu.Lock()
+	over := s.over != nil
+	if !over {
+		s.onEnd = f
+	}
+	s.mu.Unlock()
+	if over {
+		f()
+	}
+}
+
+// Clear takes OnEnd's function back. It reports false where that has been called.
+func (s *Stream) Clear() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	has := s.onEnd != nil
+	s.onEnd = nil
+	return has
+}
+
+// finish ends the stream as a context.
+func (s *Stream) finish(err error) {
+	s.mu.Lock()
+	if s.over != nil {
+		s.mu.Unlock()
+		return
+	}
+	s.over = err
+	if s.done != nil {
+		close(s.done)
+	}
+	f := s.onEnd
+	s.onEnd = nil
+	s.mu.Unlock()
+	if f != nil {
+		f()
+	}
+}
+
 // signal wakes whoever waits; a nil channel is one that nobody waits for.
 func signal(c chan struct{}) {
 	select {
@@ -76,7 +158,10 @@
 	signal(wake)
 	signal(creditWake)
 	if err != nil {
-		s.cancel()
+		s.finish(err)
+		if s.cancel != nil {
+			s.cancel()
+		}
 	}
 }
 
@@ -116,7 +201,9 @@
 	}
 	wake := s.wake
 	s.mu.Unlock()
-	signal(wake)
+	if f.Last || f.Fin {
+		signal(wake)
+	}
 	if !f.Last && !f.Fin && len(f.Data) > 0 { // the rest may come; the whole waits for its reader
 		return s.c.write(&wire.Frame{Kind: wire.Frame_CREDIT, Stream: s.id, Credit: uint32(len(f.Data))})
 	}
--- a/internal/station/station.go
+++ b/internal/station/station.go
@@ -77,6 +77,7 @@
 	drain, heartbeat time.Duration
 	lives            map[string]*life[T]
 	runs             map[string]*run // by the Attempt-Ids at servers here
+	spare            []*run          // that have ended, for those to come
 }
 
 // life is one life of a server.
@@ -370,7 +371,12 @@
 
 // Run books a request that waited and now goes to its server.
 func (s *Station[T]) Run(now time.Duration, q Ask) {
-	s.runs[q.Attempt] = &run{repeat: q.Repeat}
+	r := new(run)
+	if n := len(s.spare); n > 0 {
+		r, s.spare = s.spare[n-1], s.spare[:n-1]
+	}
+	*r = run{repeat: q.Repeat}
+	s.runs[q.Attempt] = r
 	if m := s.lives[q.Member]; m != nil {
 		m.health.Begin(now, q.Attempt, q.Call)
 	}
@@ -447,6 +453,7 @@
 			how = health.Void
 		}
 		delete(s.runs, attempt)
+		s.spare = append(s.spare, r)
 	}
 	m := s.lives[member]
 	if m == nil {
