Ask for the leader again with the first news, and connected core machines first

Cause: a node that starts asks the core machines for what must be known, and waits for all of them, among them those whose machine has no power yet: a dial hangs for up to 0.8 s, while a leader stands and its news are there. Change: the first news end the round of questions, as they show that there is a leader; machines to which there is a connection are asked first. Ruled out: to give up silent machines after a fixed time, as a leader with 1,000 starting nodes answers late.

--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -34,6 +34,7 @@
 	leaveMargin = 600 * time.Millisecond  // the same: the process ends
 	serverGoes  = 1500 * time.Millisecond // after SIGTERM, until then the server beside the node has work as ever
 	callWait    = time.Second
+	askAgain    = 100 * time.Millisecond // after a round of questions that has found no leader
 	askNext     = 120 * time.Millisecond // without a word from one core machine the next is asked as well
 	mostAsked   = 6
 	cutFor      = 200 * time.Millisecond // before the end requests are called off, so that they have an answer
@@ -181,9 +182,9 @@
 	return list
 }
 
-// core returns the addresses of core machines, the leader's first.
+// core returns the addresses of core machines, the leader's first, and those last to which there is no connection.
 func (n *Node) core() []string {
-	var list []string
+	var list, others []string
 	n.leaderMu.Lock()
 	if n.leader != "" {
 		list = append(list, n.leader)
@@ -191,10 +192,19 @@
 	n.leaderMu.Unlock()
 	for _, m := range n.gossip.Members() {
 		if m.Core {
-			list = append(list, m.Address)
+			others = append(others, m.Address)
 		}
 	}
-	return append(list, n.set.Load().SeedNodes()...)
+	others = append(others, n.set.Load().SeedNodes()...)
+	var away []string
+	for _, address := range others {
+		if n.pool.Up(address) {
+			list = append(list, address)
+		} else {
+			away = append(away, address)
+		}
+	}
+	return append(list, away...)
 }
 
 func (n *Node) led(address string) {
@@ -267,7 +277,19 @@
 	var head uint64
 	known := false
 	for ctx.Err() == nil && !known && time.Since(n.began) < fenceWait {
-		head, known = atLeader(ctx, n, func(ctx context.Context, address string) (uint64, bool, string) {
+		round, cancel := context.WithCancel(ctx)
+		if first := n.hub.Changed(); n.hub.Number() == 0 {
+			// The first news show that there is a leader by now. What is still being asked may be a machine without
+			// power, whose dial goes on for long.
+			n.workers.Go(func() {
+				select {
+				case <-first:
+					cancel()
+				case <-round.Done():
+				}
+			})
+		}
+		head, known = atLeader(round, n, func(ctx context.Context, address string) (uint64, bool, string) {
 			h := new(wire.Head)
 			if err := n.pool.Call(ctx, address, "head", &wire.Ask{}, h); err != nil {
 				return 0, false, ""
@@ -275,8 +297,9 @@
 			return h.Number, h.Known, h.Leader
 		})
 		if !known {
-			wait(ctx, 100*time.Millisecond)
+			wait(round, askAgain)
 		}
+		cancel()
 	}
 	for ctx.Err() == nil && n.hub.Number() < head {
 		select {
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -239,20 +239,30 @@
 	return Peer{c}, nil
 }
 
-// up returns the connection to an address, where there is one.
-func (p *Pool) up(addr string) *conn {
+// Up tells whether there is a connection to an address.
+func (p *Pool) Up(addr string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	d := p.conns[addr]
-	if d == nil {
-		return nil
-	}
+	return d != nil && d.up()
+}
+
+// up tells whether the connection stands.
+func (d *dialed) up() bool {
 	select {
 	case <-d.ready:
+		return d.err == nil && d.c.ctx.Err() == nil
 	default:
-		return nil
+		return false
 	}
-	if d.err != nil || d.c.ctx.Err() != nil {
+}
+
+// up returns the connection to an address, where there is one, for use.
+func (p *Pool) up(addr string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := p.conns[addr]
+	if d == nil || !d.up() {
 		return nil
 	}
 	d.used = time.Now()
