Let the lab's servers be grey, flap, differ in speed and start cold

Cause: the lab knew slow and stalled servers alone, all alike and warm at once, so it could say nothing of the ills that a grown deployment meets, at more machines than a bench has. Old worlds play as before.

--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -137,8 +137,16 @@
 target = "server s 7"
 at_s = 1.0
 for_s = 1.0
+[[trouble]]
+kind = "grey"
+target = "server s"
+share = 1.5
+factor = 2.0
+how = "sad"
+at_s = 1.0
+for_s = 1.0
 `)
-	for _, want := range []string{"speed is no key", "4 servers do not fit", "a known service", `calls "q"`, `no kind "melt"`, `no "server s 7"`, "at_s and for_s"} {
+	for _, want := range []string{"grey needs a how", "share is 1.5","speed is no key", "4 servers do not fit", "a known service", `calls "q"`, `no kind "melt"`, `no "server s 7"`, "at_s and for_s"} {
 		if err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("nothing about %q in: %v", want, err)
 		}
@@ -158,6 +166,33 @@
 	}
 }
 
+// TestIllServers: a sixth of the servers fails half of its runs, fast, so that it looks idle. Without the health core a
+// seventeenth of all requests fails; the application's own errors are 2 in 1,000.
+func TestIllServers(t *testing.T) {
+	w, err := Load("../../lab/ill.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Nodes, w.Services[0].Servers, w.Routes[0].Rate, w.Routes[1].Rate, w.Seconds = 20, 14, 120, 200, 36
+	for _, how := range []string{"error", "reset"} {
+		w.Troubles[0].How = how
+		r := Play(w, 1)
+		if len(r.Faults) > 0 {
+			t.Errorf("%s: %s", how, strings.Join(r.Faults, "\n"))
+		}
+		asked, failed, late := 0, 0, 0
+		for i, s := range r.Seconds[10:34] { // ill ones until 22, then flapping ones
+			asked, failed, late = asked+s.Asked, failed+s.Failed, late+s.Late
+			if s.Busy["desk"] < 40 { // of 14 servers' 168 slots, usually 70
+				t.Errorf("%s: in second %d only %.0f slots work", how, 10+i, s.Busy["desk"])
+			}
+		}
+		if failed*100 > asked || late*50 > asked {
+			t.Errorf("%s: of %d requests %d failed and %d were late", how, asked, failed, late)
+		}
+	}
+}
+
 func TestIntervals(t *testing.T) {
 	m := Average([]float64{1, 2, 3, 4, 5}) // t of 4 degrees: 2.776; deviation 1.5811
 	if m.Mean != 3 || math.Abs(m.Half-1.963) > 0.001 {
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -20,7 +20,10 @@
 	drains  bool
 	drainAt time.Duration // when its mark was acknowledged
 	acked   bool
-	slow    float64       // its work takes so many times as long
+	speed   float64       // its work takes so many times as long, ...
+	slow    float64       // ... and in trouble so many times that
+	cold    time.Duration // until then it is slow from its start
+	grey    Trouble       // fails part of its runs; without a kind it does not
 	hung    time.Duration // until then nothing moves
 	seq     uint64
 	runs    []*runOf
@@ -43,6 +46,7 @@
 	v.s.lives++
 	v.id = fmt.Sprintf("i-%d", v.s.lives)
 	v.up, v.drains, v.acked, v.slow, v.hung, v.seq = true, false, false, max(1, v.slow), 0, 0
+	v.cold = v.s.now + sec(v.kind.ColdS)
 	id := v.id
 	v.s.after(time.Duration(v.s.rng.Int64N(int64(100*time.Millisecond))), func() { v.beat(id) })
 }
@@ -77,6 +81,7 @@
 	v.seq++
 	h := v.node.station.Beat(v.s.now, station.Beat{
 		ID: v.id, Service: v.kind.Name, Address: v.node.name, Zone: v.node.zone, Slots: v.kind.Slots, Draining: v.drains, Seq: v.seq,
+		Warm: max(0, v.cold-v.s.now),
 	})
 	v.node.tell(h.Verdicts)
 	if h.OK && v.drains && !v.acked {
@@ -102,6 +107,16 @@
 	})
 }
 
+const (
+	fastFail = 5 * time.Millisecond // a grey server fails fast, so that it looks idle
+	greySlow = 5
+)
+
+// ill tells whether a request from a zone meets a grey server's bad side.
+func (v *server) ill(zone string) bool {
+	return v.grey.Kind != "" && (v.grey.From == "" || v.grey.From == zone) && v.s.rng.Float64() < v.grey.Factor
+}
+
 // run takes a request in, and calls end with what became of it.
 func (v *server) run(t *try, ask station.Ask, until time.Duration, tries int, end func(int32, wire.Outcome_Fate)) {
 	s := v.s
@@ -120,6 +135,10 @@
 		s.after(time.Millisecond, func() { r.finish(503, wire.Outcome_UNRUN) })
 		return
 	}
+	if v.grey.How == "shed" && v.ill(ask.Call.Zone) {
+		s.after(fastFail, func() { r.finish(503, wire.Outcome_UNRUN) })
+		return
+	}
 	t.executed()
 	keep := v.runs[:0]
 	for _, old := range v.runs {
@@ -129,8 +148,32 @@
 	}
 	v.runs = append(keep, r)
 	s.at(until, func() { r.finish(0, wire.Outcome_LATE) })
-	work := ms(v.kind.WorkMs * v.slow * min(8, -math.Log(1-s.rng.Float64())))
+	work := ms(v.kind.WorkMs * v.speed * v.slow * min(8, -math.Log(1-s.rng.Float64())))
+	if v.kind.Tail > 0 && s.rng.Float64() < v.kind.Tail {
+		work = time.Duration(float64(work) * v.kind.TailX)
+	}
+	if s.now < v.cold {
+		work = time.Duration(float64(work) * max(1, v.kind.ColdX))
+	}
 	work += max(0, v.hung-s.now)
+	if v.kind.Errors > 0 && s.rng.Float64() < v.kind.Errors {
+		s.after(work, func() { r.finish(500, wire.Outcome_ANSWERED) })
+		return
+	}
+	if v.ill(ask.Call.Zone) {
+		switch v.grey.How {
+		case "error":
+			s.after(fastFail, func() { r.finish(500, wire.Outcome_ANSWERED) })
+			return
+		case "reset":
+			s.after(fastFail, func() { r.finish(0, wire.Outcome_BROKEN) })
+			return
+		case "hang": // until its time is up
+			return
+		case "slow":
+			work *= greySlow
+		}
+	}
 	var calls []string
 	for _, c := range t.req.route.Calls {
 		for range s.some(c.Times) {
--- a/internal/lab/sim.go
+++ b/internal/lab/sim.go
@@ -123,7 +123,10 @@
 	at := 0
 	for i := range s.w.Services {
 		for range s.w.Services[i].Servers {
-			v := &server{s: s, kind: &s.w.Services[i], node: s.nodes[at]}
+			v := &server{s: s, kind: &s.w.Services[i], node: s.nodes[at], speed: 1}
+			if speeds := v.kind.Speeds; len(speeds) > 0 {
+				v.speed = speeds[at%len(speeds)]
+			}
 			s.nodes[at].server = v
 			s.servers = append(s.servers, v)
 			at++
@@ -193,9 +196,19 @@
 
 // begin lets a trouble befall its target, and end in time.
 func (s *sim) begin(t Trouble) {
+	i := s.w.find(t)
+	if t.Share > 0 {
+		// Of all servers of the service, at even steps.
+		kind := s.servers[i].kind
+		for n := range max(1, int(t.Share*float64(kind.Servers)+0.5)) {
+			one := t
+			one.Share, one.Target = 0, fmt.Sprintf("server %s %d", kind.Name, int(float64(n)/t.Share)%kind.Servers)
+			s.begin(one)
+		}
+		return
+	}
 	s.note("%s of %s for %g s", t.Kind, t.Target, t.ForS)
 	what, _, _ := strings.Cut(t.Target, " ")
-	i := s.w.find(t)
 	until := s.now + sec(t.ForS)
 	later := func(f func()) {
 		s.at(until, func() {
@@ -265,6 +278,12 @@
 		v := s.servers[i]
 		v.slow = max(1, t.Factor)
 		later(func() { v.slow = 1 })
+	case "grey server":
+		v := s.servers[i]
+		v.grey = t
+		later(func() { v.grey = Trouble{} })
+	case "flap server":
+		s.flap(s.servers[i], max(time.Second, sec(t.Factor)), until)
 	case "stall server":
 		s.servers[i].hung = until
 		later(func() {})
@@ -340,6 +359,8 @@
 		t.Target = what
 	}
 	switch t.Kind {
+	case "grey":
+		t.Factor, t.How = t.Factor/8, hows[s.rng.IntN(len(hows))]
 	case "loss":
 		t.Factor = 0.02 + 0.1*s.rng.Float64()
 	case "wipe":
@@ -370,6 +391,17 @@
 	}
 }
 
+// flap takes a server down and lets it up by turns.
+func (s *sim) flap(v *server, turn, until time.Duration) {
+	v.stop()
+	s.at(min(until, s.now+turn), func() {
+		s.startServer(v)
+		if s.now+turn < until {
+			s.after(turn, func() { s.flap(v, turn, until) })
+		}
+	})
+}
+
 func (s *sim) endNode(n *node, power bool) {
 	n.stop(power)
 	if power && n.server != nil && n.server.up {
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -82,6 +83,13 @@
 	WorkMs  float64 `toml:"work_ms"` // mean, exponential; calls of others not counted
 	Broken  float64 `toml:"broken"`  // part of the runs whose answer is lost
 	Balk    float64 `toml:"balk"`    // part of the arrivals that are turned away unrun
+
+	Speeds []float64 `toml:"speeds"` // times that work takes at one server after another, by turns; empty: 1
+	Tail   float64   `toml:"tail"`   // part of the runs that take far longer ...
+	TailX  float64   `toml:"tail_x"` // ... by this factor
+	Errors float64   `toml:"errors"` // part of the runs that the application itself fails
+	ColdS  float64   `toml:"cold_s"` // for so long from its start a server ...
+	ColdX  float64   `toml:"cold_x"` // ... takes so many times as long
 }
 
 // Route is a kind of request.
@@ -110,12 +118,18 @@
 	Kind   string  `toml:"kind"`
 	Target string  `toml:"target"` // "leader", "core 1", "node 4", "server ledger 2", "zone 1", "route pay"
 	Factor float64 `toml:"factor"`
+	Share  float64 `toml:"share"` // of a service's servers, in the place of one: target "server ledger"
+	How    string  `toml:"how"`   // of grey servers: error, hang, reset, shed or slow
+	From   string  `toml:"from"`  // grey for callers of this zone alone, such as z1
 }
 
+// hows are the ways in which a grey server fails.
+var hows = []string{"error", "hang", "reset", "shed", "slow"}
+
 // kinds of troubles, and what they befall.
 var kinds = map[string]string{
 	"crash": "leader core node server", "power": "leader core node zone all", "wipe": "leader core",
-	"slow": "server", "stall": "server leader core", "drain": "server", "cut": "leader core node zone",
+	"slow": "server", "stall": "server leader core", "drain": "server", "grey": "server", "flap": "server", "cut": "leader core node zone",
 	"loss": "all", "burst": "route",
 }
 
@@ -161,6 +175,9 @@
 		if s.Name == "" || s.Servers < 0 || s.Slots < 1 || s.WorkMs <= 0 {
 			fault("service %d (%s) needs a name, servers, slots and work_ms", i, s.Name)
 		}
+		if s.Tail < 0 || s.Tail > 1 || s.Errors < 0 || s.Errors > 1 || s.ColdS < 0 || slices.ContainsFunc(s.Speeds, func(x float64) bool { return x <= 0 }) {
+			fault("service %d (%s): tail and errors are parts of 1, cold_s and speeds positive", i, s.Name)
+		}
 		if _, twice := services[s.Name]; twice {
 			fault("service %s is there twice", s.Name)
 		}
@@ -199,6 +216,12 @@
 		case w.find(t) < 0:
 			fault("trouble %d: no %q", i, t.Target)
 		}
+		if t.Kind == "grey" && (!slices.Contains(hows, t.How) || t.Factor < 0 || t.Factor > 1) {
+			fault("trouble %d: grey needs a how of %s, and a factor between 0 and 1", i, strings.Join(hows, ", "))
+		}
+		if t.Share < 0 || t.Share > 1 {
+			fault("trouble %d: share is %g, not between 0 and 1", i, t.Share)
+		}
 		if t.AtS < 0 || t.ForS <= 0 {
 			fault("trouble %d: at_s and for_s have to be given", i)
 		}
@@ -232,10 +255,13 @@
 		}
 		return -1
 	case "server":
-		name, at, _ := strings.Cut(rest, " ")
+		name, at, one := strings.Cut(rest, " ")
 		first := 0
 		for _, s := range w.Services {
 			if s.Name == name {
+				if t.Share > 0 && !one && s.Servers > 0 {
+					return first
+				}
 				if _, err := fmt.Sscan(at, &n); err != nil || n < 0 || n >= s.Servers {
 					return -1
 				}
