Let changes that come one behind the other share one update of a node's view

Change: after an update a node rests for six times as long as that took, 0.2 s at most: a seventh of its time goes into updates at the worst. Drained and ended servers are kept from requests by the nodes beside them, not by this.

--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -33,6 +33,8 @@
 	stopMargin  = 1600 * time.Millisecond // before the platform kills the process: no further request is begun
 	leaveMargin = 600 * time.Millisecond  // the same: the process ends
 	serverGoes  = 1500 * time.Millisecond // after SIGTERM, until then the server beside the node has work as ever
+	updateRest  = 6                      // times as long as an update takes the next one waits ...
+	updateMost  = 200 * time.Millisecond // ... up to this
 	callWait    = time.Second
 	askAgain    = 100 * time.Millisecond // after a round of questions that has found no leader
 	askNext     = 120 * time.Millisecond // without a word from one core machine the next is asked as well
@@ -330,7 +332,11 @@
 		changed := n.hub.Changed()
 		if a, b := n.hub.Number(), n.gossip.Version(); a != number || b != version {
 			number, version = a, b
+			began := time.Now()
 			n.update()
+			// The work of an update grows with the list: where changes come one behind the other, as at a start of
+			// all machines, several share one, so that most of the time is left for requests.
+			wait(ctx, min(updateRest*time.Since(began), updateMost))
 		}
 		select {
 		case <-changed:
