Run requests on goroutines that stay for the next one

Cause: a request's goroutine at each node begins with a small stack and copies it twice until it is large enough: 17 % of the request path's processor time (profile: copystack, pcvalue, adjustframe). Change: a crew keeps up to eight idle goroutines for handlers of calls and of clients' requests; more run as before.

--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -33,8 +33,8 @@
 	stopMargin  = 1600 * time.Millisecond // before the platform kills the process: no further request is begun
 	leaveMargin = 600 * time.Millisecond  // the same: the process ends
 	serverGoes  = 1500 * time.Millisecond // after SIGTERM, until then the server beside the node has work as ever
-	updateRest  = 6                      // times as long as an update takes the next one waits ...
-	updateMost  = 200 * time.Millisecond // ... up to this
+	updateRest  = 6                       // times as long as an update takes the next one waits ...
+	updateMost  = 200 * time.Millisecond  // ... up to this
 	callWait    = time.Second
 	askAgain    = 100 * time.Millisecond // after a round of questions that has found no leader
 	askNext     = 120 * time.Millisecond // without a word from one core machine the next is asked as well
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"ivydeck/internal/crew"
 	"ivydeck/internal/http1"
 )
 
@@ -66,6 +67,7 @@
 	clients map[*client]bool
 	open    atomic.Int64 // connections
 	pending atomic.Int64 // requests
+	crew    *crew.Crew   // runs them; made by Serve
 	held    atomic.Int64
 }
 
@@ -130,9 +132,15 @@
 
 // Serve accepts until the context ends, and then waits for its connections.
 func (f *Front) Serve(ctx context.Context, l net.Listener) error {
-	defer context.AfterFunc(ctx, func() { l.Close() })()
+	ctx, cancel := context.WithCancel(ctx)
+	f.crew = crew.New(ctx)
 	var conns sync.WaitGroup
-	defer conns.Wait()
+	defer func() {
+		conns.Wait()
+		cancel()
+		f.crew.Wait()
+	}()
+	defer context.AfterFunc(ctx, func() { l.Close() })()
 	for {
 		nc, err := l.Accept()
 		if err != nil {
@@ -215,14 +223,14 @@
 		turn = done
 		closes := call.Close
 		running.Add(1)
-		go func() {
+		f.crew.Go(func() {
 			defer running.Done()
 			defer func() { <-places }()
 			a := f.Handle(c.requests, call)
 			f.release(call.Body)
 			a.Close = a.Close || call.Close
 			c.answer(before, done, call.Method, a)
-		}()
+		})
 		if closes {
 			break
 		}
--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -219,7 +219,8 @@
 		handler := c.server.handlers[f.Method]
 		c.server.running.Add(1)
 		// It begins with its first frame taken in, which most often is all that it gets.
-		defer func(method string) { go c.server.serve(s, method, handler) }(f.Method)
+		method := f.Method
+		defer c.server.crew.Go(func() { c.server.serve(s, method, handler) })
 	}
 	c.mu.Unlock()
 	if s == nil {
--- a/internal/rpc/fuzz_test.go
+++ b/internal/rpc/fuzz_test.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"ivydeck/internal/crew"
 	"ivydeck/internal/wire"
 )
 
@@ -43,6 +44,9 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s := NewServer(slog.New(slog.DiscardHandler))
 		s.Handle("echo", Unary(func(ctx context.Context, p *wire.Propose) (*wire.Propose, error) { return p, nil }))
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		s.crew = crew.New(ctx)
 		here, there := net.Pipe()
 		before := held.Load()
 		c := newConn(context.Background(), there, s)
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"ivydeck/internal/crew"
 	"ivydeck/internal/wire"
 )
 
@@ -31,6 +32,7 @@
 	handlers map[string]Handler
 	log      *slog.Logger
 	running  sync.WaitGroup
+	crew     *crew.Crew // runs the handlers; made by Serve
 }
 
 // NewServer returns a server without methods.
@@ -82,10 +84,16 @@
 
 // Serve accepts until the context ends, and then waits for the handlers.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	s.crew = crew.New(ctx)
+	var conns sync.WaitGroup
+	defer func() {
+		cancel()
+		conns.Wait()
+		s.crew.Wait()
+	}()
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
-	var conns sync.WaitGroup
-	defer conns.Wait()
 	places := make(chan struct{}, mostConns)
 	for {
 		nc, err := l.Accept()
