Look at all connections from one goroutine, and ping idle ones every nine seconds

Change: one watcher for a pool and one for a server; a connection without a stream is pinged every 9 s, as whoever opens a stream looks before that.

--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -36,7 +36,7 @@
 	mostHeld    = 128 << 20
 	mostKept    = 8 << 10 // bytes of a buffer that stays with a connection: most are quiet for most of the time
 	pingEvery   = 600 * time.Millisecond
-	idlePing    = 3 * time.Second         // the same without a stream: whoever opens one looks before
+	idlePing    = 9 * time.Second         // the same without a stream: whoever opens one looks before
 	askedFor    = time.Second             // a ping is given so long at least
 	silentFor   = 1800 * time.Millisecond // a peer that says nothing for so long is given up
 	freshFor    = 250 * time.Millisecond  // a sign of life counts for so long
@@ -64,6 +64,7 @@
 	heard   atomic.Int64 // when something last came, unix ms of the local steady clock
 	asked   atomic.Int64 // when the first ping since then was sent, the same
 	waiting atomic.Int32 // goroutines in live
+	pinging atomic.Bool  // a ping is being sent
 	writeMu sync.Mutex
 	out     []byte     // reused; guarded by writeMu
 	data    wire.Frame // the same: of messages under way
@@ -245,32 +246,81 @@
 	c.mu.Unlock()
 }
 
-// watch pings a quiet peer, and gives up one that stays silent.
-func (c *conn) watch() {
+// look pings a quiet peer, and gives up one that stays silent.
+func (c *conn) look(wall time.Time) {
+	busy := c.expire(wall)
+	now, heard, asked := steadyMs(), c.heard.Load(), c.asked.Load()
+	quiet, open := time.Duration(now-heard)*time.Millisecond, time.Duration(0)
+	if asked > heard {
+		open = time.Duration(now-asked) * time.Millisecond
+	}
+	ping, dead := pulse(busy, quiet, open)
+	if dead {
+		c.fail(fmt.Errorf("nothing from %s for %v", c.nc.RemoteAddr(), quiet))
+		return
+	}
+	if ping && c.pinging.CompareAndSwap(false, true) {
+		// The other side answers; a write that hangs ends by its own deadline, and holds up no other connection.
+		go func() {
+			defer c.pinging.Store(false)
+			c.ping()
+		}()
+	}
+}
+
+// watcher looks at connections from time to time: one goroutine for all of them, as there is one to each node of a mesh,
+// and most are quiet.
+type watcher struct {
+	mu      sync.Mutex
+	conns   map[*conn]bool
+	running bool
+}
+
+// add has a connection looked at until it ends.
+func (w *watcher) add(c *conn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.conns == nil {
+		w.conns = map[*conn]bool{}
+	}
+	w.conns[c] = true
+	if !w.running {
+		w.running = true
+		go w.run()
+	}
+}
+
+// run ends with the last connection.
+func (w *watcher) run() {
 	tick := time.NewTicker(pingEvery)
 	defer tick.Stop()
-	for {
-		select {
-		case <-c.ctx.Done():
+	var list []*conn
+	for range tick.C {
+		list = w.open(list[:0])
+		if len(list) == 0 {
 			return
-		case <-tick.C:
-		}
-		busy := c.expire(time.Now())
-		now, heard, asked := steadyMs(), c.heard.Load(), c.asked.Load()
-		quiet, open := time.Duration(now-heard)*time.Millisecond, time.Duration(0)
-		if asked > heard {
-			open = time.Duration(now-asked) * time.Millisecond
 		}
-		ping, dead := pulse(busy, quiet, open)
-		if dead {
-			c.fail(fmt.Errorf("nothing from %s for %v", c.nc.RemoteAddr(), quiet))
-			return
+		now := time.Now()
+		for _, c := range list {
+			c.look(now)
 		}
-		if ping {
-			// The other side answers; a write that hangs ends by its own deadline.
-			c.ping()
+		clear(list)
+	}
+}
+
+// open lists the connections that have not ended. Without any the watcher does not run.
+func (w *watcher) open(list []*conn) []*conn {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c := range w.conns {
+		if c.ctx.Err() != nil {
+			delete(w.conns, c)
+			continue
 		}
+		list = append(list, c)
 	}
+	w.running = len(list) > 0
+	return list
 }
 
 // expire ends the streams whose time is up, and tells whether there are others. A caller whose time is up says so:
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -33,6 +33,7 @@
 	log      *slog.Logger
 	running  sync.WaitGroup
 	crew     *crew.Crew // runs the handlers; made by Serve
+	watch    watcher
 }
 
 // NewServer returns a server without methods.
@@ -121,8 +122,8 @@
 			continue
 		}
 		c := newConn(ctx, nc, s)
-		conns.Add(2)
-		go func() { defer conns.Done(); c.watch() }()
+		conns.Add(1)
+		s.watch.add(c)
 		go func() {
 			defer conns.Done()
 			err := c.read()
@@ -139,6 +140,7 @@
 	mu  sync.Mutex
 	// by address; entries of addresses that are not used go with Sweep
 	conns map[string]*dialed
+	watch watcher
 }
 
 // dialed is a connection, or the attempt to make one.
@@ -219,7 +221,7 @@
 	}
 	c := newConn(p.ctx, nc, nil)
 	d.c = c
-	go c.watch()
+	p.watch.add(c)
 	go func() { c.fail(c.read()) }()
 	context.AfterFunc(c.ctx, func() { nc.Close() })
 }
