Stay in the zone while a near server says that it has room

Cause: a node counts its own calls alone. Where a zone has one server of a service and four nodes, the three calls that a node has there are a quarter of what that server carries, but three more than it has at any far one. Seen to fail: TestPicks without it.

--- a/decide/mesh.go
+++ b/decide/mesh.go
@@ -26,7 +26,8 @@
 	backLeast  = 0.6                    // part of its wait after which a client returns, if none is let in
 	meshSubset = 8                      // servers of a service that a node keeps to ...
 	meshFar    = 3                      // ... of which so many lie in other zones, where there are any
-	farStep    = 3                      // own calls in flight that a near server may have more than a far one
+	farStep    = 3                      // own calls that a near server may have more than a far one ...
+	nearFill   = 0.75                   // ... unless less of its slots is taken, by fresh word
 	restFor    = 60 * time.Millisecond  // a server without room is left alone for so long ...
 	busyFor    = 200 * time.Millisecond // how long word of a queue counts
 	goneFor    = time.Second            // ... and one that takes nothing any more for so long
@@ -248,7 +249,7 @@
 	for _, e := range list {
 		t := old[e.ID]
 		if t == nil {
-			t = &target{rank: hash(e.ID), pace: untold, toldAt: now}
+			t = &target{rank: hash(e.ID), pace: untold, toldAt: now - fillFor}
 		}
 		t.Target = e
 		p.targets[e.ID] = t
@@ -282,7 +283,7 @@
 		near := lesser(p.rng, p.usable(now, p.near, tried, room, wave), load)
 		far := lesser(p.rng, p.usable(now, p.far, tried, room, wave), load)
 		switch {
-		case near != nil && (far == nil || near.inflight < far.inflight+farStep):
+		case near != nil && (far == nil || near.inflight < far.inflight+farStep || near.roomy(now)):
 			return near.ID, near.sick > now, true
 		case far != nil:
 			return far.ID, far.sick > now, true
@@ -327,6 +328,9 @@
 	}
 }
 
+// roomy tells whether a server has said of late that it has slots to spare.
+func (t *target) roomy(now time.Duration) bool { return now-t.toldAt < fillFor && t.fill < nearFill }
+
 func (p *Picker) usable(now time.Duration, list []*target, tried []string, room, wave bool) []*target {
 	p.scratch = p.scratch[:0]
 	for _, t := range list {
--- a/decide/mesh_test.go
+++ b/decide/mesh_test.go
@@ -131,6 +131,22 @@
 	if near <= 20 || near == 40 || counts["near0"] > near/2 {
 		t.Errorf("picked %v", counts)
 	}
+	// The count of own calls says little where all callers are near: a server that says of late that it has room is
+	// not left for another zone's.
+	for word, far := range map[Word]bool{{Pace: 1, Fill: 0.5}: false, {Pace: 1, Fill: 0.9}: true, {}: true} {
+		p := NewPicker(1)
+		p.List(0, []Target{{ID: "near", Near: true}, {ID: "far"}}, 0)
+		for range 2 * farStep {
+			p.Begin("near")
+		}
+		p.Begin("near")
+		p.End(time.Second, "near", Served, word)
+		for age, far := range map[time.Duration]bool{0: far, 2 * fillFor: true} {
+			if id, _, _ := p.Pick(time.Second+age, nil); (id == "far") != far {
+				t.Errorf("%v after its word %+v %s was picked", age, word, id)
+			}
+		}
+	}
 	// One that fails again and again is left alone, one with a queue comes last, one that is tried never.
 	for range ejectAfter {
 		p.End(0, "near0", Broken, Word{})
