--- a/cmd/ivydeckctl/main.go
+++ b/cmd/ivydeckctl/main.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -19,6 +20,7 @@
 	"ivydeck/internal/backup"
 	"ivydeck/internal/catalog"
 	"ivydeck/internal/control"
+	"ivydeck/internal/identity"
 	"ivydeck/internal/meshconfig"
 	"ivydeck/internal/operator"
 	"ivydeck/internal/program"
@@ -44,6 +46,12 @@
 		Show    showCmd    `cmd:"" help:"Print what a backup holds."`
 		Restore restoreCmd `cmd:"" help:"Make an empty folder the first machine of a new core, out of a backup."`
 	} `cmd:"" help:"The disk of a core machine, and backups."`
+	CA struct {
+		Init   caInitCmd   `cmd:"" help:"Make an authority: a key, its certificate, and a bundle for all processes."`
+		Issue  caIssueCmd  `cmd:"" help:"Make a key and a certificate for a machine or an operator."`
+		Rotate caRotateCmd `cmd:"" help:"Put another authority in its place; the bundle trusts both until ca retire."`
+		Retire caRetireCmd `cmd:"" help:"Trust the present authority alone."`
+	} `cmd:"" name:"ca" help:"A small authority for those who have none."`
 	Completion kongplete.InstallCompletions `cmd:"" help:"Print what to put into the shell's start file for completion."`
 }
 
@@ -81,10 +89,23 @@
 }
 
 type coreFlags struct {
-	Core []string `help:"Addresses of core machines." required:"" placeholder:"HOST:PORT"`
+	Core   []string `help:"Addresses of core machines." required:"" placeholder:"HOST:PORT"`
+	Cert   string   `help:"Certificate of an operator, where the core asks for one." type:"existingfile" group:"Identity" and:"identity"`
+	Key    string   `help:"Its private key." type:"existingfile" group:"Identity" and:"identity"`
+	Bundle string   `help:"The authorities that it trusts." type:"existingfile" group:"Identity" and:"identity"`
 }
 
-func (f *coreFlags) core() *operator.Core { return &operator.Core{Addresses: f.Core} }
+func (f *coreFlags) core() (*operator.Core, error) {
+	core := &operator.Core{Addresses: f.Core}
+	if f.Cert == "" {
+		return core, nil
+	}
+	source, err := identity.Open(identity.Files{Cert: f.Cert, Key: f.Key, Bundle: f.Bundle}, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	if err != nil {
+		return nil, err
+	}
+	return core.With(source), nil
+}
 
 type readCmd struct {
 	coreFlags
@@ -92,7 +113,11 @@
 }
 
 func (c *readCmd) Run(ctx context.Context) error {
-	_, config, err := c.core().Read(ctx)
+	core, err := c.core()
+	if err != nil {
+		return err
+	}
+	_, config, err := core.Read(ctx)
 	if err != nil {
 		return err
 	}
@@ -130,9 +155,13 @@
 	if err != nil {
 		return err
 	}
+	core, err := c.core()
+	if err != nil {
+		return err
+	}
 	base := uint64(c.Base)
 	if c.Base < 0 {
-		_, current, err := c.core().Read(ctx)
+		_, current, err := core.Read(ctx)
 		if err != nil {
 			return err
 		}
@@ -140,7 +169,7 @@
 			base = current.Revision
 		}
 	}
-	if err := c.core().Apply(ctx, base, body); err != nil {
+	if err := core.Apply(ctx, base, body); err != nil {
 		return err
 	}
 	fmt.Printf("revision %d is in force\n", config.Revision)
@@ -153,7 +182,11 @@
 }
 
 func (c *statusCmd) Run(ctx context.Context) error {
-	all, errs := c.core().Status(ctx)
+	core, err := c.core()
+	if err != nil {
+		return err
+	}
+	all, errs := core.Status(ctx)
 	if c.Output == "json" {
 		enc := json.NewEncoder(os.Stdout)
 		enc.SetIndent("", "  ")
@@ -176,7 +209,11 @@
 
 // leader returns what the leader says.
 func (f *coreFlags) leader(ctx context.Context) (control.Status, error) {
-	all, errs := f.core().Status(ctx)
+	core, err := f.core()
+	if err != nil {
+		return control.Status{}, err
+	}
+	all, errs := core.Status(ctx)
 	for _, s := range all {
 		if s.Leads {
 			return s, nil
@@ -280,7 +317,11 @@
 }
 
 func (c *backupCmd) Run(ctx context.Context) error {
-	b, err := c.core().Backup(ctx)
+	core, err := c.core()
+	if err != nil {
+		return err
+	}
+	b, err := core.Backup(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -4,8 +4,11 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
+	"ivydeck/internal/identity"
+	"ivydeck/internal/program"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -47,15 +50,16 @@
 
 // Node is a core machine.
 type Node struct {
-	set    atomic.Pointer[nodefile.Settings]
-	log    *slog.Logger
-	pool   *rpc.Pool
-	gossip *gossip.Gossip
-	hub    *relay.Hub
-	shown  *metrics.Set // nil: not served
-	began  time.Time
-	events chan func()
-	ctx    context.Context
+	set     atomic.Pointer[nodefile.Settings]
+	log     *slog.Logger
+	pool    *rpc.Pool
+	gossip  *gossip.Gossip
+	hub     *relay.Hub
+	shown   *metrics.Set // nil: not served
+	refused atomic.Int64 // calls of the operator's interface, for want of a proper identity
+	began   time.Time
+	events  chan func()
+	ctx     context.Context
 
 	// What follows belongs to the goroutine in loop.
 	store    *store.Store
@@ -94,6 +98,10 @@
 	ctx, end := context.WithCancel(context.WithoutCancel(stop))
 	defer end()
 	rng := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), rand.Uint64()))
+	source, err := program.Identity(set, log)
+	if err != nil {
+		return err
+	}
 	st, err := store.Open(set.DataDir, rng)
 	if err != nil {
 		return err
@@ -106,6 +114,7 @@
 		changes: map[uint64]*change{}, reads: map[uint64]chan error{}, senders: map[uint64]*sender{},
 		heard: map[uint64]string{}, pool: rpc.NewPool(ctx),
 	}
+	n.pool.Identity = source
 	n.set.Store(set)
 	n.touch.Store(-int64(time.Hour))
 	n.hub = relay.NewHub(func() time.Duration { return n.now() - time.Duration(n.touch.Load()) })
@@ -129,9 +138,10 @@
 		return fmt.Errorf("listening to operators: %w", err)
 	}
 	server := rpc.NewServer(log)
+	server.Identity, server.Refused = n.pool.Identity, &n.refused
 	n.gossip.Register(server)
-	server.Handle("raft", n.raftStream)
-	server.Handle("join", rpc.Unary(n.join))
+	server.Handle("raft", n.raftStream, identity.Core)
+	server.Handle("join", rpc.Unary(n.join), identity.Core)
 	server.Handle("propose", rpc.Unary(n.propose))
 	server.Handle("head", rpc.Unary(n.head))
 	server.Handle("subscribe", n.hub.Serve)
@@ -141,9 +151,12 @@
 	}
 	if set.Metrics != "" {
 		n.shown = n.figures()
-		n.workers.Go(func() { n.shown.Serve(ctx, set.Metrics, log) })
+		n.workers.Go(func() { n.shown.Serve(ctx, set.Metrics, program.Secure(n.pool.Identity, set.SecureMetrics), log) })
 	}
 	n.workers.Go(func() { server.Serve(ctx, internal) })
+	if set.SecureOperator {
+		public = tls.NewListener(public, n.pool.Identity.Server())
+	}
 	n.workers.Go(func() { web.Serve(public) })
 	n.workers.Go(func() { n.gossip.Run(ctx) })
 	n.workers.Go(func() { n.joinLoop(ctx) })
--- a/internal/control/web.go
+++ b/internal/control/web.go
@@ -12,6 +12,7 @@
 
 	"ivydeck/internal/backup"
 	"ivydeck/internal/catalog"
+	"ivydeck/internal/identity"
 	"ivydeck/internal/meshconfig"
 	"ivydeck/internal/metrics"
 	"ivydeck/internal/raft"
@@ -21,9 +22,9 @@
 // routes is what the operator calls.
 func (n *Node) routes() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /config/replace", n.replace)
+	mux.HandleFunc("POST /config/replace", n.operators(n.replace))
 	mux.HandleFunc("GET /config/read", n.readConfig)
-	mux.HandleFunc("GET /backup", n.backup)
+	mux.HandleFunc("GET /backup", n.operators(n.backup))
 	mux.HandleFunc("GET /status", n.status)
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, r *http.Request) {
 		if leader, _ := n.ask(r.Context()); leader == nil {
@@ -35,6 +36,21 @@
 	return mux
 }
 
+// operators lets only operators call, where the interface asks for identities. Others may read what says who is there.
+func (n *Node) operators(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.TLS != nil {
+			if peer := identity.Peer(*r.TLS); peer.Role != identity.Operator {
+				n.refused.Add(1)
+				n.log.Warn("operator.refused", "peer", peer.String(), "from", r.RemoteAddr, "path", r.URL.Path)
+				reply(w, http.StatusForbidden, peer.String()+" may not call this: a certificate of an operator is needed")
+				return
+			}
+		}
+		h(w, r)
+	}
+}
+
 // Status is what a core machine says of itself and the core, as it knows it: only
 // the leader's word on members and servers is sure to be the newest.
 type Status struct {
@@ -100,7 +116,7 @@
 
 // figures are what the machine shows of itself.
 func (n *Node) figures() *metrics.Set {
-	return metrics.New(metrics.Gauge{Name: "ivydeck_core", Help: "The core as this machine knows it: term, commit, leads (1 or 0), revision, members, voters, servers.",
+	return metrics.New(metrics.Gauge{Name: "ivydeck_core", Help: "The core as this machine knows it: term, commit, leads (1 or 0), revision, members, voters, servers; calls refused for their identity, and seconds that its own is good for (-1: none).",
 		Labels: []string{"what"}, Read: func() (list []metrics.Reading) {
 			s, ok := n.state(n.ctx)
 			if !ok {
@@ -116,7 +132,8 @@
 				}
 			}
 			for what, value := range map[string]float64{"term": float64(s.Term), "commit": float64(s.Commit), "leads": leads, "revision": float64(s.Revision),
-				"members": float64(len(s.Members)), "voters": float64(voters), "servers": float64(len(s.Servers))} {
+				"members": float64(len(s.Members)), "voters": float64(voters), "servers": float64(len(s.Servers)),
+				"identity_refused": float64(n.refused.Load()), "identity_ends_seconds": n.pool.Identity.Left().Seconds()} {
 				list = append(list, metrics.Reading{Value: value, Labels: []string{what}})
 			}
 			return list
@@ -141,7 +158,11 @@
 	case leader == nil || leader.Control == "":
 		reply(w, http.StatusServiceUnavailable, "no leader")
 	default:
-		w.Header().Set("Location", "http://"+leader.Control+path)
+		scheme := "http://"
+		if n.set.Load().SecureOperator {
+			scheme = "https://"
+		}
+		w.Header().Set("Location", scheme+leader.Control+path)
 		reply(w, http.StatusTemporaryRedirect, "the leader is at "+leader.Control)
 	}
 	return true
--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"ivydeck/internal/program"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -60,6 +61,7 @@
 	leaving  atomic.Bool
 	emptying atomic.Bool   // the server beside the node takes nothing more: the node is about to end
 	fenced   atomic.Bool   // the news are as new as what was acknowledged before the start
+	refused  atomic.Int64  // connections and calls of others, for their identity
 	served   atomic.Bool   // there is a configuration and a server
 	shares   budget.Shares // the upkeep's own
 
@@ -76,6 +78,10 @@
 	defer end()
 	rng := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), rand.Uint64()))
 	n := &Node{log: log, began: time.Now(), pool: rpc.NewPool(life)}
+	var err error
+	if n.pool.Identity, err = program.Identity(set, log); err != nil {
+		return err
+	}
 	n.set.Store(set)
 	n.shares.Known = set.Bootstrap
 	n.gossip = gossip.New(&wire.Member{
@@ -93,7 +99,9 @@
 	n.inbound.Pressure = n.outbound.Pressure
 	if set.Metrics != "" {
 		n.outbound.Metrics = n.figures()
-		n.workers.Go(func() { n.outbound.Metrics.Serve(life, set.Metrics, log) })
+		n.workers.Go(func() {
+			n.outbound.Metrics.Serve(life, set.Metrics, program.Secure(n.pool.Identity, set.SecureMetrics), log)
+		})
 	}
 	n.front = &proxy.Front{
 		Handle: n.outbound.Handle, Bounds: n.outbound.Bounds, Memory: int64(set.MemoryMB) << 20 / 4, Log: log,
@@ -115,6 +123,7 @@
 	defer closeAll()
 
 	server := rpc.NewServer(log)
+	server.Identity, server.Refused = n.pool.Identity, &n.refused
 	n.gossip.Register(server)
 	server.Handle("forward", rpc.Unary(n.inbound.Forward))
 	server.Handle("subscribe", n.hub.Serve)
--- a/internal/data/mesh_test.go
+++ b/internal/data/mesh_test.go
@@ -19,6 +19,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"ivydeck/internal/control"
+	"ivydeck/internal/identity"
 	"ivydeck/internal/nodefile"
 	"ivydeck/internal/operator"
 )
@@ -29,6 +30,7 @@
 	t       testing.TB
 	ports   [5]int // nodes, control, outbound, readiness, server
 	dir     string
+	ca      *identity.Authority // nil: nobody shows who it is
 	running sync.WaitGroup
 }
 
@@ -65,6 +67,14 @@
 seed_nodes=127.7.0.1:%d,127.7.0.2:%d,127.7.0.3:%d
 `, n, class, ip, ip, m.ports[1], ip, m.ports[2], ip, m.ports[3], ip, m.ports[4], m.ports[0], bootstrap,
 		filepath.Join(m.dir, fmt.Sprint(n)), m.ports[1], m.ports[1], m.ports[1])
+	if m.ca != nil {
+		role := identity.Node
+		if class == nodefile.Core {
+			role = identity.Core
+		}
+		f := m.issue(role, fmt.Sprint("n", n))
+		text += fmt.Sprintf("tls.cert=%s\ntls.key=%s\ntls.bundle=%s\ntls.operator=true\n", f.Cert, f.Key, f.Bundle)
+	}
 	s, err := nodefile.Parse(text)
 	if err != nil {
 		m.t.Fatal(err)
@@ -72,6 +82,31 @@
 	return s
 }
 
+func (m *mesh) issue(role identity.Role, name string) identity.Files {
+	m.t.Helper()
+	f, err := m.ca.Issue(identity.Name{Role: role, Name: name}, time.Hour, m.dir)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	return f
+}
+
+// operator returns what calls the core as an operator, or with another role as one who is none.
+func (m *mesh) operator(role identity.Role) *operator.Core {
+	core := &operator.Core{}
+	for n := 1; n <= 3; n++ {
+		core.Addresses = append(core.Addresses, fmt.Sprintf("127.7.0.%d:%d", n, m.ports[1]))
+	}
+	if m.ca == nil {
+		return core
+	}
+	source, err := identity.Open(m.issue(role, "caller-"+string(role)), slog.New(slog.DiscardHandler))
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	return core.With(source)
+}
+
 // start runs a program until stop is called, which waits for its end.
 func (m *mesh) start(run func(context.Context, *nodefile.Settings, func() *nodefile.Settings, *slog.Logger) error, s *nodefile.Settings) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -110,7 +145,18 @@
 // TestWholeMesh starts three core machines and one sidecar, serves a request, loses
 // the disk of one core machine and then the leader, and finds all that was acknowledged.
 func TestWholeMesh(t *testing.T) {
-	m := &mesh{t: t, ports: freePorts(t), dir: t.TempDir()}
+	t.Run("plain", func(t *testing.T) { wholeMesh(t, nil) })
+	t.Run("secured", func(t *testing.T) {
+		ca, err := identity.NewAuthority(t.TempDir(), 2*time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		wholeMesh(t, ca)
+	})
+}
+
+func wholeMesh(t *testing.T, ca *identity.Authority) {
+	m := &mesh{t: t, ports: freePorts(t), dir: t.TempDir(), ca: ca}
 	stops := map[int]func(){}
 	defer m.running.Wait()
 	defer func() {
@@ -121,13 +167,19 @@
 	for n := 1; n <= 3; n++ {
 		stops[n] = m.start(control.Run, m.settings(n, nodefile.Core, true))
 	}
-	core := &operator.Core{}
-	for n := 1; n <= 3; n++ {
-		core.Addresses = append(core.Addresses, fmt.Sprintf("127.7.0.%d:%d", n, m.ports[1]))
-	}
+	core := m.operator(identity.Operator)
 	ctx := context.Background()
 	first := config(t, 3, "/one/")
 	m.until("the first configuration", func() bool { return core.Apply(ctx, 0, first) == nil })
+	if ca != nil {
+		node := m.operator(identity.Node)
+		if err := node.Apply(ctx, 3, config(t, 4, "/x/")); err == nil || !strings.Contains(err.Error(), "a certificate of an operator is needed") {
+			t.Errorf("a node changes the configuration: %v", err)
+		}
+		if all, errs := node.Status(ctx); len(all) != 3 {
+			t.Errorf("a node can't ask who is there: %v", errs)
+		}
+	}
 	if err := core.Apply(ctx, 0, first); err != nil {
 		t.Errorf("the same again: %v", err)
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
 
+	"ivydeck/internal/identity"
 	"ivydeck/internal/membership"
 	"ivydeck/internal/rpc"
 	"ivydeck/internal/wire"
@@ -169,6 +171,9 @@
 // probed answers a probe, of this node or through it of another.
 func (g *Gossip) probed(ctx context.Context, p *wire.Probe) (*wire.Probed, error) {
 	if p.From != nil {
+		if caller, ok := rpc.Caller(ctx); ok && (caller.Name != p.From.Name || (caller.Role == identity.Core) != p.From.Core) {
+			return nil, fmt.Errorf("the certificate is of %s, not of %s", caller, p.From.Name)
+		}
 		g.hear([]*wire.Member{p.From})
 	}
 	g.hear(p.News)
--- /dev/null
+++ b/internal/identity/identity.go
@@ -0,0 +1,223 @@
+// Package identity tells ivydeck's processes and operators apart by certificates
+// (X.509, RFC 5280; TLS 1.3, RFC 8446): each holds one that names its role and
+// itself, and trusts the authorities of a bundle. Files may be replaced while a
+// process runs: new connections go by the new ones, those that stand stay.
+package identity
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/url"
+	"os"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Role is what a process may do.
+type Role string
+
+// The roles. A certificate has exactly one.
+const (
+	Core     Role = "core"     // a core machine
+	Node     Role = "node"     // a sidecar machine
+	Operator Role = "operator" // who may change the configuration and read backups
+)
+
+var roles = []Role{Core, Node, Operator}
+
+const (
+	scheme    = "ivydeck" // of the URI in a certificate: ivydeck://ROLE/NAME
+	lookEvery = time.Second
+)
+
+// Name is who a certificate is for.
+type Name struct {
+	Role Role
+	Name string // of the machine, as its settings have it, or of the operator
+}
+
+func (n Name) String() string { return string(n.Role) + " " + n.Name }
+
+// URI is the name as it stands in a certificate.
+func (n Name) URI() *url.URL {
+	return &url.URL{Scheme: scheme, Host: string(n.Role), Path: "/" + n.Name}
+}
+
+// Of reads the name in a certificate, which has to have exactly one.
+func Of(cert *x509.Certificate) (name Name, err error) {
+	found := 0
+	for _, u := range cert.URIs {
+		if u.Scheme != scheme {
+			continue
+		}
+		found++
+		name = Name{Role(u.Host), strings.TrimPrefix(u.Path, "/")}
+	}
+	switch {
+	case found != 1:
+		return Name{}, fmt.Errorf("identity: the certificate has %d names of the form %s://ROLE/NAME, not one", found, scheme)
+	case name.Name == "" || strings.Contains(name.Name, "/"):
+		return Name{}, fmt.Errorf("identity: the certificate's name is %q", name.Name)
+	}
+	for _, r := range roles {
+		if name.Role == r {
+			return name, nil
+		}
+	}
+	return Name{}, fmt.Errorf("identity: the certificate's role is %q, none of %v", name.Role, roles)
+}
+
+// Files are where a process finds its identity, all in PEM.
+type Files struct {
+	Cert   string // its certificate, and those that lead up to an authority
+	Key    string // its private key
+	Bundle string // the authorities that it trusts
+}
+
+// held is what the files had when they were last read.
+type held struct {
+	cert  *tls.Certificate
+	name  Name
+	roots *x509.CertPool
+}
+
+// Source is an identity that follows its files.
+type Source struct {
+	files Files
+	log   *slog.Logger
+
+	mu     sync.Mutex
+	held   held
+	seen   string    // the state of the files that was read last, readable or not
+	lookAt time.Time // the files are not looked at before
+}
+
+// Open reads an identity. The error says which file is at fault.
+func Open(files Files, log *slog.Logger) (*Source, error) {
+	h, err := read(files)
+	if err != nil {
+		return nil, err
+	}
+	return &Source{files: files, log: log, held: h, seen: stamp(files), lookAt: time.Now().Add(lookEvery)}, nil
+}
+
+func read(files Files) (held, error) {
+	cert, err := tls.LoadX509KeyPair(files.Cert, files.Key)
+	if err != nil {
+		return held{}, fmt.Errorf("identity: %s with %s: %w", files.Cert, files.Key, err)
+	}
+	name, err := Of(cert.Leaf)
+	if err != nil {
+		return held{}, fmt.Errorf("%s: %w", files.Cert, err)
+	}
+	bundle, err := os.ReadFile(files.Bundle)
+	if err != nil {
+		return held{}, fmt.Errorf("identity: %w", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(bundle) {
+		return held{}, fmt.Errorf("identity: %s holds no certificate", files.Bundle)
+	}
+	return held{&cert, name, roots}, nil
+}
+
+// stamp tells one state of the files from another.
+func stamp(files Files) string {
+	var b strings.Builder
+	for _, path := range []string{files.Cert, files.Key, files.Bundle} {
+		if info, err := os.Stat(path); err != nil {
+			fmt.Fprintln(&b, err)
+		} else {
+			fmt.Fprintln(&b, info.ModTime().UnixNano(), info.Size())
+		}
+	}
+	return b.String()
+}
+
+// now returns what the files hold. Files that can't be used, such as a certificate
+// whose key has not been written yet, are logged, and what was read before stays.
+func (s *Source) now() held {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now(); now.After(s.lookAt) {
+		s.lookAt = now.Add(lookEvery)
+		if seen := stamp(s.files); seen != s.seen {
+			s.seen = seen
+			if h, err := read(s.files); err != nil {
+				s.log.Error("identity.kept", "err", err)
+			} else {
+				s.held = h
+				s.log.Info("identity.changed", "name", h.name.String(), "until", h.cert.Leaf.NotAfter)
+			}
+		}
+	}
+	return s.held
+}
+
+// Name is whose identity it is.
+func (s *Source) Name() Name { return s.now().name }
+
+// Until is when the certificate ends.
+func (s *Source) Until() time.Time { return s.now().cert.Leaf.NotAfter }
+
+// Left is the time that is left of the certificate; without a source it is -1 s.
+func (s *Source) Left() time.Duration {
+	if s == nil {
+		return -time.Second
+	}
+	return time.Until(s.Until())
+}
+
+// config is what both sides have in common. Sessions are not resumed: each
+// connection is judged by the bundle of its time.
+func (s *Source) config(use x509.ExtKeyUsage) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13, SessionTicketsDisabled: true,
+		VerifyConnection: func(cs tls.ConnectionState) error { return s.verify(cs, use) },
+	}
+}
+
+// Server is the configuration of a side that accepts.
+func (s *Source) Server() *tls.Config {
+	c := s.config(x509.ExtKeyUsageClientAuth)
+	c.ClientAuth = tls.RequireAnyClientCert // verified by the bundle, which may change
+	c.GetCertificate = func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return s.now().cert, nil }
+	return c
+}
+
+// Client is the configuration of a side that connects.
+func (s *Source) Client() *tls.Config {
+	c := s.config(x509.ExtKeyUsageServerAuth)
+	c.InsecureSkipVerify = true // of host names, which say nothing here: VerifyConnection does what counts
+	c.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return s.now().cert, nil }
+	return c
+}
+
+func (s *Source) verify(cs tls.ConnectionState, use x509.ExtKeyUsage) error {
+	if len(cs.PeerCertificates) == 0 {
+		return errors.New("identity: the peer has no certificate")
+	}
+	between := x509.NewCertPool()
+	for _, c := range cs.PeerCertificates[1:] {
+		between.AddCert(c)
+	}
+	leaf := cs.PeerCertificates[0]
+	if _, err := leaf.Verify(x509.VerifyOptions{Roots: s.now().roots, Intermediates: between, KeyUsages: []x509.ExtKeyUsage{use}}); err != nil {
+		return fmt.Errorf("identity: the peer's certificate: %w", err)
+	}
+	_, err := Of(leaf)
+	return err
+}
+
+// Peer is whose certificate the other side of a verified connection has shown.
+func Peer(cs tls.ConnectionState) Name {
+	if len(cs.PeerCertificates) == 0 {
+		return Name{}
+	}
+	name, _ := Of(cs.PeerCertificates[0]) // verified in the handshake
+	return name
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
+	"ivydeck/internal/identity"
 	"log/slog"
 	"net"
 	"net/http"
@@ -103,12 +105,16 @@
 
 // Serve answers GET /metrics on an address until the context ends. What goes wrong
 // is logged: a process does not end for want of its figures.
-func (s *Set) Serve(ctx context.Context, address string, log *slog.Logger) {
+// With a source it asks callers for an identity, whatever its role.
+func (s *Set) Serve(ctx context.Context, address string, source *identity.Source, log *slog.Logger) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		log.Error("metrics.off", "err", err)
 		return
 	}
+	if source != nil {
+		l = tls.NewListener(l, source.Server())
+	}
 	s.serve(ctx, l, log)
 }
 
--- a/internal/nodefile/nodefile.go
+++ b/internal/nodefile/nodefile.go
@@ -38,6 +38,12 @@
 	Inbound, Outbound, Readiness, Control string // addresses; empty: not served
 	Metrics                               string // the same; not the platform's, but the operator's own key
 
+	// Where the process finds its identity, in PEM; empty: connections between nodes are not secured. The operator's
+	// own keys, as that for figures is.
+	Cert, Key, Bundle string
+	SecureOperator    bool // the operator's interface of a core machine asks for an identity, too
+	SecureMetrics     bool // and so do the figures
+
 	Ports     [2]int // free for nodes, first to last
 	Seeds     []string
 	Bootstrap bool
@@ -199,6 +205,14 @@
 		},
 	}
 	s.Metrics = r.address("metrics.address", false)
+	s.Cert, s.Key, s.Bundle = r.values["tls.cert"], r.values["tls.key"], r.values["tls.bundle"]
+	s.SecureOperator, s.SecureMetrics = r.flag("tls.operator"), r.flag("tls.metrics")
+	switch given := s.Cert != "" || s.Key != "" || s.Bundle != ""; {
+	case given && (s.Cert == "" || s.Key == "" || s.Bundle == ""):
+		r.fault("tls.cert, tls.key and tls.bundle come together")
+	case !given && (s.SecureOperator || s.SecureMetrics):
+		r.fault("tls.operator and tls.metrics need tls.cert, tls.key and tls.bundle")
+	}
 	if _, err := netip.ParseAddr(s.IP); s.IP != "" && err != nil {
 		r.fault("ip_address is %q, not an IP address", s.IP)
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -22,6 +22,7 @@
 
 	"ivydeck/internal/backup"
 	"ivydeck/internal/control"
+	"ivydeck/internal/identity"
 	"ivydeck/internal/meshconfig"
 )
 
@@ -116,6 +117,21 @@
 type Core struct {
 	Addresses []string // host:port; tried in turn
 	Client    http.Client
+	Secure    bool // Client has an identity, and the core asks for one
+}
+
+// With makes calls with an identity.
+func (c *Core) With(source *identity.Source) *Core {
+	c.Secure, c.Client.Transport = true, &http.Transport{TLSClientConfig: source.Client()}
+	return c
+}
+
+// url is where a machine answers for a path.
+func (c *Core) url(address, path string) string {
+	if c.Secure {
+		return "https://" + address + path
+	}
+	return "http://" + address + path
 }
 
 // call asks one machine after another until one gives a clear answer. The same
@@ -124,7 +140,7 @@
 	var last error
 	wait := firstWait
 	for i := range tries {
-		status, answer, err := c.once(ctx, method, "http://"+c.Addresses[i%len(c.Addresses)]+path, body, header)
+		status, answer, err := c.once(ctx, method, c.url(c.Addresses[i%len(c.Addresses)], path), body, header)
 		if err == nil && status < 500 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests {
 			return status, answer, nil
 		}
@@ -206,7 +222,7 @@
 // Status asks each machine for what it says of itself; what failed is in errs.
 func (c *Core) Status(ctx context.Context) (all []control.Status, errs []error) {
 	for _, a := range c.Addresses {
-		status, body, err := c.once(ctx, http.MethodGet, "http://"+a+"/status", nil, nil)
+		status, body, err := c.once(ctx, http.MethodGet, c.url(a, "/status"), nil, nil)
 		var s control.Status
 		if err == nil && status != http.StatusOK {
 			err = fmt.Errorf("answers %d: %s", status, bytes.TrimSpace(body))
--- /dev/null
+++ b/internal/program/identity.go
@@ -0,0 +1,36 @@
+package program
+
+import (
+	"fmt"
+	"log/slog"
+
+	"ivydeck/internal/identity"
+	"ivydeck/internal/nodefile"
+)
+
+// Identity opens what the settings name as a process's identity; nil: they name none. It has to be the machine's.
+func Identity(set *nodefile.Settings, log *slog.Logger) (*identity.Source, error) {
+	if set.Cert == "" {
+		return nil, nil
+	}
+	source, err := identity.Open(identity.Files{Cert: set.Cert, Key: set.Key, Bundle: set.Bundle}, log)
+	if err != nil {
+		return nil, err
+	}
+	want := identity.Name{Role: identity.Node, Name: set.Node}
+	if set.Class == nodefile.Core {
+		want.Role = identity.Core
+	}
+	if name := source.Name(); name != want {
+		return nil, fmt.Errorf("identity: %s is of %s, and this machine is %s", set.Cert, name, want)
+	}
+	return source, nil
+}
+
+// Secure is the identity where something is to ask for one.
+func Secure(source *identity.Source, ask bool) *identity.Source {
+	if ask {
+		return source
+	}
+	return nil
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -67,6 +67,10 @@
 		return fail(name, err)
 	}
 	if args.Check {
+		if _, err := Identity(set, slog.New(slog.DiscardHandler)); err != nil {
+			fmt.Fprintf(os.Stderr, "%s: %s: %v\n", name, args.Settings, err)
+			return exitFault
+		}
 		fmt.Printf("%s: %s: no fault found\n", name, args.Settings)
 		return 0
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -18,6 +18,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"ivydeck/internal/http1"
+	"ivydeck/internal/identity"
 	"ivydeck/internal/meshconfig"
 	"ivydeck/internal/rpc"
 	"ivydeck/internal/station"
@@ -99,6 +100,11 @@
 func newBed(t testing.TB, gate chan struct{}) *bed { return newBedFor(t, gate, time.Hour) }
 
 func newBedFor(t testing.TB, gate chan struct{}, drain time.Duration) *bed {
+	return newBedOf(t, gate, drain, nil)
+}
+
+// newBedOf is newBedFor with an identity for the way between nodes.
+func newBedOf(t testing.TB, gate chan struct{}, drain time.Duration, source *identity.Source) *bed {
 	b := &bed{t: t, arrivals: map[string][]string{}, headers: map[string]http.Header{}}
 	log := slog.New(slog.DiscardHandler)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -113,7 +119,9 @@
 	}
 	server := rpc.NewServer(log)
 	server.Handle("forward", rpc.Unary(b.in.Forward))
+	server.Identity = source
 	b.out = &Outbound{Node: "n", Zone: "z", Backend: "own", Ratio: 1, Window: 10 * time.Second, Pool: rpc.NewPool(ctx), Log: log, Graph: b.in.Graph, CallFailed: b.in.CallFailed}
+	b.out.Pool.Identity = source
 	b.out.Start(1)
 	b.out.Share(1000)
 	handle := func(ctx context.Context, c *Call) *Answer {
@@ -495,7 +503,20 @@
 // BenchmarkRequest measures a request's way through both nodes; "direct" is what its client and server cost without.
 func BenchmarkRequest(b *testing.B) {
 	bed := newBed(b, nil)
-	for name, address := range map[string]string{"mesh": bed.front, "direct": bed.app("direct", nil)} {
+	ca, err := identity.NewAuthority(b.TempDir(), 2*time.Hour)
+	if err != nil {
+		b.Fatal(err)
+	}
+	files, err := ca.Issue(identity.Name{Role: identity.Node, Name: "n"}, time.Hour, b.TempDir())
+	if err != nil {
+		b.Fatal(err)
+	}
+	source, err := identity.Open(files, slog.New(slog.DiscardHandler))
+	if err != nil {
+		b.Fatal(err)
+	}
+	secured := newBedOf(b, nil, time.Hour, source)
+	for name, address := range map[string]string{"mesh": bed.front, "secured": secured.front, "direct": bed.app("direct", nil)} {
 		b.Run(name, func(b *testing.B) {
 			nc, err := net.Dial("tcp", address)
 			if err != nil {
--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -11,6 +11,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -22,6 +23,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"ivydeck/internal/identity"
 	"ivydeck/internal/sock"
 	"ivydeck/internal/timers"
 	"ivydeck/internal/wire"
@@ -58,7 +60,8 @@
 // conn is one connection, of either side.
 type conn struct {
 	nc      net.Conn
-	server  *Server // set on the accepting side
+	peer    identity.Name // where identities are in use
+	server  *Server       // set on the accepting side
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	heard   atomic.Int64 // when something last came, unix ms of the local steady clock
@@ -84,9 +87,18 @@
 	c := &conn{nc: nc, server: server, streams: map[uint32]*Stream{}, next: 1, sign: make(chan struct{})}
 	c.ctx, c.cancel = context.WithCancelCause(parent)
 	c.heard.Store(steadyMs())
+	raw := nc
+	if secure, ok := nc.(*tls.Conn); ok {
+		raw, c.peer = secure.NetConn(), identity.Peer(secure.ConnectionState())
+		if server == nil {
+			// A side that connects does not learn from the handshake whether the other has taken its certificate: no
+			// sign of life has come before the first frame.
+			c.heard.Store(steadyMs() - freshFor.Milliseconds())
+		}
+	}
 	// Pings find a silent peer; the kernel's probes would only see less of it. It gives up bytes that nobody
 	// takes in at the same time, rather than after minutes.
-	if tc, ok := nc.(*net.TCPConn); ok {
+	if tc, ok := raw.(*net.TCPConn); ok {
 		tc.SetKeepAlive(false)
 		sock.UserTimeout(tc, silentFor)
 	}
@@ -217,11 +229,10 @@
 			s.until = time.Now().Add(time.Duration(f.WaitMs) * time.Millisecond)
 		}
 		c.streams[f.Stream] = s
-		handler := c.server.handlers[f.Method]
 		c.server.running.Add(1)
 		// It begins with its first frame taken in, which most often is all that it gets.
 		method := f.Method
-		defer c.server.crew.Go(func() { c.server.serve(s, method, handler) })
+		defer c.server.crew.Go(func() { c.server.serve(s, method) })
 	}
 	c.mu.Unlock()
 	if s == nil {
--- /dev/null
+++ b/internal/rpc/identity_test.go
@@ -0,0 +1,98 @@
+package rpc
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ivydeck/internal/identity"
+	"ivydeck/internal/wire"
+)
+
+// TestIdentities: who is not trusted never reaches a handler, and who is reaches those of its role. A call that was
+// refused has surely not been taken.
+func TestIdentities(t *testing.T) {
+	log := slog.New(slog.DiscardHandler)
+	source := func(a *identity.Authority, role identity.Role, bundle string) *identity.Source {
+		f, err := a.Issue(identity.Name{Role: role, Name: "x"}, time.Hour, t.TempDir())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if bundle != "" {
+			f.Bundle = bundle
+		}
+		s, err := identity.Open(f, log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	var authorities [2]*identity.Authority
+	for i := range authorities {
+		var err error
+		if authorities[i], err = identity.NewAuthority(t.TempDir(), 2*time.Hour); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ours, other := authorities[0], authorities[1]
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	server := NewServer(log)
+	server.Identity = source(ours, identity.Core, "")
+	var reached atomic.Int32
+	echo := Unary(func(ctx context.Context, p *wire.Forward) (*wire.Outcome, error) {
+		reached.Add(1)
+		caller, ok := Caller(ctx)
+		if !ok {
+			return nil, errors.New("the caller is not known")
+		}
+		return &wire.Outcome{Why: string(caller.Role)}, nil
+	})
+	server.Handle("all", echo)
+	server.Handle("core", echo, identity.Core)
+	ended := make(chan struct{})
+	go func() { defer close(ended); server.Serve(ctx, l) }()
+	defer func() { cancel(); <-ended }()
+	for _, c := range []struct {
+		what, method string
+		who          *identity.Source
+		taken        bool
+	}{
+		{"a node", "all", source(ours, identity.Node, ""), true},
+		{"a core machine", "core", source(ours, identity.Core, ""), true},
+		{"a node for what core machines may", "core", source(ours, identity.Node, ""), false},
+		{"an operator", "all", source(ours, identity.Operator, ""), false},
+		{"a stranger that trusts us", "all", source(other, identity.Core, ours.Bundle()), false},
+		{"one that does not trust us", "all", source(ours, identity.Node, other.Bundle()), false},
+		{"one without an identity", "all", nil, false},
+	} {
+		pool := NewPool(ctx)
+		pool.Identity = c.who
+		before, refused := reached.Load(), server.Refused.Load()
+		until := time.Now().Add(10 * time.Second)
+		out := new(wire.Outcome)
+		peer, err := pool.Live(ctx, until, l.Addr().String())
+		if err == nil {
+			err = peer.Call(ctx, until, c.method, &wire.Forward{}, out)
+		}
+		if c.taken != (err == nil) || c.taken != (reached.Load() > before) {
+			t.Errorf("%s: %v, reached %v", c.what, err, reached.Load() > before)
+		}
+		if err != nil && c.who != nil && !errors.Is(err, ErrUnsent) && !IsPeer(err) {
+			t.Errorf("%s: %v leaves open whether the call was taken", c.what, err)
+		}
+		if c.taken && out.Why == "" {
+			t.Errorf("%s: the handler does not know its caller", c.what)
+		}
+		if !c.taken && c.what != "one that does not trust us" && server.Refused.Load() == refused {
+			t.Errorf("%s: not counted", c.what)
+		}
+	}
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"ivydeck/internal/crew"
+	"ivydeck/internal/identity"
 	"ivydeck/internal/wire"
 )
 
@@ -29,7 +33,10 @@
 
 // Server accepts connections from other nodes.
 type Server struct {
-	handlers map[string]Handler
+	Identity *identity.Source // nil: callers are taken for whom they say they are
+	Refused  *atomic.Int64    // counts connections and calls that were refused for want of a proper identity
+
+	handlers map[string]method
 	log      *slog.Logger
 	running  sync.WaitGroup
 	crew     *crew.Crew // runs the handlers; made by Serve
@@ -38,11 +45,31 @@
 
 // NewServer returns a server without methods.
 func NewServer(log *slog.Logger) *Server {
-	return &Server{handlers: map[string]Handler{}, log: log}
+	return &Server{Refused: new(atomic.Int64), handlers: map[string]method{}, log: log}
+}
+
+// method is what a name stands for, and who may call it.
+type method struct {
+	run   Handler
+	roles []identity.Role
 }
 
-// Handle names a method. All methods are named before Serve.
-func (s *Server) Handle(method string, h Handler) { s.handlers[method] = h }
+// Handle names a method. Where identities are known only these roles may call it;
+// without any, each core machine and node. All methods are named before Serve.
+func (s *Server) Handle(name string, h Handler, roles ...identity.Role) {
+	if len(roles) == 0 {
+		roles = []identity.Role{identity.Core, identity.Node}
+	}
+	s.handlers[name] = method{h, roles}
+}
+
+// Caller is who has opened a handler's stream; ok is false where no identities are in use.
+func Caller(ctx context.Context) (name identity.Name, ok bool) {
+	if s, is := ctx.(*Stream); is && s.c.peer.Role != "" {
+		return s.c.peer, true
+	}
+	return identity.Name{}, false
+}
 
 // Unary makes a handler of a function from one message to one other. The
 // types are pointers to message structs.
@@ -67,14 +94,20 @@
 }
 
 // serve runs one handler.
-func (s *Server) serve(st *Stream, method string, h Handler) {
+func (s *Server) serve(st *Stream, name string) {
 	defer s.running.Done()
 	defer st.finish(context.Canceled)
 	var err error
-	if h != nil {
-		err = h(st)
-	} else {
-		err = fmt.Errorf("no method %q", method)
+	m, known := s.handlers[name]
+	switch peer := st.c.peer; {
+	case !known:
+		err = fmt.Errorf("no method %q", name)
+	case s.Identity != nil && !slices.Contains(m.roles, peer.Role):
+		s.Refused.Add(1)
+		s.log.Warn("rpc.refused", "peer", peer.String(), "from", st.c.nc.RemoteAddr().String(), "method", name)
+		err = fmt.Errorf("%s may not call %s", peer, name)
+	default:
+		err = m.run(st)
 	}
 	st.c.drop(st)
 	if err != nil && st.c.ctx.Err() == nil {
@@ -121,21 +154,42 @@
 			nc.Close()
 			continue
 		}
-		c := newConn(ctx, nc, s)
-		conns.Add(1)
-		s.watch.add(c)
-		go func() {
-			defer conns.Done()
-			err := c.read()
-			c.fail(err)
-			<-places
-		}()
-		context.AfterFunc(c.ctx, func() { nc.Close() })
+		conns.Go(func() {
+			defer func() { <-places }()
+			s.accept(ctx, nc)
+		})
 	}
 }
 
+// accept serves one connection to its end.
+func (s *Server) accept(ctx context.Context, nc net.Conn) {
+	if s.Identity != nil {
+		secure := tls.Server(nc, s.Identity.Server())
+		if err := shake(ctx, secure); err != nil {
+			s.Refused.Add(1)
+			s.log.Warn("rpc.refused", "from", nc.RemoteAddr().String(), "err", err)
+			nc.Close()
+			return
+		}
+		nc = secure
+	}
+	c := newConn(ctx, nc, s)
+	s.watch.add(c)
+	defer context.AfterFunc(c.ctx, func() { nc.Close() })()
+	c.fail(c.read())
+}
+
+// shake makes a connection a secure one, within the time of a dial.
+func shake(ctx context.Context, c *tls.Conn) error {
+	ctx, cancel := context.WithTimeout(ctx, dialWait)
+	defer cancel()
+	return c.HandshakeContext(ctx)
+}
+
 // Pool makes calls, over one connection for each address.
 type Pool struct {
+	Identity *identity.Source // nil: connections are not secured
+
 	ctx context.Context
 	mu  sync.Mutex
 	// by address; entries of addresses that are not used go with Sweep
@@ -219,6 +273,15 @@
 		d.err, d.failed = fmt.Errorf("dialing %s: %w", addr, err), time.Now()
 		return
 	}
+	if p.Identity != nil {
+		secure := tls.Client(nc, p.Identity.Client())
+		if err := shake(p.ctx, secure); err != nil {
+			nc.Close()
+			d.err, d.failed = fmt.Errorf("dialing %s: %w", addr, err), time.Now()
+			return
+		}
+		nc = secure
+	}
 	c := newConn(p.ctx, nc, nil)
 	d.c = c
 	p.watch.add(c)
