Let operators ask for the way of one request, and log a drawn part of them

Cause: who asks why one request was late had figures of all, and log lines of none. Change: with trace.keep a node keeps its part in the last requests, a core machine asks all nodes for one by its id (ivydeckctl trace), calls of its runs included; with access.part each node logs the same drawn requests. Off without the keys. Test: the way of a request through a whole mesh, plain and secured.

--- a/cmd/ivydeckctl/main.go
+++ b/cmd/ivydeckctl/main.go
@@ -38,6 +38,7 @@
 	Status  statusCmd  `cmd:"" help:"Print what core machines say of themselves, their members and the servers."`
 	Members membersCmd `cmd:"" help:"Print the members of the core, as its leader knows them."`
 	Servers serversCmd `cmd:"" help:"Print the registered servers, as the leader knows them."`
+	Trace   traceCmd   `cmd:"" help:"Print the way of a request through the mesh, and of the calls that it made."`
 	Store   struct {
 		Inspect inspectCmd `cmd:"" help:"Print what the folder of a stopped core machine holds; nothing is changed."`
 		Verify  verifyCmd  `cmd:"" help:"Check the folder of a stopped core machine, entry by entry; nothing is changed."`
@@ -271,6 +272,39 @@
 	})
 }
 
+type traceCmd struct {
+	coreFlags
+	Attempt string `arg:"" help:"Its Attempt-Id."`
+	Output  string `help:"json or table." enum:"json,table" default:"table"`
+}
+
+func (c *traceCmd) Run(ctx context.Context) error {
+	core, err := c.core()
+	if err != nil {
+		return err
+	}
+	t, err := core.Trace(ctx, c.Attempt)
+	if err != nil {
+		return err
+	}
+	if t.Silent > 0 {
+		fmt.Fprintf(os.Stderr, "%d of %d nodes did not answer\n", t.Silent, t.Asked)
+	}
+	if len(t.Parts) == 0 {
+		return fmt.Errorf("no node has kept anything of %s; trace.keep in their settings says how much they keep", c.Attempt)
+	}
+	first := t.Parts[0].AgoMs
+	return table(c.Output, t, "at ms\ttook ms\tnode\tattempt\twhat\tstatus\twhy", func(w io.Writer) {
+		for _, p := range t.Parts {
+			what := fmt.Sprintf("enters %s for %s, %d servers", p.Route, p.Service, p.Tries)
+			if !p.Entry {
+				what = fmt.Sprintf("runs at %s of %s", p.Server, p.Service)
+			}
+			fmt.Fprintf(w, "%d\t%d\t%s\t%s\t%s\t%d\t%s\n", first-p.AgoMs, p.TookMs, p.Node, p.Attempt, what, p.Status, p.Why)
+		}
+	})
+}
+
 type verifyCmd struct {
 	Dir string `arg:"" type:"existingdir" help:"The machine's data_dir."`
 }
--- /dev/null
+++ b/internal/control/trace.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"ivydeck/internal/wire"
+)
+
+const (
+	traceWithin = 2 * time.Second // for all nodes together
+	traceAtOnce = 32              // nodes that are asked at a time
+	mostTraces  = 10_000
+)
+
+// Trace is what the mesh has kept of a request.
+type Trace struct {
+	Parts  []Part `json:"parts"`  // the first to begin first
+	Asked  int    `json:"asked"`  // nodes
+	Silent int    `json:"silent"` // of them
+}
+
+// Part is one node's part in a request.
+type Part struct {
+	Attempt string `json:"attempt"`
+	Node    string `json:"node"`
+	Entry   bool   `json:"entry"` // met there at its begin; else passed on to the server beside it
+	Route   string `json:"route,omitempty"`
+	Service string `json:"service"`
+	Server  string `json:"server,omitempty"`
+	Status  int32  `json:"status"`
+	Why     string `json:"why,omitempty"`
+	Tries   uint32 `json:"tries,omitempty"`
+	AgoMs   uint32 `json:"ago_ms"` // when it was asked, since its begin there
+	TookMs  uint32 `json:"took_ms"`
+}
+
+// trace asks all nodes for a request. Any core machine can: nodes are known by the members.
+func (n *Node) trace(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), traceWithin)
+	defer cancel()
+	var mu sync.Mutex
+	var all Trace
+	places := make(chan struct{}, traceAtOnce)
+	var asking sync.WaitGroup
+	for _, m := range n.gossip.Members() {
+		if m.Core || m.State != wire.Member_ALIVE {
+			continue
+		}
+		all.Asked++
+		places <- struct{}{}
+		asking.Go(func() {
+			defer func() { <-places }()
+			answer := new(wire.Traces)
+			err := n.pool.Call(ctx, m.Address, "trace", &wire.Trace{Attempt: r.PathValue("attempt")}, answer)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				all.Silent++
+				return
+			}
+			for _, t := range answer.Traces[:min(len(answer.Traces), mostTraces-len(all.Parts))] {
+				all.Parts = append(all.Parts, Part{t.Attempt, t.Node, t.Entry, t.Route, t.Service, t.Server, t.Status, t.Why, t.Tries, t.AgoMs, t.TookMs})
+			}
+		})
+	}
+	asking.Wait()
+	slices.SortStableFunc(all.Parts, func(a, b Part) int {
+		return cmp.Or(cmp.Compare(b.AgoMs, a.AgoMs), cmp.Compare(len(a.Attempt), len(b.Attempt)))
+	})
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(all)
+}
--- a/internal/control/web.go
+++ b/internal/control/web.go
@@ -26,6 +26,7 @@
 	mux.HandleFunc("GET /config/read", n.readConfig)
 	mux.HandleFunc("GET /backup", n.operators(n.backup))
 	mux.HandleFunc("GET /status", n.status)
+	mux.HandleFunc("GET /trace/{attempt}", n.operators(n.trace))
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, r *http.Request) {
 		if leader, _ := n.ask(r.Context()); leader == nil {
 			reply(w, http.StatusServiceUnavailable, "no leader")
--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"fmt"
+	"ivydeck/internal/identity"
 	"ivydeck/internal/program"
+	"ivydeck/internal/trace"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -61,6 +63,7 @@
 	leaving  atomic.Bool
 	emptying atomic.Bool   // the server beside the node takes nothing more: the node is about to end
 	fenced   atomic.Bool   // the news are as new as what was acknowledged before the start
+	traces   *trace.Ring   // nil: none are kept
 	refused  atomic.Int64  // connections and calls of others, for their identity
 	served   atomic.Bool   // there is a configuration and a server
 	shares   budget.Shares // the upkeep's own
@@ -97,6 +100,11 @@
 	}
 	n.outbound.Start(rng.Uint64())
 	n.inbound.Pressure = n.outbound.Pressure
+	if set.Trace > 0 || set.LogPart > 0 {
+		n.traces = trace.NewRing(set.Trace)
+		// Each side counts from its own begin; records keep to the node's.
+		n.outbound.Trace, n.inbound.Trace = n.record(n.outbound.Since(n.began)), n.record(n.inbound.Since(n.began))
+	}
 	if set.Metrics != "" {
 		n.outbound.Metrics = n.figures()
 		n.workers.Go(func() {
@@ -127,6 +135,7 @@
 	n.gossip.Register(server)
 	server.Handle("forward", rpc.Unary(n.inbound.Forward))
 	server.Handle("subscribe", n.hub.Serve)
+	server.Handle("trace", rpc.Unary(n.trace), identity.Core)
 	beats := n.web(http.HandlerFunc(n.beat))
 	ready := n.web(http.HandlerFunc(n.ready))
 	n.workers.Go(func() { server.Serve(life, listeners[0]) })
--- a/internal/data/mesh_test.go
+++ b/internal/data/mesh_test.go
@@ -64,6 +64,8 @@
 data_dir=%s
 heartbeat_ms=200
 bounds.grace_s=4
+trace.keep=64
+access.part=0.5
 seed_nodes=127.7.0.1:%d,127.7.0.2:%d,127.7.0.3:%d
 `, n, class, ip, ip, m.ports[1], ip, m.ports[2], ip, m.ports[3], ip, m.ports[4], m.ports[0], bootstrap,
 		filepath.Join(m.dir, fmt.Sprint(n)), m.ports[1], m.ports[1], m.ports[1])
@@ -228,6 +230,15 @@
 		return resp.StatusCode == 200
 	})
 	m.until("a served request", func() bool { return get("/one/x") == 200 })
+	way, err := core.Trace(ctx, "a")
+	var last []control.Part // of the served one
+	if len(way.Parts) > 1 {
+		last = way.Parts[len(way.Parts)-2:]
+	}
+	if err != nil || way.Asked != 1 || way.Silent != 0 || len(last) != 2 || !last[0].Entry || last[0].Route != "r" || last[0].Status != 200 ||
+		last[0].Tries != 1 || last[1].Entry || last[1].Server != "i-1" || last[1].Status != 200 || last[1].AgoMs > last[0].AgoMs {
+		t.Errorf("the way of a request is %+v, %v", way, err)
+	}
 
 	second := config(t, 7, "/two/")
 	m.until("a second configuration", func() bool { return core.Apply(ctx, 3, second) == nil })
--- /dev/null
+++ b/internal/data/trace.go
@@ -0,0 +1,39 @@
+package data
+
+import (
+	"context"
+	"time"
+
+	"ivydeck/internal/trace"
+	"ivydeck/internal/wire"
+)
+
+// record returns what keeps and logs records whose times begin so much later than the node.
+func (n *Node) record(since time.Duration) func(trace.Record) {
+	return func(r trace.Record) {
+		r.Began += since
+		if n.set.Load().Trace > 0 {
+			n.traces.Add(r)
+		}
+		if trace.Drawn(r.Attempt, n.set.Load().LogPart) {
+			n.log.Info("request", "attempt", r.Attempt, "entry", r.Entry, "route", r.Route, "service", r.Service, "server", r.Server,
+				"status", r.Status, "why", r.Why, "tries", r.Tries, "took", r.Took)
+		}
+	}
+}
+
+// trace tells what this node has kept of a request.
+func (n *Node) trace(_ context.Context, q *wire.Trace) (*wire.Traces, error) {
+	answer := new(wire.Traces)
+	if n.traces == nil {
+		return answer, nil
+	}
+	now := time.Since(n.began)
+	for _, r := range n.traces.Of(q.Attempt) {
+		answer.Traces = append(answer.Traces, &wire.Traced{
+			Attempt: r.Attempt, Node: n.set.Load().Node, Entry: r.Entry, Route: r.Route, Service: r.Service, Server: r.Server,
+			Status: int32(r.Status), Why: r.Why, Tries: uint32(r.Tries), AgoMs: uint32((now - r.Began).Milliseconds()), TookMs: uint32(r.Took.Milliseconds()),
+		})
+	}
+	return answer, nil
+}
--- a/internal/nodefile/nodefile.go
+++ b/internal/nodefile/nodefile.go
@@ -19,6 +19,8 @@
 // mostBytes bounds the file.
 const mostBytes = 1 << 20
 
+const mostTrace = 1 << 20
+
 // Class is a kind of machine.
 type Class string
 
@@ -44,7 +46,9 @@
 	SecureOperator    bool // the operator's interface of a core machine asks for an identity, too
 	SecureMetrics     bool // and so do the figures
 
-	Ports     [2]int // free for nodes, first to last
+	Trace     int     // requests of which a node keeps its part, to be asked for; 0: none
+	LogPart   float64 // part of the requests that are logged; 0: none
+	Ports     [2]int  // free for nodes, first to last
 	Seeds     []string
 	Bootstrap bool
 	Quorum    bool // its loss is counted against Tolerated
@@ -205,6 +209,13 @@
 		},
 	}
 	s.Metrics = r.address("metrics.address", false)
+	s.Trace, s.LogPart = int(r.number("trace.keep", 0, 0)), r.number("access.part", 0, 0)
+	if s.Trace > mostTrace {
+		r.fault("trace.keep is %d, at most %d are kept", s.Trace, mostTrace)
+	}
+	if s.LogPart > 1 {
+		r.fault("access.part is %g, at most 1 is a part", s.LogPart)
+	}
 	s.Cert, s.Key, s.Bundle = r.values["tls.cert"], r.values["tls.key"], r.values["tls.bundle"]
 	s.SecureOperator, s.SecureMetrics = r.flag("tls.operator"), r.flag("tls.metrics")
 	switch given := s.Cert != "" || s.Key != "" || s.Bundle != ""; {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -126,8 +127,8 @@
 	return c
 }
 
-// url is where a machine answers for a path.
-func (c *Core) url(address, path string) string {
+// place is where a machine answers for a path.
+func (c *Core) place(address, path string) string {
 	if c.Secure {
 		return "https://" + address + path
 	}
@@ -140,7 +141,7 @@
 	var last error
 	wait := firstWait
 	for i := range tries {
-		status, answer, err := c.once(ctx, method, c.url(c.Addresses[i%len(c.Addresses)], path), body, header)
+		status, answer, err := c.once(ctx, method, c.place(c.Addresses[i%len(c.Addresses)], path), body, header)
 		if err == nil && status < 500 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests {
 			return status, answer, nil
 		}
@@ -157,10 +158,10 @@
 	return 0, nil, fmt.Errorf("no clear answer in %d tries: %w", tries, last)
 }
 
-func (c *Core) once(ctx context.Context, method, url string, body []byte, header http.Header) (int, []byte, error) {
+func (c *Core) once(ctx context.Context, method, at string, body []byte, header http.Header) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, tryWait)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, at, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
 	}
@@ -219,10 +220,22 @@
 	return backup.Decode(body)
 }
 
+// Trace asks for what the mesh has kept of a request and its calls.
+func (c *Core) Trace(ctx context.Context, attempt string) (t control.Trace, err error) {
+	status, body, err := c.call(ctx, http.MethodGet, "/trace/"+url.PathEscape(attempt), nil, nil)
+	if err != nil {
+		return t, err
+	}
+	if status != http.StatusOK {
+		return t, fmt.Errorf("the core answers %d: %s", status, bytes.TrimSpace(body))
+	}
+	return t, json.Unmarshal(body, &t)
+}
+
 // Status asks each machine for what it says of itself; what failed is in errs.
 func (c *Core) Status(ctx context.Context) (all []control.Status, errs []error) {
 	for _, a := range c.Addresses {
-		status, body, err := c.once(ctx, http.MethodGet, c.url(a, "/status"), nil, nil)
+		status, body, err := c.once(ctx, http.MethodGet, c.place(a, "/status"), nil, nil)
 		var s control.Status
 		if err == nil && status != http.StatusOK {
 			err = fmt.Errorf("answers %d: %s", status, bytes.TrimSpace(body))
--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -43,6 +43,7 @@
 	Body   []byte
 	Close  bool
 	Back   bool // it says when to come back
+	Own    bool // it is the mesh's own, and its body says why
 }
 
 // Bounds are what a client may do; they may change with the configuration.
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -15,6 +15,7 @@
 	"ivydeck/internal/rpc"
 	"ivydeck/internal/station"
 	"ivydeck/internal/timers"
+	"ivydeck/internal/trace"
 	"ivydeck/internal/wire"
 )
 
@@ -38,6 +39,8 @@
 	Log *slog.Logger
 	// Pressure is what calls that begin here meet at a service; nil: not known.
 	Pressure func(service string) float64
+	// Trace takes each run at a server here; nil: nobody asks.
+	Trace func(trace.Record)
 
 	began   time.Time
 	changed chan struct{} // has room for one: what Servers returns has changed
@@ -71,6 +74,9 @@
 
 func (in *Inbound) now() time.Duration { return time.Since(in.began) }
 
+// Since tells how long after a moment the times of its records begin.
+func (in *Inbound) Since(t time.Time) time.Duration { return in.began.Sub(t) }
+
 // tell hands out verdicts. Each ticket gets one, for which it has room.
 func tell(verdicts []station.Verdict[*ticket]) {
 	for _, v := range verdicts {
@@ -287,6 +293,9 @@
 	in.mu.Unlock()
 	out.Waiting, out.Pace, out.Fill = f.Waiting, float32(f.Pace), float32(f.Fill)
 	out.TookMs = uint32((now - began).Milliseconds())
+	if in.Trace != nil {
+		in.Trace(trace.Record{Attempt: q.Attempt, Began: began, Took: now - began, Service: q.Service, Server: q.Member, Status: int(out.Status), Why: out.Why})
+	}
 	if f.Out {
 		in.Log.Warn("server.sick", "member", q.Member, "zone", q.Zone, "last", out.Fate.String(), "status", out.Status, "why", out.Why)
 	}
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	"ivydeck/internal/rpc"
 	"ivydeck/internal/station"
 	"ivydeck/internal/timers"
+	"ivydeck/internal/trace"
 	"ivydeck/internal/wire"
 )
 
@@ -40,6 +42,7 @@
 	Metrics             *metrics.Set
 	Graph               func(attempt, service string) (inner, repeat bool) // see station.Station.Graph
 	CallFailed          func(attempt string)                               // see station.Station.CallFailed
+	Trace               func(trace.Record)                                 // nil: nobody asks; for each request that begins here
 	began               time.Time
 	ready               chan struct{} // closed with the first configuration
 
@@ -57,6 +60,9 @@
 
 func (o *Outbound) now() time.Duration { return time.Since(o.began) }
 
+// Since tells how long after a moment the times of its records begin.
+func (o *Outbound) Since(t time.Time) time.Duration { return o.began.Sub(t) }
+
 // Share sets this node's part of the retry slack.
 func (o *Outbound) Share(slack float64) {
 	o.mu.Lock()
@@ -116,7 +122,7 @@
 }
 
 func text(status int, why string) *Answer {
-	return &Answer{Status: status, Fields: []byte("Content-Type: text/plain\r\n"), Body: []byte(why + "\n")}
+	return &Answer{Status: status, Fields: []byte("Content-Type: text/plain\r\n"), Body: []byte(why + "\n"), Own: true}
 }
 
 // say makes an answer of a final one of the node's own.
@@ -131,20 +137,32 @@
 
 // Handle gives one request its final answer.
 func (o *Outbound) Handle(ctx context.Context, c *Call) *Answer {
-	a := o.handle(ctx, c)
-	if o.Metrics != nil {
-		name := ""
-		if config := o.world().Config; config != nil {
-			if route := config.Find(c.Host, c.Path()); route != nil {
-				name = route.Name
-			}
+	var tries int
+	var service string
+	a := o.handle(ctx, c, &service, &tries)
+	if o.Metrics == nil && o.Trace == nil {
+		return a
+	}
+	name := ""
+	if config := o.world().Config; config != nil {
+		if route := config.Find(c.Host, c.Path()); route != nil {
+			name = route.Name
+		}
+	}
+	took := time.Since(c.Arrived)
+	o.Metrics.Request(name, a.Status, a.Back, took)
+	if o.Trace != nil {
+		rec := trace.Record{Attempt: c.Headers.Get("Attempt-Id"), Began: c.Arrived.Sub(o.began), Took: took, Entry: true,
+			Route: name, Service: service, Status: a.Status, Tries: tries}
+		if a.Own {
+			rec.Why = strings.TrimSpace(string(a.Body))
 		}
-		o.Metrics.Request(name, a.Status, a.Back, time.Since(c.Arrived))
+		o.Trace(rec)
 	}
 	return a
 }
 
-func (o *Outbound) handle(ctx context.Context, c *Call) *Answer {
+func (o *Outbound) handle(ctx context.Context, c *Call, service *string, tries *int) *Answer {
 	if o.world().Config == nil { // in a process that has just started it may come at any moment
 		timer := time.NewTimer(configWait)
 		select {
@@ -182,6 +200,7 @@
 	o.mu.Lock()
 	e.Service = o.table.Choose(route)
 	o.mu.Unlock()
+	*service = e.Service
 	if o.Graph != nil {
 		e.Inner, e.Again = o.Graph(c.Headers.Get("Attempt-Id"), e.Service)
 	}
@@ -196,6 +215,7 @@
 		o.CallFailed(c.Headers.Get("Attempt-Id"))
 	}
 	o.mu.Lock()
+	*tries = r.Tries()
 	r.Leave(o.now())
 	o.mu.Unlock()
 	return a
