--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -101,3 +101,140 @@
 		}
 	}
 }
+
+// settle writes what a core asks for, and returns all that it put out.
+func settle(c *Core) (all Output) {
+	for o := c.Take(); !o.Empty(); o = c.Take() {
+		if n := len(o.Entries); n > 0 {
+			c.Stable(o.Entries[n-1].Index)
+		}
+		all.Messages, all.Reads = append(all.Messages, o.Messages...), append(all.Reads, o.Reads...)
+		if o.Snapshot != nil {
+			all.Snapshot = o.Snapshot
+		}
+	}
+	return all
+}
+
+// voters are so many members, from 1 on.
+func voters(n int) *wire.Peers {
+	p := &wire.Peers{}
+	for i := range n {
+		p.Peers = append(p.Peers, &wire.Peer{Id: uint64(i + 1), Voter: true})
+	}
+	return p
+}
+
+const lateNow = 2 * time.Second
+
+// leading returns the first of three members as the leader of term 4, with its own entry at 2 and another at 3.
+func leading(t *testing.T) *Core {
+	t.Helper()
+	c := New(1, &wire.HardState{Term: 3}, &wire.RaftSnapshot{Term: 1, Index: 1, Peers: voters(3)}, nil, 1, 0)
+	c.Tick(lateNow)
+	settle(c)
+	for _, pre := range []bool{true, false} {
+		c.Step(lateNow, &wire.Raft{Kind: wire.Raft_VOTED, From: 2, To: 1, Term: 4, Pre: pre})
+		settle(c)
+	}
+	if _, _, err := c.Propose(lateNow, []byte("x")); err != nil || !c.Leads() {
+		t.Fatalf("leads %v, %v", c.Leads(), err)
+	}
+	settle(c)
+	return c
+}
+
+// TestLateWordsCountForNothing: what a member says of an earlier term, of an earlier round or of a log that it does not
+// have proves nothing. The simulation and the search meet these too seldom to find one that is believed.
+func TestLateWordsCountForNothing(t *testing.T) {
+	handovers := func(o Output) (to []uint64) {
+		for _, m := range o.Messages {
+			if m.Kind == wire.Raft_HANDOVER {
+				to = append(to, m.To)
+			}
+		}
+		return to
+	}
+	t.Run("answers of an earlier term", func(t *testing.T) {
+		c := leading(t)
+		c.Step(lateNow, &wire.Raft{Kind: wire.Raft_APPENDED, From: 2, To: 1, Term: 3, Index: 3})
+		if settle(c); c.Commit() != 1 {
+			t.Errorf("%d is committed", c.Commit())
+		}
+	})
+	t.Run("votes of an earlier term", func(t *testing.T) {
+		c := New(1, &wire.HardState{Term: 3}, &wire.RaftSnapshot{Term: 1, Index: 1, Peers: voters(3)}, nil, 1, 0)
+		c.Tick(lateNow)
+		settle(c)
+		c.Step(lateNow, &wire.Raft{Kind: wire.Raft_VOTED, From: 2, To: 1, Term: 4, Pre: true})
+		settle(c)
+		c.Step(lateNow, &wire.Raft{Kind: wire.Raft_VOTED, From: 2, To: 1, Term: 3})
+		if settle(c); c.Leads() || c.Term() != 4 {
+			t.Errorf("leads %v in term %d", c.Leads(), c.Term())
+		}
+	})
+	t.Run("half of the votes", func(t *testing.T) {
+		c := New(1, &wire.HardState{Term: 3}, &wire.RaftSnapshot{Term: 1, Index: 1, Peers: voters(4)}, nil, 1, 0)
+		c.Tick(lateNow)
+		settle(c)
+		for from, pre := range []bool{2: true, 3: true, 4: false} {
+			if from >= 2 {
+				c.Step(lateNow, &wire.Raft{Kind: wire.Raft_VOTED, From: uint64(from), To: 1, Term: 4, Pre: pre})
+				settle(c)
+			}
+		}
+		if c.Leads() {
+			t.Error("two of four votes were enough")
+		}
+	})
+	t.Run("rounds of contact from before a read", func(t *testing.T) {
+		c := leading(t)
+		c.Step(lateNow, &wire.Raft{Kind: wire.Raft_APPENDED, From: 2, To: 1, Term: 4, Index: 3, Round: c.round})
+		settle(c)
+		c.Read(lateNow, 7)
+		before := settle(c)
+		c.Step(lateNow, &wire.Raft{Kind: wire.Raft_APPENDED, From: 2, To: 1, Term: 4, Index: 3, Round: c.round - 1})
+		before.Reads = append(before.Reads, settle(c).Reads...)
+		c.Step(lateNow, &wire.Raft{Kind: wire.Raft_APPENDED, From: 2, To: 1, Term: 4, Index: 3, Round: c.round})
+		if after := settle(c); len(before.Reads) != 0 || len(after.Reads) != 1 || !after.Reads[0].OK {
+			t.Errorf("answered %v before a round of contact, %v after it", before.Reads, after.Reads)
+		}
+	})
+	t.Run("an index that is committed beyond what a message has matched", func(t *testing.T) {
+		c := New(1, &wire.HardState{Term: 2}, &wire.RaftSnapshot{Term: 1, Index: 1, Peers: voters(3)},
+			[]*wire.Entry{{Term: 2, Index: 2}, {Term: 2, Index: 3}}, 1, 0) // 3 may be another at the leader
+		c.Step(0, &wire.Raft{Kind: wire.Raft_APPEND, From: 2, To: 1, Term: 3, Index: 1, LogTerm: 1, Entries: []*wire.Entry{{Term: 2, Index: 2}}, Commit: 3})
+		if settle(c); c.Commit() != 2 {
+			t.Errorf("%d is committed", c.Commit())
+		}
+	})
+	t.Run("a snapshot from before the own one", func(t *testing.T) {
+		c := New(1, &wire.HardState{Term: 2}, &wire.RaftSnapshot{Term: 2, Index: 5, Peers: voters(3)}, nil, 1, 0)
+		c.Step(0, &wire.Raft{Kind: wire.Raft_SNAPSHOT, From: 2, To: 1, Term: 2, Snapshot: &wire.RaftSnapshot{Term: 1, Index: 3, Peers: voters(3)}})
+		if o := settle(c); o.Snapshot != nil || c.Commit() != 5 || c.last() != 5 {
+			t.Errorf("snapshot %v, committed %d of %d", o.Snapshot, c.Commit(), c.last())
+		}
+	})
+	t.Run("a log that lacks entries, of one that the leader has asked to lead", func(t *testing.T) {
+		c := New(1, &wire.HardState{Term: 2}, &wire.RaftSnapshot{Term: 1, Index: 1, Peers: voters(3)}, []*wire.Entry{{Term: 2, Index: 2}}, 1, 0)
+		c.Step(0, &wire.Raft{Kind: wire.Raft_VOTE, From: 2, To: 1, Term: 3, Index: 1, LogTerm: 1, Handed: true})
+		for _, m := range settle(c).Messages {
+			if m.Kind == wire.Raft_VOTED && !m.Reject {
+				t.Error("it has the vote")
+			}
+		}
+	})
+	t.Run("a member that lacks entries, as the heir", func(t *testing.T) {
+		c := leading(t)
+		c.Step(lateNow, &wire.Raft{Kind: wire.Raft_APPENDED, From: 2, To: 1, Term: 4, Index: 2})
+		settle(c)
+		c.HandOver(lateNow)
+		if to := handovers(settle(c)); len(to) != 0 {
+			t.Errorf("%v is asked to lead without the last entry", to)
+		}
+		c.Step(lateNow, &wire.Raft{Kind: wire.Raft_APPENDED, From: 2, To: 1, Term: 4, Index: 3})
+		if to := handovers(settle(c)); len(to) != 1 || to[0] != 2 {
+			t.Errorf("%v is asked to lead once 2 has all", to)
+		}
+	})
+}
