--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -70,6 +70,7 @@
 	AckP50Ms    float64                `json:"ack_p50_ms"`
 	AckMaxMs    float64                `json:"ack_max_ms"`
 	Acks        int                    `json:"acks"`
+	Entries     uint64                 `json:"entries"`       // of the core's log that were committed
 	ProbesS     float64                `json:"probes_s"`      // a node and second
 	ProbeBytesS float64                `json:"probe_bytes_s"` // the same
 	FeedBytesS  float64                `json:"feed_bytes_s"`
@@ -311,6 +312,11 @@
 	}
 	each := s.now.Seconds() * float64(len(s.nodes)+len(s.cores))
 	r.ProbesS, r.ProbeBytesS, r.FeedBytesS = float64(m.probes)/each, float64(m.probeBytes)/each, float64(m.feedBytes)/each
+	for _, c := range s.cores {
+		if c.up {
+			r.Entries = max(r.Entries, c.raft.Commit())
+		}
+	}
 	busiest := int64(0)
 	for _, v := range s.views {
 		busiest = max(busiest, v.m.bytes)
