Show what all nodes are doing: ivydeckctl top

Cause: who wants to see at once where requests are refused or fail had to read the figures of each node by itself. Change: a core machine asks all living nodes what they see, and the tool shows rates, services, the worst nodes and servers. Ways weighed: a core that collects figures all the time (a load for nobody), a page on every node (85 of them).

--- a/cmd/ivydeckctl/main.go
+++ b/cmd/ivydeckctl/main.go
@@ -38,6 +38,7 @@
 	Status  statusCmd  `cmd:"" help:"Print what core machines say of themselves, their members and the servers."`
 	Members membersCmd `cmd:"" help:"Print the members of the core, as its leader knows them."`
 	Servers serversCmd `cmd:"" help:"Print the registered servers, as the leader knows them."`
+	Top     topCmd     `cmd:"" help:"Show what the nodes are doing, again and again."`
 	Trace   traceCmd   `cmd:"" help:"Print the way of a request through the mesh, and of the calls that it made."`
 	Store   struct {
 		Inspect inspectCmd `cmd:"" help:"Print what the folder of a stopped core machine holds; nothing is changed."`
--- a/internal/control/trace.go
+++ b/internal/control/trace.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"ivydeck/internal/wire"
 )
 
@@ -40,36 +42,48 @@
 	TookMs  uint32 `json:"took_ms"`
 }
 
-// trace asks all nodes for a request. Any core machine can: nodes are known by the members.
-func (n *Node) trace(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), traceWithin)
+// askAll makes a call to each living node, some at a time, and takes the answers one after another. Any core machine can:
+// nodes are known by the members.
+func askAll[T any, P interface {
+	*T
+	proto.Message
+}](ctx context.Context, n *Node, method string, q proto.Message, take func(P)) (asked, silent int) {
+	ctx, cancel := context.WithTimeout(ctx, traceWithin)
 	defer cancel()
 	var mu sync.Mutex
-	var all Trace
 	places := make(chan struct{}, traceAtOnce)
 	var asking sync.WaitGroup
 	for _, m := range n.gossip.Members() {
 		if m.Core || m.State != wire.Member_ALIVE {
 			continue
 		}
-		all.Asked++
+		asked++
 		places <- struct{}{}
 		asking.Go(func() {
 			defer func() { <-places }()
-			answer := new(wire.Traces)
-			err := n.pool.Call(ctx, m.Address, "trace", &wire.Trace{Attempt: r.PathValue("attempt")}, answer)
+			answer := P(new(T))
+			err := n.pool.Call(ctx, m.Address, method, q, answer)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
-				all.Silent++
+				silent++
 				return
 			}
-			for _, t := range answer.Traces[:min(len(answer.Traces), mostTraces-len(all.Parts))] {
-				all.Parts = append(all.Parts, Part{t.Attempt, t.Node, t.Entry, t.Route, t.Service, t.Server, t.Status, t.Why, t.Tries, t.AgoMs, t.TookMs})
-			}
+			take(answer)
 		})
 	}
 	asking.Wait()
+	return asked, silent
+}
+
+// trace asks all nodes for a request.
+func (n *Node) trace(w http.ResponseWriter, r *http.Request) {
+	var all Trace
+	all.Asked, all.Silent = askAll(r.Context(), n, "trace", &wire.Trace{Attempt: r.PathValue("attempt")}, func(answer *wire.Traces) {
+		for _, t := range answer.Traces[:min(len(answer.Traces), mostTraces-len(all.Parts))] {
+			all.Parts = append(all.Parts, Part{t.Attempt, t.Node, t.Entry, t.Route, t.Service, t.Server, t.Status, t.Why, t.Tries, t.AgoMs, t.TookMs})
+		}
+	})
 	slices.SortStableFunc(all.Parts, func(a, b Part) int {
 		return cmp.Or(cmp.Compare(b.AgoMs, a.AgoMs), cmp.Compare(len(a.Attempt), len(b.Attempt)))
 	})
--- a/internal/control/web.go
+++ b/internal/control/web.go
@@ -27,6 +27,7 @@
 	mux.HandleFunc("GET /backup", n.operators(n.backup))
 	mux.HandleFunc("GET /status", n.status)
 	mux.HandleFunc("GET /trace/{attempt}", n.operators(n.trace))
+	mux.HandleFunc("GET /look", n.look)
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, r *http.Request) {
 		if leader, _ := n.ask(r.Context()); leader == nil {
 			reply(w, http.StatusServiceUnavailable, "no leader")
--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -136,6 +136,7 @@
 	server.Handle("forward", rpc.Unary(n.inbound.Forward))
 	server.Handle("subscribe", n.hub.Serve)
 	server.Handle("trace", rpc.Unary(n.trace), identity.Core)
+	server.Handle("look", rpc.Unary(n.look), identity.Core)
 	beats := n.web(http.HandlerFunc(n.beat))
 	ready := n.web(http.HandlerFunc(n.ready))
 	n.workers.Go(func() { server.Serve(life, listeners[0]) })
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -220,16 +220,26 @@
 	return backup.Decode(body)
 }
 
-// Trace asks for what the mesh has kept of a request and its calls.
-func (c *Core) Trace(ctx context.Context, attempt string) (t control.Trace, err error) {
-	status, body, err := c.call(ctx, http.MethodGet, "/trace/"+url.PathEscape(attempt), nil, nil)
+// Look asks a core machine for what all nodes see.
+func (c *Core) Look(ctx context.Context) (l control.Look, err error) {
+	return l, c.fetch(ctx, "/look", &l)
+}
+
+// fetch reads what a machine answers for a path in JSON.
+func (c *Core) fetch(ctx context.Context, path string, into any) error {
+	status, body, err := c.call(ctx, http.MethodGet, path, nil, nil)
 	if err != nil {
-		return t, err
+		return err
 	}
 	if status != http.StatusOK {
-		return t, fmt.Errorf("the core answers %d: %s", status, bytes.TrimSpace(body))
+		return fmt.Errorf("the core answers %d: %s", status, bytes.TrimSpace(body))
 	}
-	return t, json.Unmarshal(body, &t)
+	return json.Unmarshal(body, into)
+}
+
+// Trace asks for what the mesh has kept of a request and its calls.
+func (c *Core) Trace(ctx context.Context, attempt string) (t control.Trace, err error) {
+	return t, c.fetch(ctx, "/trace/"+url.PathEscape(attempt), &t)
 }
 
 // Status asks each machine for what it says of itself; what failed is in errs.
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -25,7 +26,9 @@
 const (
 	answerMargin = 15 * time.Millisecond // before its time is up a request gets its answer
 	mostBudgetMs = 3_600_000
-	configWait   = 300 * time.Millisecond // for the first configuration of a process
+
+	mostPriorities = 16                     // that are shown
+	configWait     = 300 * time.Millisecond // for the first configuration of a process
 )
 
 // World is what a node has been told.
@@ -43,6 +46,9 @@
 	Graph               func(attempt, service string) (inner, repeat bool) // see station.Station.Graph
 	CallFailed          func(attempt string)                               // see station.Station.CallFailed
 	Trace               func(trace.Record)                                 // nil: nobody asks; for each request that begins here
+	served              atomic.Uint64
+	refused             atomic.Uint64
+	failed              atomic.Uint64
 	began               time.Time
 	ready               chan struct{} // closed with the first configuration
 
@@ -60,6 +66,12 @@
 
 func (o *Outbound) now() time.Duration { return time.Since(o.began) }
 
+// Counts are the final answers since the start: of servers, refusals that say when to come back, and others of the
+// mesh's own.
+func (o *Outbound) Counts() (served, refused, failed uint64) {
+	return o.served.Load(), o.refused.Load(), o.failed.Load()
+}
+
 // Since tells how long after a moment the times of its records begin.
 func (o *Outbound) Since(t time.Time) time.Duration { return o.began.Sub(t) }
 
@@ -77,6 +89,17 @@
 	return o.table.Readings(o.now(), priorities)
 }
 
+// Priorities is how many there are in the configuration.
+func (o *Outbound) Priorities() int {
+	most := 0
+	if config := o.world().Config; config != nil {
+		for i := range config.Routes {
+			most = max(most, config.Routes[i].Priority+1)
+		}
+	}
+	return min(most, mostPriorities)
+}
+
 // Pressure is what calls that begin here meet at a service.
 func (o *Outbound) Pressure(service string) float64 {
 	o.mu.Lock()
@@ -140,6 +163,14 @@
 	var tries int
 	var service string
 	a := o.handle(ctx, c, &service, &tries)
+	switch {
+	case !a.Own:
+		o.served.Add(1)
+	case a.Back:
+		o.refused.Add(1)
+	default:
+		o.failed.Add(1)
+	}
 	if o.Metrics == nil && o.Trace == nil {
 		return a
 	}
@@ -415,14 +446,14 @@
 			return call, t
 		}
 	}
-	return nil, o.failed(ctx, c, t, err)
+	return nil, o.lost(ctx, c, t, err)
 }
 
 // end waits for what becomes of a call.
 func (o *Outbound) end(ctx context.Context, c *Call, call *rpc.Stream, t try) try {
 	out := new(wire.Outcome)
 	if err := call.Answer(out); err != nil {
-		return o.failed(ctx, c, t, err)
+		return o.lost(ctx, c, t, err)
 	}
 	t.out, t.result = out, entry.Result(out)
 	return t
@@ -432,8 +463,8 @@
 	return &wire.Outcome{Fate: wire.Outcome_LATE, Why: "no answer in time"}
 }
 
-// failed is a try that has brought no word of what has become of it.
-func (o *Outbound) failed(ctx context.Context, c *Call, t try, err error) try {
+// lost is a try that has brought no word of what has become of it.
+func (o *Outbound) lost(ctx context.Context, c *Call, t try, err error) try {
 	switch {
 	case errors.Is(err, rpc.ErrUnsent):
 		t.out, t.result = unsent(false, "%v", err), decide.Unconnected
