Read a server's address under the lock of the beats that write it

A test that looked at the nodes asked a core machine that had not heard of the node yet: it waits for that now. Seen to fail: the new test reports the race without the change.

--- a/internal/data/mesh_test.go
+++ b/internal/data/mesh_test.go
@@ -230,6 +230,11 @@
 		return resp.StatusCode == 200
 	})
 	m.until("a served request", func() bool { return get("/one/x") == 200 })
+	for n := range core.Addresses { // calls may be answered by any of them
+		one := *core
+		one.Addresses = core.Addresses[n : n+1]
+		m.until("a core machine that knows of the node", func() bool { all, err := one.Look(ctx); return err == nil && all.Asked > 0 })
+	}
 	if all, err := core.Look(ctx); err != nil || all.Asked != 1 || all.Silent != 0 || len(all.Nodes) != 1 || all.Nodes[0].Served == 0 ||
 		len(all.Nodes[0].Services) != 1 || len(all.Nodes[0].Servers) != 1 || all.Nodes[0].Servers[0].Server != "i-1" {
 		t.Errorf("the nodes see %+v, %v", all, err)
--- a/internal/proxy/appconn.go
+++ b/internal/proxy/appconn.go
@@ -39,8 +39,10 @@
 // connect returns the idle connection that was used last, or a new one.
 func (a *app) connect(ctx context.Context, until time.Time) (*appConn, error) {
 	now := time.Now()
+	var address string
 	for {
 		a.in.mu.Lock()
+		address = a.address
 		n := len(a.idle)
 		if n == 0 {
 			a.in.mu.Unlock()
@@ -55,7 +57,7 @@
 		c.nc.Close()
 	}
 	dialer := net.Dialer{Timeout: min(dialServer, time.Until(until)), KeepAlive: -1}
-	nc, err := dialer.DialContext(ctx, "tcp", a.address)
+	nc, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -456,6 +456,32 @@
 	}
 }
 
+// TestBeatsBesideRequests is for the race detector: a server speaks while requests make new connections to it.
+func TestBeatsBesideRequests(t *testing.T) {
+	b := newBed(t, nil)
+	server := b.in.Servers()[0]
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				server.Seq++
+				b.in.Beat(server, time.Now())
+			}
+		}
+	}()
+	for i := range 10 {
+		if status, _, _ := b.ask("GET", "/safe/torn", fmt.Sprint("beside", i), ""); status != 200 { // each closes a connection
+			t.Errorf("%d", status)
+		}
+	}
+	close(stop)
+	<-stopped
+}
+
 // TestAClientLeaves: what runs for a client that has left is called off, also where a second server was asked.
 func TestAClientLeaves(t *testing.T) {
 	gate := make(chan struct{})
