--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -12,7 +12,9 @@
 
 	"ivydeck/internal/health"
 	"ivydeck/internal/http1"
+	"ivydeck/internal/rpc"
 	"ivydeck/internal/station"
+	"ivydeck/internal/timers"
 	"ivydeck/internal/wire"
 )
 
@@ -42,6 +44,7 @@
 
 	mu      sync.Mutex
 	station *station.Station[*ticket]
+	spare   *ticket         // of a request that had no need to wait
 	apps    map[string]*app // by member, those in service
 }
 
@@ -243,11 +246,16 @@
 		Member: q.Member, Service: q.Service, Attempt: q.Attempt, Priority: q.Priority, Repeat: q.Repeat, Wait: q.Wait,
 		Call: health.Call{Zone: q.Zone, Usual: time.Duration(q.UsualMs) * time.Millisecond, Once: q.Once, Insist: q.Insist},
 	}
-	t := new(ticket)
 	in.mu.Lock()
+	t := in.spare
+	if in.spare = nil; t == nil {
+		t = new(ticket)
+	}
 	place, why, verdicts := in.station.Arrive(in.now(), ask, t)
 	if place == station.Queue { // the verdict can't come before mu is free again
 		t.verdict = make(chan bool, 1)
+	} else {
+		in.spare = t
 	}
 	tell(verdicts)
 	a := in.apps[q.Member]
@@ -300,8 +308,8 @@
 
 // await waits for a slot; it says why there is none.
 func (in *Inbound) await(ctx context.Context, ask station.Ask, t *ticket, until time.Time) (why string) {
-	timer := time.NewTimer(time.Until(until) - leastLeft)
-	defer timer.Stop()
+	timer := timers.Get(time.Until(until) - leastLeft)
+	defer timers.Put(timer)
 	select {
 	case ok := <-t.verdict:
 		if !ok {
@@ -337,27 +345,22 @@
 	if err != nil {
 		return unsent(false, "connecting: %v", err)
 	}
-	headers := make(http1.Headers, 0, len(q.Headers)+3)
-	for _, h := range q.Headers {
-		headers = append(headers, http1.Header{Name: h.Name, Value: h.Value})
-	}
-	headers = append(headers,
-		http1.Header{Name: "Time-Budget", Value: strconv.FormatInt(max(1, left.Milliseconds()), 10)},
-		http1.Header{Name: "Target-Instance", Value: q.Member},
-		http1.Header{Name: "Caller-Service", Value: q.Caller})
-	message := http1.AppendRequest(make([]byte, 0, 512+len(q.Body)), q.Method, q.Target, headers, q.Body)
+	buf := messages.Get().(*[]byte)
+	message := appendForward((*buf)[:0], q, left)
+	whole := len(message)
 	c.nc.SetDeadline(until)
-	stop := context.AfterFunc(ctx, func() { c.nc.SetDeadline(time.Unix(1, 0)) })
+	stop := atEnd(ctx, c.interrupt)
 	n, err := c.nc.Write(message)
+	recycle(buf, message)
 	if err != nil {
 		stop()
 		c.nc.Close()
-		if n < len(message) {
+		if n < whole {
 			// Its end never left, but what a server makes of a part is its own affair.
 			return &wire.Outcome{Fate: wire.Outcome_BROKEN, Why: "writing: " + err.Error()}
 		}
 	}
-	resp, body, err := c.read(q.Method, q.Attempt)
+	body, err := c.read(q.Method, q.Attempt)
 	clean := stop()
 	if err != nil {
 		c.nc.Close()
@@ -370,13 +373,41 @@
 		}
 		return out
 	}
-	if clean && !resp.Close && !c.surplus && c.r.Buffered() == 0 {
-		c.answered(resp)
-		a.keep(c)
+	out := judge(q, &c.resp, body, c.used)
+	if clean && !c.resp.Close && !c.surplus && c.r.Buffered() == 0 {
+		c.answered()
+		a.keep(c) // nothing of it is ours any more
 	} else {
 		c.nc.Close()
 	}
-	return judge(q, resp, body, c.used)
+	return out
+}
+
+// atEnd has f called at the end of a context, unless the stop that it returns comes before: then that reports true.
+// A call's own context is a stream, which needs no help for it.
+func atEnd(ctx context.Context, f func()) (stop func() bool) {
+	if s, ok := ctx.(*rpc.Stream); ok {
+		s.OnEnd(f)
+		return s.Clear
+	}
+	return context.AfterFunc(ctx, f)
+}
+
+// appendForward writes a request as its server gets it.
+func appendForward(dst []byte, q *wire.Forward, left time.Duration) []byte {
+	dst = http1.AppendRequestLine(dst, q.Method, q.Target)
+	if len(q.Headers) > 0 {
+		dst = append(dst, lines(q.Headers)...)
+	} else {
+		dst = append(dst, q.Fields...)
+	}
+	dst = http1.AppendField(dst, "Attempt-Id", q.Attempt)
+	dst = append(dst, "Time-Budget: "...)
+	dst = strconv.AppendInt(dst, max(1, left.Milliseconds()), 10)
+	dst = append(dst, "\r\n"...)
+	dst = http1.AppendField(dst, "Target-Instance", q.Member)
+	dst = http1.AppendField(dst, "Caller-Service", q.Caller)
+	return http1.AppendRequestBody(dst, q.Method, q.Body)
 }
 
 // judge tells what an answer means. used says that the connection has carried a request before, so that an answer
@@ -398,8 +429,9 @@
 		return &wire.Outcome{Fate: wire.Outcome_BROKEN, Why: "not the server's own body"}
 	}
 	out := &wire.Outcome{Fate: wire.Outcome_ANSWERED, Status: int32(resp.Status), Body: body}
-	for _, h := range http1.EndToEnd(resp.Headers) {
-		out.Headers = append(out.Headers, &wire.Header{Name: h.Name, Value: h.Value})
+	out.Fields = http1.AppendEndToEnd(make([]byte, 0, 256), resp.Headers, "Attempt-Id")
+	if len(q.Headers) > 0 {
+		out.Headers, out.Fields = spell(out.Fields, q.Attempt), nil
 	}
 	return out
 }
--- a/internal/rpc/stream.go
+++ b/internal/rpc/stream.go
@@ -6,41 +6,129 @@
 	"fmt"
 	"io"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"ivydeck/internal/timers"
 	"ivydeck/internal/wire"
 )
 
 // Stream is an exchange of messages on a connection. One goroutine may send
-// while another receives.
+// while another receives. It is the context of its handler as well: most streams
+// are over before anybody asks for more than that, and contexts of the library's
+// making cost a call a third of its allocations.
 type Stream struct {
 	c      *conn
 	id     uint32
-	ctx    context.Context
-	cancel context.CancelFunc
+	ctx    context.Context    // of the caller; the stream itself where it came from the peer
+	cancel context.CancelFunc // the caller's; nil: there is nothing to cancel
+
+	// The stream ends by then; zero: by its context alone. A peer that gives up sooner says so.
+	until time.Time
 
 	mu       sync.Mutex
-	wake     chan struct{} // has room for one: something changed
+	wake     chan struct{} // has room for one: something changed; made where someone waits for it
 	credit   int           // bytes that may still be sent
 	part     []byte        // of the message in the making
 	messages [][]byte
+	one      [1][]byte // room for messages: most streams have but one
 	fin      bool
 	err      error
 
-	creditWake chan struct{}
+	creditWake chan struct{} // as wake, for credit; made where someone waits for it
+
+	over  error         // why the stream has ended as a context
+	done  chan struct{} // closed then; made where someone asks for it
+	onEnd func()        // called then
 }
 
+// newStream returns a stream of a caller's context; nil: it came from the peer.
 func newStream(c *conn, id uint32, ctx context.Context, cancel context.CancelFunc) *Stream {
-	return &Stream{
-		c: c, id: id, ctx: ctx, cancel: cancel, credit: window,
-		wake: make(chan struct{}, 1), creditWake: make(chan struct{}, 1),
+	s := &Stream{c: c, id: id, ctx: ctx, cancel: cancel, credit: window}
+	if ctx == nil {
+		s.ctx = s
 	}
+	s.messages = s.one[:0]
+	return s
 }
 
 // Context ends with the stream.
 func (s *Stream) Context() context.Context { return s.ctx }
 
+// Deadline is when the peer's patience ends.
+func (s *Stream) Deadline() (time.Time, bool) { return s.until, !s.until.IsZero() }
+
+// Done is closed once the peer has called the stream off, the connection has
+// ended, or the handler has returned.
+func (s *Stream) Done() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.done == nil {
+		s.done = make(chan struct{})
+		if s.over != nil {
+			close(s.done)
+		}
+	}
+	return s.done
+}
+
+// Err tells why Done is closed.
+func (s *Stream) Err() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.over != nil && !errors.Is(s.over, context.DeadlineExceeded) {
+		return context.Canceled
+	}
+	return s.over
+}
+
+// Value knows of nothing.
+func (s *Stream) Value(any) any { return nil }
+
+// OnEnd has a function called when Done is closed, if it is before Clear; one at a
+// time, which must not wait.
+func (s *Stream) OnEnd(f func()) {
+	s.mu.Lock()
+	over := s.over != nil
+	if !over {
+		s.onEnd = f
+	}
+	s.mu.Unlock()
+	if over {
+		f()
+	}
+}
+
+// Clear takes OnEnd's function back. It reports false where that has been called.
+func (s *Stream) Clear() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	has := s.onEnd != nil
+	s.onEnd = nil
+	return has
+}
+
+// finish ends the stream as a context.
+func (s *Stream) finish(err error) {
+	s.mu.Lock()
+	if s.over != nil {
+		s.mu.Unlock()
+		return
+	}
+	s.over = err
+	if s.done != nil {
+		close(s.done)
+	}
+	f := s.onEnd
+	s.onEnd = nil
+	s.mu.Unlock()
+	if f != nil {
+		f()
+	}
+}
+
+// signal wakes whoever waits; a nil channel is one that nobody waits for.
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -51,8 +139,9 @@
 func (s *Stream) addCredit(n int) {
 	s.mu.Lock()
 	s.credit += n
+	waits := s.creditWake
 	s.mu.Unlock()
-	signal(s.creditWake)
+	signal(waits)
 }
 
 // end closes the stream with an error; nil is a peer that has no more to say.
@@ -64,11 +153,15 @@
 	s.fin = true
 	held.Add(-int64(len(s.part)))
 	s.part = nil
+	wake, creditWake := s.wake, s.creditWake
 	s.mu.Unlock()
-	signal(s.wake)
-	signal(s.creditWake)
+	signal(wake)
+	signal(creditWake)
 	if err != nil {
-		s.cancel()
+		s.finish(err)
+		if s.cancel != nil {
+			s.cancel()
+		}
 	}
 }
 
@@ -106,8 +199,11 @@
 	if f.Fin {
 		s.fin = true
 	}
+	wake := s.wake
 	s.mu.Unlock()
-	signal(s.wake)
+	if f.Last || f.Fin {
+		signal(wake)
+	}
 	if !f.Last && !f.Fin && len(f.Data) > 0 { // the rest may come; the whole waits for its reader
 		return s.c.write(&wire.Frame{Kind: wire.Frame_CREDIT, Stream: s.id, Credit: uint32(len(f.Data))})
 	}
@@ -133,7 +229,10 @@
 			}
 			return nil
 		}
-		err, fin := s.err, s.fin
+		if s.wake == nil {
+			s.wake = make(chan struct{}, 1)
+		}
+		err, fin, wake := s.err, s.fin, s.wake
 		s.mu.Unlock()
 		if err != nil {
 			return err
@@ -141,14 +240,30 @@
 		if fin {
 			return io.EOF
 		}
-		select {
-		case <-s.wake:
-		case <-s.ctx.Done():
-			return s.cause()
+		if err := s.wait(wake); err != nil {
+			return err
 		}
 	}
 }
 
+// wait waits for one of the stream's channels, or its end.
+func (s *Stream) wait(wake <-chan struct{}) error {
+	var over <-chan time.Time
+	if !s.until.IsZero() {
+		timer := timers.Get(time.Until(s.until))
+		defer timers.Put(timer)
+		over = timer.C
+	}
+	select {
+	case <-wake:
+	case <-over:
+		return context.DeadlineExceeded
+	case <-s.ctx.Done():
+		return s.cause()
+	}
+	return nil
+}
+
 // cause tells why the stream's context ended.
 func (s *Stream) cause() error {
 	s.mu.Lock()
@@ -159,11 +274,19 @@
 	return context.Cause(s.ctx)
 }
 
+// scratch has room for messages in the making.
+var scratch = sync.Pool{New: func() any { return new([]byte) }}
+
 // Send sends a message, waiting for credit where the peer is slow.
 func (s *Stream) Send(m proto.Message) error { return s.send(m, "", 0, false) }
 
 func (s *Stream) send(m proto.Message, method string, waitMs uint32, fin bool) error {
-	data, err := proto.Marshal(m)
+	buf := scratch.Get().(*[]byte)
+	data, err := proto.MarshalOptions{}.MarshalAppend((*buf)[:0], m)
+	if cap(data) <= mostChunk {
+		*buf = data
+		defer scratch.Put(buf)
+	}
 	if err != nil {
 		return fmt.Errorf("%w: encoding a message: %w", ErrUnsent, err)
 	}
@@ -176,11 +299,11 @@
 		if err := s.spend(len(chunk)); err != nil {
 			return fmt.Errorf("%w: %w", ErrUnsent, err)
 		}
-		f := &wire.Frame{Stream: s.id, Data: chunk, Last: len(data) == 0, Fin: fin && len(data) == 0}
+		p := part{stream: s.id, data: chunk, last: len(data) == 0, fin: fin && len(data) == 0}
 		if first {
-			f.Method, f.WaitMs = method, waitMs
+			p.method, p.waitMs = method, waitMs
 		}
-		if err := s.c.write(f); err != nil {
+		if err := s.c.writePart(p); err != nil {
 			return fmt.Errorf("%w: %w", ErrUnsent, err)
 		}
 	}
@@ -200,11 +323,13 @@
 			s.mu.Unlock()
 			return nil
 		}
+		if s.creditWake == nil {
+			s.creditWake = make(chan struct{}, 1)
+		}
+		wake := s.creditWake
 		s.mu.Unlock()
-		select {
-		case <-s.creditWake:
-		case <-s.ctx.Done():
-			return s.cause()
+		if err := s.wait(wake); err != nil {
+			return err
 		}
 	}
 }
