--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -11,6 +11,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -22,6 +23,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"ivydeck/internal/identity"
 	"ivydeck/internal/sock"
 	"ivydeck/internal/timers"
 	"ivydeck/internal/wire"
@@ -36,7 +38,7 @@
 	mostHeld    = 128 << 20
 	mostKept    = 8 << 10 // bytes of a buffer that stays with a connection: most are quiet for most of the time
 	pingEvery   = 600 * time.Millisecond
-	idlePing    = 3 * time.Second         // the same without a stream: whoever opens one looks before
+	idlePing    = 9 * time.Second         // the same without a stream: whoever opens one looks before
 	askedFor    = time.Second             // a ping is given so long at least
 	silentFor   = 1800 * time.Millisecond // a peer that says nothing for so long is given up
 	freshFor    = 250 * time.Millisecond  // a sign of life counts for so long
@@ -58,12 +60,14 @@
 // conn is one connection, of either side.
 type conn struct {
 	nc      net.Conn
-	server  *Server // set on the accepting side
+	peer    identity.Name // where identities are in use
+	server  *Server       // set on the accepting side
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	heard   atomic.Int64 // when something last came, unix ms of the local steady clock
 	asked   atomic.Int64 // when the first ping since then was sent, the same
 	waiting atomic.Int32 // goroutines in live
+	pinging atomic.Bool  // a ping is being sent
 	writeMu sync.Mutex
 	out     []byte     // reused; guarded by writeMu
 	data    wire.Frame // the same: of messages under way
@@ -83,9 +87,18 @@
 	c := &conn{nc: nc, server: server, streams: map[uint32]*Stream{}, next: 1, sign: make(chan struct{})}
 	c.ctx, c.cancel = context.WithCancelCause(parent)
 	c.heard.Store(steadyMs())
+	raw := nc
+	if secure, ok := nc.(*tls.Conn); ok {
+		raw, c.peer = secure.NetConn(), identity.Peer(secure.ConnectionState())
+		if server == nil {
+			// A side that connects does not learn from the handshake whether the other has taken its certificate: no
+			// sign of life has come before the first frame.
+			c.heard.Store(steadyMs() - freshFor.Milliseconds())
+		}
+	}
 	// Pings find a silent peer; the kernel's probes would only see less of it. It gives up bytes that nobody
 	// takes in at the same time, rather than after minutes.
-	if tc, ok := nc.(*net.TCPConn); ok {
+	if tc, ok := raw.(*net.TCPConn); ok {
 		tc.SetKeepAlive(false)
 		sock.UserTimeout(tc, silentFor)
 	}
@@ -216,10 +229,10 @@
 			s.until = time.Now().Add(time.Duration(f.WaitMs) * time.Millisecond)
 		}
 		c.streams[f.Stream] = s
-		handler := c.server.handlers[f.Method]
 		c.server.running.Add(1)
 		// It begins with its first frame taken in, which most often is all that it gets.
-		defer func(method string) { go c.server.serve(s, method, handler) }(f.Method)
+		method := f.Method
+		defer c.server.crew.Go(func() { c.server.serve(s, method) })
 	}
 	c.mu.Unlock()
 	if s == nil {
@@ -244,32 +257,81 @@
 	c.mu.Unlock()
 }
 
-// watch pings a quiet peer, and gives up one that stays silent.
-func (c *conn) watch() {
+// look pings a quiet peer, and gives up one that stays silent.
+func (c *conn) look(wall time.Time) {
+	busy := c.expire(wall)
+	now, heard, asked := steadyMs(), c.heard.Load(), c.asked.Load()
+	quiet, open := time.Duration(now-heard)*time.Millisecond, time.Duration(0)
+	if asked > heard {
+		open = time.Duration(now-asked) * time.Millisecond
+	}
+	ping, dead := pulse(busy, quiet, open)
+	if dead {
+		c.fail(fmt.Errorf("nothing from %s for %v", c.nc.RemoteAddr(), quiet))
+		return
+	}
+	if ping && c.pinging.CompareAndSwap(false, true) {
+		// The other side answers; a write that hangs ends by its own deadline, and holds up no other connection.
+		go func() {
+			defer c.pinging.Store(false)
+			c.ping()
+		}()
+	}
+}
+
+// watcher looks at connections from time to time: one goroutine for all of them, as there is one to each node of a mesh,
+// and most are quiet.
+type watcher struct {
+	mu      sync.Mutex
+	conns   map[*conn]bool
+	running bool
+}
+
+// add has a connection looked at until it ends.
+func (w *watcher) add(c *conn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.conns == nil {
+		w.conns = map[*conn]bool{}
+	}
+	w.conns[c] = true
+	if !w.running {
+		w.running = true
+		go w.run()
+	}
+}
+
+// run ends with the last connection.
+func (w *watcher) run() {
 	tick := time.NewTicker(pingEvery)
 	defer tick.Stop()
-	for {
-		select {
-		case <-c.ctx.Done():
+	var list []*conn
+	for range tick.C {
+		list = w.open(list[:0])
+		if len(list) == 0 {
 			return
-		case <-tick.C:
 		}
-		busy := c.expire(time.Now())
-		now, heard, asked := steadyMs(), c.heard.Load(), c.asked.Load()
-		quiet, open := time.Duration(now-heard)*time.Millisecond, time.Duration(0)
-		if asked > heard {
-			open = time.Duration(now-asked) * time.Millisecond
+		now := time.Now()
+		for _, c := range list {
+			c.look(now)
 		}
-		ping, dead := pulse(busy, quiet, open)
-		if dead {
-			c.fail(fmt.Errorf("nothing from %s for %v", c.nc.RemoteAddr(), quiet))
-			return
-		}
-		if ping {
-			// The other side answers; a write that hangs ends by its own deadline.
-			c.ping()
+		clear(list)
+	}
+}
+
+// open lists the connections that have not ended. Without any the watcher does not run.
+func (w *watcher) open(list []*conn) []*conn {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c := range w.conns {
+		if c.ctx.Err() != nil {
+			delete(w.conns, c)
+			continue
 		}
+		list = append(list, c)
 	}
+	w.running = len(list) > 0
+	return list
 }
 
 // expire ends the streams whose time is up, and tells whether there are others. A caller whose time is up says so:
