--- a/internal/data/trace.go
+++ b/internal/data/trace.go
@@ -8,13 +8,12 @@
 	"ivydeck/internal/wire"
 )
 
-// record returns what keeps and logs records whose times begin so much later than the node.
+// record returns what keeps and logs records whose times begin so much later than the node. How many are kept is set
+// for a life; the part that is logged may change with the settings.
 func (n *Node) record(since time.Duration) func(trace.Record) {
 	return func(r trace.Record) {
 		r.Began += since
-		if n.set.Load().Trace > 0 {
-			n.traces.Add(r)
-		}
+		n.traces.Add(r)
 		if trace.Drawn(r.Attempt, n.set.Load().LogPart) {
 			n.log.Info("request", "attempt", r.Attempt, "entry", r.Entry, "route", r.Route, "service", r.Service, "server", r.Server,
 				"status", r.Status, "why", r.Why, "tries", r.Tries, "took", r.Took)
--- a/internal/rpc/identity_test.go
+++ b/internal/rpc/identity_test.go
@@ -49,6 +49,8 @@
 	var reached atomic.Int32
 	echo := Unary(func(ctx context.Context, p *wire.Forward) (*wire.Outcome, error) {
 		reached.Add(1)
+		ctx, cancel := context.WithTimeout(ctx, time.Minute) // as handlers make of theirs
+		defer cancel()
 		caller, ok := Caller(ctx)
 		if !ok {
 			return nil, errors.New("the caller is not known")
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -63,9 +63,10 @@
 	s.handlers[name] = method{h, roles}
 }
 
-// Caller is who has opened a handler's stream; ok is false where no identities are in use.
+// Caller is who has opened a handler's stream, by its context or one made of that; ok is false where no identities are
+// in use.
 func Caller(ctx context.Context) (name identity.Name, ok bool) {
-	if s, is := ctx.(*Stream); is && s.c.peer.Role != "" {
+	if s, is := ctx.Value(callerKey{}).(*Stream); is && s.c.peer.Role != "" {
 		return s.c.peer, true
 	}
 	return identity.Name{}, false
@@ -353,8 +354,8 @@
 	return s.Answer(resp)
 }
 
-// Begin is the first half of Call. Answer is the other half, which has to follow;
-// it comes at once where Woken has told.
+// Begin is the first half of Call. Answer is the other half, and comes at once where
+// Woken has told. One of Answer and Close has to follow.
 func (p Peer) Begin(ctx context.Context, until time.Time, method string, req proto.Message) (*Stream, error) {
 	// The caller's context is the stream's: what ends the stream before it wakes Recv by itself.
 	return p.c.open(ctx, nil, until, method, req, true)
--- a/internal/rpc/stream.go
+++ b/internal/rpc/stream.go
@@ -83,8 +83,16 @@
 	return s.over
 }
 
-// Value knows of nothing.
-func (s *Stream) Value(any) any { return nil }
+// callerKey finds a handler's stream in contexts made of its own.
+type callerKey struct{}
+
+// Value knows of the stream alone; see Caller.
+func (s *Stream) Value(key any) any {
+	if key == (callerKey{}) {
+		return s
+	}
+	return nil
+}
 
 // OnEnd has a function called when Done is closed, if it is before Clear; one at a
 // time, which must not wait.
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -32,13 +32,16 @@
 	next int // place of the next one, where kept is full
 }
 
-// NewRing returns a ring for so many records; it takes no more memory than they do.
+// NewRing returns a ring for so many records, none among them; it takes no more memory than they do.
 func NewRing(most int) *Ring { return &Ring{kept: make([]Record, 0, most)} }
 
 // Add keeps a record, in the place of the oldest where there is no room.
 func (r *Ring) Add(rec Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if cap(r.kept) == 0 {
+		return
+	}
 	if len(r.kept) < cap(r.kept) {
 		r.kept = append(r.kept, rec)
 		return
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -20,6 +20,14 @@
 	}
 }
 
+func TestARingOfNoPlaces(t *testing.T) {
+	r := NewRing(0)
+	r.Add(Record{Attempt: "a"})
+	if got := r.Of("a"); len(got) != 0 {
+		t.Errorf("%+v", got)
+	}
+}
+
 func TestDrawn(t *testing.T) {
 	n := 0
 	for i := range 10000 {
