--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -20,8 +20,8 @@
 const (
 	mostTaken   = 1024     // configurations remembered, for resends
 	mostServers = 20000    // registered at a time
-	leastNews   = 256      // items kept for those who missed some, or as many as there are servers: ...
-	newsBytes   = 16 << 20 // ... a whole state is larger than those, and no more than this in bytes
+	leastNews   = 256      // items kept for those who missed some, or as many as there are servers ...
+	newsBytes   = 16 << 20 // ... and so much of them
 )
 
 // Verdicts on a configuration. Whatever else Apply returns is an invalid one.
--- a/internal/control/trace.go
+++ b/internal/control/trace.go
@@ -2,23 +2,14 @@
 
 import (
 	"cmp"
-	"context"
 	"encoding/json"
 	"net/http"
 	"slices"
-	"sync"
-	"time"
-
-	"google.golang.org/protobuf/proto"
 
 	"ivydeck/internal/wire"
 )
 
-const (
-	traceWithin = 2 * time.Second // for all nodes together
-	traceAtOnce = 32              // nodes that are asked at a time
-	mostTraces  = 10_000
-)
+const mostTraces = 10_000
 
 // Trace is what the mesh has kept of a request.
 type Trace struct {
@@ -42,40 +33,6 @@
 	TookMs  uint32 `json:"took_ms"`
 }
 
-// askAll makes a call to each living node, some at a time, and takes the answers one after another. Any core machine can:
-// nodes are known by the members.
-func askAll[T any, P interface {
-	*T
-	proto.Message
-}](ctx context.Context, n *Node, method string, q proto.Message, take func(P)) (asked, silent int) {
-	ctx, cancel := context.WithTimeout(ctx, traceWithin)
-	defer cancel()
-	var mu sync.Mutex
-	places := make(chan struct{}, traceAtOnce)
-	var asking sync.WaitGroup
-	for _, m := range n.gossip.Members() {
-		if m.Core || m.State != wire.Member_ALIVE {
-			continue
-		}
-		asked++
-		places <- struct{}{}
-		asking.Go(func() {
-			defer func() { <-places }()
-			answer := P(new(T))
-			err := n.pool.Call(ctx, m.Address, method, q, answer)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				silent++
-				return
-			}
-			take(answer)
-		})
-	}
-	asking.Wait()
-	return asked, silent
-}
-
 // trace asks all nodes for a request.
 func (n *Node) trace(w http.ResponseWriter, r *http.Request) {
 	var all Trace
--- a/internal/identity/identity_test.go
+++ b/internal/identity/identity_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -74,10 +75,9 @@
 	stranger := issue(t, other, Node, "n1", time.Hour/2)
 	stranger.Bundle = a.Bundle()
 	expired := issue(t, a, Node, "n1", time.Millisecond)
-	for end := open(t, expired).Until(); time.Now().Before(end); { // an X.509 time has whole seconds
-		time.Sleep(10 * time.Millisecond)
+	for end := open(t, expired).Until(); !time.Now().After(end); { // at once, as an X.509 time has whole seconds
+		runtime.Gosched()
 	}
-	time.Sleep(10 * time.Millisecond)
 	operator := open(t, issue(t, a, Operator, "ann", time.Hour/2))
 	old := node.Client()
 	old.MinVersion, old.MaxVersion = tls.VersionTLS12, tls.VersionTLS12
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -160,9 +160,8 @@
 
 // Handle gives one request its final answer.
 func (o *Outbound) Handle(ctx context.Context, c *Call) *Answer {
-	var tries int
-	var service string
-	a := o.handle(ctx, c, &service, &tries)
+	rec := trace.Record{Entry: true}
+	a := o.handle(ctx, c, &rec)
 	switch {
 	case !a.Own:
 		o.served.Add(1)
@@ -171,20 +170,10 @@
 	default:
 		o.failed.Add(1)
 	}
-	if o.Metrics == nil && o.Trace == nil {
-		return a
-	}
-	name := ""
-	if config := o.world().Config; config != nil {
-		if route := config.Find(c.Host, c.Path()); route != nil {
-			name = route.Name
-		}
-	}
-	took := time.Since(c.Arrived)
-	o.Metrics.Request(name, a.Status, a.Back, took)
+	rec.Status, rec.Took = a.Status, time.Since(c.Arrived)
+	o.Metrics.Request(rec.Route, a.Status, a.Back, rec.Took)
 	if o.Trace != nil {
-		rec := trace.Record{Attempt: c.Headers.Get("Attempt-Id"), Began: c.Arrived.Sub(o.began), Took: took, Entry: true,
-			Route: name, Service: service, Status: a.Status, Tries: tries}
+		rec.Attempt, rec.Began = c.Headers.Get("Attempt-Id"), c.Arrived.Sub(o.began)
 		if a.Own {
 			rec.Why = strings.TrimSpace(string(a.Body))
 		}
@@ -193,7 +182,8 @@
 	return a
 }
 
-func (o *Outbound) handle(ctx context.Context, c *Call, service *string, tries *int) *Answer {
+// handle is Handle, and notes in rec which route, service and servers had a part.
+func (o *Outbound) handle(ctx context.Context, c *Call, rec *trace.Record) *Answer {
 	if o.world().Config == nil { // in a process that has just started it may come at any moment
 		timer := time.NewTimer(configWait)
 		select {
@@ -211,6 +201,7 @@
 	if route == nil {
 		return text(404, "no route")
 	}
+	rec.Route = route.Name
 	if c.Headers.Count("Attempt-Id") != 1 || c.Headers.Get("Attempt-Id") == "" {
 		return text(400, "not exactly one Attempt-Id")
 	}
@@ -231,7 +222,7 @@
 	o.mu.Lock()
 	e.Service = o.table.Choose(route)
 	o.mu.Unlock()
-	*service = e.Service
+	rec.Service = e.Service
 	if o.Graph != nil {
 		e.Inner, e.Again = o.Graph(c.Headers.Get("Attempt-Id"), e.Service)
 	}
@@ -246,7 +237,7 @@
 		o.CallFailed(c.Headers.Get("Attempt-Id"))
 	}
 	o.mu.Lock()
-	*tries = r.Tries()
+	rec.Tries = r.Tries()
 	r.Leave(o.now())
 	o.mu.Unlock()
 	return a
@@ -434,7 +425,7 @@
 		q.Zone, q.Once, q.UsualMs, q.Insist, q.Wait = o.Zone, r.Once(), uint32(step.Usual.Milliseconds()), step.Insist, step.Queue
 		q.Fields = http1.AppendEndToEnd((*fields)[:0], c.Headers, "Attempt-Id", "Time-Budget", "Target-Instance", "Caller-Service")
 		line := q.Fields
-		if server.Speaks < station.Speaks {
+		if server.Speaks < station.SpeaksFields {
 			q.Headers, q.Fields = spell(q.Fields, q.Attempt), nil
 		}
 		var call *rpc.Stream
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -152,7 +152,7 @@
 	w := &World{Config: config, Servers: map[string]*wire.Server{}}
 	for _, id := range []string{"i-1", "i-2"} {
 		b.in.Beat(Beat{ID: id, Service: "s", Address: b.app(id, gate), Zone: "z", Slots: 8}, time.Now())
-		w.Servers[id] = &wire.Server{Member: id, Service: "s", Address: nodes.Addr().String(), Zone: "z", Speaks: station.Speaks}
+		w.Servers[id] = &wire.Server{Member: id, Service: "s", Address: nodes.Addr().String(), Zone: "z", Speaks: station.SpeaksFields}
 	}
 	b.out.Update(w)
 	return b
--- a/internal/station/register.go
+++ b/internal/station/register.go
@@ -14,8 +14,11 @@
 	Leaving             bool   // the node goes, so its servers take nothing new
 }
 
-// Speaks is what a node of this version understands: see wire.Server.
-const Speaks = 1
+// What a node understands, as the list of servers says it (wire.Server); each includes those before.
+const (
+	SpeaksFields = 1 // Forward.fields
+	speaks       = SpeaksFields
+)
 
 // Difference is what has to change in the core's list, so that it says of a
 // machine what stands there. A node that has just started keeps what is listed
@@ -31,7 +34,7 @@
 	for _, b := range servers {
 		want := &wire.Server{
 			Member: b.ID, Service: b.Service, Node: m.Node, Address: m.Address, Zone: m.Zone,
-			Slots: uint32(b.Slots), Draining: b.Draining, Leaving: m.Leaving, Speaks: Speaks,
+			Slots: uint32(b.Slots), Draining: b.Draining, Leaving: m.Leaving, Speaks: speaks,
 		}
 		if !proto.Equal(want, old[b.ID]) {
 			todo = append(todo, &wire.Command{What: &wire.Command_Server{Server: want}})
