Split the control program and the consensus by job, and name their parts by the field's terms

Cause: raft.go (650 lines) and control.go (735) mixed election, replication, log, reads, membership, transport and proposals, under names of the project's own. Change: one file a job; Core is Node, heir is transfer target, and so on.

--- /dev/null
+++ b/internal/control/loop.go
@@ -0,0 +1,189 @@
+package control
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"ivydeck/internal/raft"
+	"ivydeck/internal/store"
+	"ivydeck/internal/wire"
+)
+
+// do runs a function in the loop; false: the node ends, or too much waits.
+func (n *Node) do(f func()) bool {
+	select {
+	case n.events <- f:
+		return true
+	case <-n.ctx.Done():
+		return false
+	}
+}
+
+// loop owns the consensus: events in, disk, messages, state. Once stop is closed it returns as soon as this machine
+// does not lead.
+func (n *Node) loop(stop <-chan struct{}) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var leave <-chan time.Time // set while it hands the lead over
+	for {
+		select {
+		case <-stop:
+			if !n.consensus.HandOver(n.now()) {
+				return
+			}
+			stop, leave = nil, time.After(handoverWait)
+			n.log.Info("core.hands", "term", n.consensus.Term())
+		case <-leave:
+			return
+		case f := <-n.events:
+			f()
+			for more := true; more; { // what has come meanwhile shares a sync
+				select {
+				case f := <-n.events:
+					f()
+				default:
+					more = false
+				}
+			}
+		case <-timer.C:
+		}
+		n.consensus.Tick(n.now())
+		if now := n.now(); now-n.managed >= manageEvery || n.consensus.Leads() != n.wasLead {
+			n.managed = now
+			n.manage()
+		}
+		n.flush()
+		if leave != nil && !n.consensus.Leads() {
+			n.pause(lastWords)
+			return
+		}
+		n.touch.Store(int64(n.now() - n.consensus.Touch(n.now())))
+		timer.Reset(max(time.Millisecond, min(n.consensus.Next()-n.now(), manageEvery)))
+	}
+}
+
+// flush carries out what the consensus asks for.
+func (n *Node) flush() {
+	for {
+		out := n.consensus.Take()
+		if out.Empty() {
+			return
+		}
+		n.save(&out)
+		for _, m := range out.Messages {
+			n.send(m)
+		}
+		for _, e := range out.Committed {
+			n.apply(e)
+		}
+		for _, r := range out.Reads {
+			if c := n.reads[r.Token]; c != nil {
+				delete(n.reads, r.Token)
+				if r.OK {
+					c <- nil
+				} else {
+					c <- raft.ErrNotLeader
+				}
+			}
+		}
+		n.compact()
+	}
+}
+
+// save puts an output on disk. A disk that refuses holds the loop up: nothing is
+// answered from memory, and the others elect a leader whose disk works.
+func (n *Node) save(out *raft.Output) {
+	if out.Snapshot == nil && out.Hard == nil && len(out.Entries) == 0 {
+		return
+	}
+	b := store.Batch{Snapshot: out.Snapshot, Whole: out.Snapshot != nil, Hard: out.Hard, Entries: out.Entries}
+	began := time.Now()
+	for failed := false; ; failed = true {
+		err := n.store.Save(b)
+		if err == nil {
+			if failed {
+				n.log.Warn("disk.back", "after", time.Since(began))
+			}
+			break
+		}
+		n.log.Error("disk.failed", "err", err)
+		if !n.pause(diskPause) {
+			return
+		}
+		if err := n.store.Reopen(); err != nil {
+			n.log.Error("disk.reopen", "err", err)
+		}
+	}
+	n.shown.Synced(time.Since(began))
+	n.consensus.Synced(time.Since(began))
+	if took := time.Since(began); took > 300*time.Millisecond {
+		n.log.Warn("disk.slow", "took", took)
+	}
+	if s := out.Snapshot; s != nil {
+		if err := n.catalog.Restore(s.Data); err != nil {
+			// It passed on the leader, which runs the same code or a newer one.
+			n.log.Error("snapshot.unreadable", "err", err)
+			panic(err)
+		}
+		n.applied = s.Index
+		n.hub.Load(n.catalog.State())
+	}
+	if len(out.Entries) > 0 {
+		n.consensus.Stable(out.Entries[len(out.Entries)-1].Index)
+	}
+}
+
+func (n *Node) pause(d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-n.ctx.Done():
+		return false
+	}
+}
+
+// apply takes a committed entry into the state.
+func (n *Node) apply(e *wire.Entry) {
+	n.applied = e.Index
+	var verdict error
+	if e.Kind == wire.Entry_COMMAND {
+		cmd := new(wire.Command)
+		if err := proto.Unmarshal(e.Data, cmd); err != nil {
+			verdict = err // all replicas pass over it alike
+		} else {
+			var item *wire.Item
+			if item, verdict = n.catalog.Apply(cmd); item != nil {
+				n.hub.Add(item)
+				if _, ok := item.What.(*wire.Item_Config); ok {
+					n.log.Info("config.taken", "revision", n.catalog.Revision(), "number", item.Number)
+				}
+			}
+		}
+	}
+	if c := n.changes[e.Index]; c != nil {
+		delete(n.changes, e.Index)
+		if c.term != e.Term {
+			verdict = errLost
+		}
+		c.result <- verdict
+	}
+}
+
+func (n *Node) compact() {
+	if !n.consensus.SnapshotDue() {
+		return
+	}
+	data, err := n.catalog.Snapshot()
+	if err != nil {
+		n.log.Error("snapshot.failed", "err", err)
+		return
+	}
+	// The snapshot has the state of now, so it stands at the applied index; only
+	// members that are further behind than the log need it.
+	if snap := n.consensus.Compact(n.applied, data); snap != nil {
+		if err := n.store.Save(store.Batch{Snapshot: snap}); err != nil {
+			n.log.Error("disk.failed", "err", err)
+			n.store.Reopen()
+		}
+	}
+}
--- a/internal/control/web.go
+++ b/internal/control/web.go
@@ -87,9 +87,9 @@
 func (n *Node) state(ctx context.Context) (s Status, ok bool) {
 	c := make(chan Status, 1)
 	n.do(func() {
-		s := Status{Node: n.set.Load().Node, Leads: n.core.Leads(), Leader: n.leader().GetAddress(), Term: n.core.Term(),
-			Commit: n.core.Commit(), Revision: n.catalog.Revision()}
-		for _, p := range n.core.Peers() {
+		s := Status{Node: n.set.Load().Node, Leads: n.consensus.Leads(), Leader: n.leader().GetAddress(), Term: n.consensus.Term(),
+			Commit: n.consensus.Commit(), Revision: n.catalog.Revision()}
+		for _, p := range n.consensus.Peers() {
 			s.Members = append(s.Members, Member{fmt.Sprintf("%016x", p.Id), p.Address, p.Voter})
 		}
 		for _, v := range n.catalog.State().Servers {
@@ -216,7 +216,7 @@
 	var data []byte
 	var failed error
 	look := func() {
-		b := backup.Backup{Term: n.core.Term(), Index: n.applied, State: n.catalog}
+		b := backup.Backup{Term: n.consensus.Term(), Index: n.applied, State: n.catalog}
 		data, failed = b.Encode()
 	}
 	if err := n.read(r.Context(), look); err != nil {
--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -84,7 +84,7 @@
 	hard    *wire.HardState
 	snap    *wire.RaftSnapshot
 	entries []*wire.Entry
-	core    *raft.Core // nil: down
+	core    *raft.Node // nil: down
 	clock   time.Duration
 	applied uint64
 	asked   []uint64          // what each read has to see, by token
@@ -397,7 +397,7 @@
 
 // changes are the sets of members that a leader may propose: one voter less, one more, or a machine that has lost its
 // disk taken in.
-func (s *state) changes(c *raft.Core) []change {
+func (s *state) changes(c *raft.Node) []change {
 	var list []change
 	peers := c.Peers()
 	for i, p := range peers {
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -60,8 +60,8 @@
 }
 
 // Path returns the target without its query.
-func (r *Request) Path() string {
-	path, _, _ := strings.Cut(r.Target, "?")
+func (req *Request) Path() string {
+	path, _, _ := strings.Cut(req.Target, "?")
 	return path
 }
 
--- a/internal/lab/core.go
+++ b/internal/lab/core.go
@@ -27,7 +27,7 @@
 	disk  simdisk.Disk
 	stall time.Duration // until then the disk takes nothing
 
-	raft     *raft.Core
+	raft     *raft.Node
 	catalog  *catalog.Catalog
 	applied  uint64
 	changes  map[uint64]*change
--- a/internal/raft/handover_test.go
+++ b/internal/raft/handover_test.go
@@ -6,7 +6,7 @@
 )
 
 // TestHandOver: a leader that ends, or whose disk is far slower than the others', is followed by another within some
-// messages' time; what is proposed meanwhile is turned away unrun, and an heir that says nothing is not waited for.
+// messages' time; what is proposed meanwhile is turned away unrun, and a transfer target that says nothing is not waited for.
 func TestHandOver(t *testing.T) {
 	for _, c := range []struct {
 		name  string
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -90,7 +90,7 @@
 	for _, c := range []struct {
 		entries, bytes int
 		heavy          bool
-	}{{dueEntries - 1, 10, false}, {dueEntries, 10, true}, {3, 8 << 20, true}, {1, 8 << 20, false}} {
+	}{{snapshotEntries - 1, 10, false}, {snapshotEntries, 10, true}, {3, 8 << 20, true}, {1, 8 << 20, false}} {
 		var list []*wire.Entry
 		for i := range c.entries {
 			list = append(list, &wire.Entry{Term: 1, Index: uint64(i + 2), Data: make([]byte, c.bytes)})
@@ -103,7 +103,7 @@
 }
 
 // settle writes what a core asks for, and returns all that it put out.
-func settle(c *Core) (all Output) {
+func settle(c *Node) (all Output) {
 	for o := c.Take(); !o.Empty(); o = c.Take() {
 		if n := len(o.Entries); n > 0 {
 			c.Stable(o.Entries[n-1].Index)
@@ -128,7 +128,7 @@
 const lateNow = 2 * time.Second
 
 // leading returns the first of three members as the leader of term 4, with its own entry at 2 and another at 3.
-func leading(t *testing.T) *Core {
+func leading(t *testing.T) *Node {
 	t.Helper()
 	c := New(1, &wire.HardState{Term: 3}, &wire.RaftSnapshot{Term: 1, Index: 1, Peers: voters(3)}, nil, 1, 0)
 	c.Tick(lateNow)
@@ -224,7 +224,7 @@
 			}
 		}
 	})
-	t.Run("a member that lacks entries, as the heir", func(t *testing.T) {
+	t.Run("a member that lacks entries, as the transfer target", func(t *testing.T) {
 		c := leading(t)
 		c.Step(lateNow, &wire.Raft{Kind: wire.Raft_APPENDED, From: 2, To: 1, Term: 4, Index: 2})
 		settle(c)
--- /dev/null
+++ b/internal/raft/replication.go
@@ -0,0 +1,134 @@
+package raft
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"ivydeck/internal/wire"
+)
+
+// progress is what a leader knows of another member.
+type progress struct {
+	match, next uint64
+	round       uint64 // newest round that it has answered
+	lastContact time.Duration
+	snapshot    time.Duration // when a snapshot was last sent
+	syncTime    time.Duration // that a synced write takes there; 0: not known
+}
+
+// Lag returns how many entries a member lacks, as far as it has said what it
+// has, and since when it has been silent; ok only on the leader.
+func (c *Node) Lag(id uint64) (lag uint64, silent time.Duration, ok bool) {
+	p := c.progress[id]
+	if c.role != leader || p == nil {
+		return 0, 0, false
+	}
+	if lag = c.last() - min(p.match, c.last()); p.match == 0 {
+		lag = math.MaxUint64
+	}
+	return lag, c.now - p.lastContact, true
+}
+
+// trackPeers keeps a progress for each other member.
+func (c *Node) trackPeers() {
+	for _, p := range c.Peers() {
+		if p.Id != c.id && c.progress[p.Id] == nil {
+			c.progress[p.Id] = &progress{next: c.last(), lastContact: c.now}
+		}
+	}
+	for id := range c.progress {
+		if !slices.ContainsFunc(c.Peers(), func(p *wire.Peer) bool { return p.Id == id }) {
+			delete(c.progress, id)
+		}
+	}
+}
+
+// broadcastHeartbeat begins a round of contact with all others.
+func (c *Node) broadcastHeartbeat() {
+	c.round++
+	c.roundStartedAt[c.round] = c.now
+	delete(c.roundStartedAt, c.round-64)
+	c.heartbeatAt = c.now + Heartbeat
+	for _, p := range c.Peers() { // in the log's order, so that runs repeat
+		if p.Id != c.id {
+			c.replicate(p.Id, true)
+		}
+	}
+	c.confirmContact() // alone, it is its own majority
+}
+
+// replicate sends a member what it lacks, or with beat a sign of life at least.
+func (c *Node) replicate(id uint64, beat bool) {
+	p := c.progress[id]
+	if p == nil {
+		return
+	}
+	prev, ok := c.term(p.next - 1)
+	if !ok {
+		if c.now-p.snapshot >= time.Second {
+			p.snapshot = c.now
+			c.send(&wire.Raft{Kind: wire.Raft_SNAPSHOT, To: id, Snapshot: c.snap, Round: c.round, Commit: c.commit})
+		} else if beat { // nothing that could be matched, only the proof of contact
+			c.send(&wire.Raft{Kind: wire.Raft_APPEND, To: id, Index: c.snap.Index, LogTerm: c.snap.Term, Round: c.round, Commit: c.commit})
+		}
+		return
+	}
+	m := &wire.Raft{Kind: wire.Raft_APPEND, To: id, Index: p.next - 1, LogTerm: prev, Commit: c.commit, Round: c.round}
+	bytes := 0
+	for i := p.next; i <= c.last() && len(m.Entries) < c.batch && bytes < maxBytes; i++ {
+		e := c.entries[i-c.first()]
+		m.Entries = append(m.Entries, e)
+		bytes += len(e.Data)
+	}
+	if len(m.Entries) == 0 && !beat {
+		return
+	}
+	p.next += uint64(len(m.Entries)) // what gets lost shows in the next round
+	c.send(m)
+}
+
+func (c *Node) replicateAll() {
+	for _, p := range c.Peers() {
+		if p.Id != c.id {
+			c.replicate(p.Id, false)
+		}
+	}
+}
+
+// Propose adds a command to the log. It is committed once an entry with this
+// index and term is; another leader may replace it before.
+func (c *Node) Propose(now time.Duration, data []byte) (index, term uint64, err error) {
+	c.now = now
+	if c.role != leader {
+		return 0, 0, ErrNotLeader
+	}
+	if c.transferTarget != 0 { // what is taken now would keep the transfer target from having all
+		return 0, 0, ErrBusy
+	}
+	if c.last()-c.commit > 4*maxEntries {
+		return 0, 0, ErrBusy
+	}
+	e := &wire.Entry{Term: c.hard.Term, Index: c.last() + 1, Kind: wire.Entry_COMMAND, Data: data}
+	c.append(e)
+	c.replicateAll()
+	return e.Index, e.Term, nil
+}
+
+// confirmContact confirms what the rounds answered by a majority prove.
+func (c *Node) confirmContact() {
+	round := c.quorum(c.round, func(p *progress) uint64 { return p.round })
+	if at, ok := c.roundStartedAt[round]; ok {
+		c.quorumContactAt = max(c.quorumContactAt, at)
+	}
+	n := 0
+	for _, r := range c.reads {
+		if r.round <= round {
+			c.out.Reads = append(c.out.Reads, Read{Token: r.token, Index: r.index, OK: true})
+		} else {
+			c.reads[n] = r
+			n++
+		}
+	}
+	c.reads = c.reads[:n]
+}
--- a/internal/raft/roster.go
+++ b/internal/raft/roster.go
@@ -11,7 +11,7 @@
 	learnerLag = 32              // entries, with which a learner becomes a voter
 	deadFor    = 6 * time.Second // silence after which a voter may be taken out
 	learnerFor = 30 * time.Second
-	mostVoters = 7
+	maxVoters  = 7
 )
 
 // Move is a change of the members that a leader should propose.
@@ -35,7 +35,7 @@
 // voters, and voters that are gone are taken out once enough others are there:
 // first in, then out, one at a time. fewest is the number of voters that the
 // losses to be borne ask for.
-func (c *Core) Reconcile(fewest int) Move {
+func (c *Node) Reconcile(fewest int) Move {
 	peers := c.Peers()
 	alive := 0
 	for _, p := range peers {
@@ -50,7 +50,7 @@
 		}
 		without := slices.Delete(slices.Clone(peers), i, i+1)
 		switch {
-		case !p.Voter && lag <= learnerLag && silent < time.Second && Voters(peers) < mostVoters:
+		case !p.Voter && lag <= learnerLag && silent < time.Second && Voters(peers) < maxVoters:
 			next := slices.Clone(peers)
 			next[i] = &wire.Peer{Id: p.Id, Address: p.Address, Control: p.Control, Voter: true}
 			return Move{next, p, "core.voter"}
@@ -72,7 +72,7 @@
 
 // Joining is the change that takes a machine in, as a learner: it has no vote
 // before it has the log. member tells that it is one already.
-func (c *Core) Joining(p *wire.Peer) (m Move, member bool) {
+func (c *Node) Joining(p *wire.Peer) (m Move, member bool) {
 	peers := slices.Clone(c.Peers())
 	i := slices.IndexFunc(peers, func(q *wire.Peer) bool { return q.Id == p.Id })
 	switch {
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -33,7 +33,7 @@
 type machine struct {
 	n       int
 	disk    simdisk.Disk
-	core    *Core
+	core    *Node
 	state   *catalog.Catalog // what the log keeps, as in service
 	applied uint64
 	skew    time.Duration // of its clock
@@ -61,7 +61,6 @@
 	term       uint64
 	call, ret  time.Duration
 	result     string // "ok", "stale", or what was read; empty: not known
-	value      string
 }
 
 type world struct {
@@ -459,7 +458,7 @@
 
 func play(seed uint64, length time.Duration) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 3)), cut: map[[2]int]bool{}, pending: map[int]*op{}, lastSeen: map[int]string{}, agreed: map[uint64]uint64{}}
-	w.batch = []int{mostEntries, 1, 2}[w.rng.IntN(3)]
+	w.batch = []int{maxEntries, 1, 2}[w.rng.IntN(3)]
 	w.churn = w.rng.IntN(3) == 0
 	if w.hasty = !w.churn && w.rng.IntN(2) == 0; w.hasty {
 		w.batch = 1
@@ -576,7 +575,7 @@
 
 // ready is a core of n voters with a log of one entry, in a world without troubles.
 func ready(n int, seed uint64) *world {
-	w := &world{batch: mostEntries, rng: rand.New(rand.NewPCG(seed, 9)), cut: map[[2]int]bool{}, pending: map[int]*op{}, lastSeen: map[int]string{}, agreed: map[uint64]uint64{}}
+	w := &world{batch: maxEntries, rng: rand.New(rand.NewPCG(seed, 9)), cut: map[[2]int]bool{}, pending: map[int]*op{}, lastSeen: map[int]string{}, agreed: map[uint64]uint64{}}
 	peers := &wire.Peers{}
 	for i := range n {
 		peers.Peers = append(peers.Peers, &wire.Peer{Id: uint64(i + 1), Address: fmt.Sprint(i), Voter: true})
--- a/internal/raft/state.go
+++ b/internal/raft/state.go
@@ -15,26 +15,26 @@
 
 // Clone returns a copy that goes its own way, for those who look at what could happen next. It is to be called once
 // Take has nothing more. What is drawn at random is not drawn alike by the two.
-func (c *Core) Clone() *Core {
-	d := &Core{
-		id: c.id, rng: rand.New(rand.NewPCG(c.id, c.hard.Term)), now: c.now, role: c.role, lead: c.lead,
+func (c *Node) Clone() *Node {
+	d := &Node{
+		id: c.id, rng: rand.New(rand.NewPCG(c.id, c.hard.Term)), now: c.now, role: c.role, leaderID: c.leaderID,
 		snap: c.snap, entries: slices.Clone(c.entries), stable: c.stable, unsaved: c.unsaved, commit: c.commit, applied: c.applied,
-		confs: slices.Clone(c.confs), born: c.born, batch: c.batch, deadline: c.deadline, heardAt: c.heardAt,
-		votes: maps.Clone(c.votes), others: make(map[uint64]*progress, len(c.others)), beatAt: c.beatAt, round: c.round,
-		roundAt: maps.Clone(c.roundAt), proofAt: c.proofAt, reads: slices.Clone(c.reads), sync: c.sync, heir: c.heir, heirFor: c.heirFor,
+		memberships: slices.Clone(c.memberships), startedAt: c.startedAt, batch: c.batch, deadline: c.deadline, leaderContactAt: c.leaderContactAt,
+		votes: maps.Clone(c.votes), progress: make(map[uint64]*progress, len(c.progress)), heartbeatAt: c.heartbeatAt, round: c.round,
+		roundStartedAt: maps.Clone(c.roundStartedAt), quorumContactAt: c.quorumContactAt, reads: slices.Clone(c.reads), syncTime: c.syncTime, transferTarget: c.transferTarget, transferDeadline: c.transferDeadline,
 	}
 	d.hard.Term, d.hard.Vote = c.hard.Term, c.hard.Vote
 	d.saved.Term, d.saved.Vote = c.saved.Term, c.saved.Vote
-	for id, p := range c.others {
+	for id, p := range c.progress {
 		copied := *p
-		d.others[id] = &copied
+		d.progress[id] = &copied
 	}
 	return d
 }
 
 // Batch sets how many entries go in one message, at most; 0: as many as usual. Small ones reach orders of events that
 // a busy core of large ones has, with a few entries.
-func (c *Core) Batch(n int) {
+func (c *Node) Batch(n int) {
 	if n > 0 {
 		c.batch = n
 	}
@@ -42,7 +42,7 @@
 
 // Campaign makes this member ask for votes at once, without the question ahead of it. That question spares a core
 // needless elections; what is safe must not hang on it.
-func (c *Core) Campaign(now time.Duration) {
+func (c *Node) Campaign(now time.Duration) {
 	c.now = now
 	if c.role != leader && c.promotable() {
 		c.campaign(false, false)
@@ -52,7 +52,7 @@
 // AppendState appends what decides of this member's future, and nothing else: two members with the same bytes answer
 // alike to all that may come. Times count only by the bounds that they are past of. rename gives identities their
 // places, so that members which differ by name alone can be told to be alike.
-func (c *Core) AppendState(b []byte, rename func(uint64) uint64) []byte {
+func (c *Node) AppendState(b []byte, rename func(uint64) uint64) []byte {
 	u := func(x uint64) { b = binary.AppendUvarint(b, x) }
 	flag := func(f bool) {
 		if f {
@@ -63,13 +63,13 @@
 	}
 	u(rename(c.id))
 	u(uint64(c.role))
-	u(rename(c.lead))
+	u(rename(c.leaderID))
 	u(c.hard.Term)
 	u(rename(c.hard.Vote))
 	u(c.stable)
 	u(c.commit)
 	u(c.applied)
-	flag(c.now-c.heardAt < electionMin)
+	flag(c.now-c.leaderContactAt < electionMin)
 	flag(c.now >= c.deadline)
 	u(c.snap.Index)
 	u(c.snap.Term)
@@ -84,21 +84,21 @@
 	if c.role != leader {
 		return b
 	}
-	flag(c.now-c.proofAt > electionMax)
+	flag(c.now-c.quorumContactAt > electionMax)
 	u(c.round)
 	for r := c.round; r > 0 && c.round-r < 4; r-- { // what an answer to one of them would prove
-		at, ok := c.roundAt[r]
+		at, ok := c.roundStartedAt[r]
 		flag(ok && c.now-at <= electionMax)
 	}
-	u(rename(c.heir))
-	ids := slices.SortedFunc(maps.Keys(c.others), func(x, y uint64) int { return cmp.Compare(rename(x), rename(y)) })
+	u(rename(c.transferTarget))
+	ids := slices.SortedFunc(maps.Keys(c.progress), func(x, y uint64) int { return cmp.Compare(rename(x), rename(y)) })
 	for _, id := range ids {
-		p := c.others[id]
+		p := c.progress[id]
 		u(rename(id))
 		u(p.match)
 		u(p.next)
 		u(p.round)
-		flag(c.now-p.heard > freshLag)
+		flag(c.now-p.lastContact > freshLag)
 		flag(c.now-p.snapshot >= time.Second)
 	}
 	u(uint64(len(c.reads)))
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -7,7 +7,7 @@
 )
 
 // Step takes a message from another member.
-func (c *Core) Step(now time.Duration, m *wire.Raft) {
+func (c *Node) Step(now time.Duration, m *wire.Raft) {
 	c.now = now
 	if m.To != c.id { // for the one that had this address before
 		return
@@ -19,7 +19,7 @@
 	if m.Kind == wire.Raft_VOTED && m.Pre && !m.Reject {
 		if c.role == preCandidate && m.Term == c.hard.Term+1 {
 			c.votes[m.From] = true
-			c.count()
+			c.countVotes()
 		}
 		return
 	}
@@ -28,7 +28,7 @@
 		if m.Kind == wire.Raft_APPEND || m.Kind == wire.Raft_SNAPSHOT {
 			lead = m.From
 		}
-		c.become(m.Term, lead)
+		c.becomeFollower(m.Term, lead)
 	}
 	if m.Term < c.hard.Term {
 		if m.Kind == wire.Raft_APPEND || m.Kind == wire.Raft_SNAPSHOT {
@@ -40,7 +40,7 @@
 	case wire.Raft_VOTED:
 		if c.role == candidate && !m.Reject {
 			c.votes[m.From] = true
-			c.count()
+			c.countVotes()
 		}
 	case wire.Raft_APPEND:
 		c.follow(m.From)
@@ -51,17 +51,17 @@
 	case wire.Raft_APPENDED:
 		c.appended(m)
 	case wire.Raft_HANDOVER:
-		if m.From == c.lead && c.promotable() {
+		if m.From == c.leaderID && c.promotable() {
 			c.campaign(false, true)
 		}
 	}
 }
 
 // vote answers one who wants to lead.
-func (c *Core) vote(m *wire.Raft) {
+func (c *Node) vote(m *wire.Raft) {
 	reply := &wire.Raft{Kind: wire.Raft_VOTED, To: m.From, Pre: m.Pre, Reject: true}
 	// One that hears its leader helps nobody to unseat it.
-	heard := !m.Handed && (c.role == leader || c.lead != 0 && c.now-c.heardAt < electionMin)
+	heard := !m.Handed && (c.role == leader || c.leaderID != 0 && c.now-c.leaderContactAt < electionMin)
 	current := m.LogTerm > c.lastTerm() || m.LogTerm == c.lastTerm() && m.Index >= c.last()
 	switch {
 	case m.Term < c.hard.Term || heard:
@@ -71,7 +71,7 @@
 		}
 	default:
 		if m.Term > c.hard.Term {
-			c.become(m.Term, 0)
+			c.becomeFollower(m.Term, 0)
 		}
 		if current && (c.hard.Vote == 0 || c.hard.Vote == m.From) {
 			c.hard.Vote = m.From // on disk before the answer is sent
@@ -83,17 +83,17 @@
 }
 
 // follow notes a sign of life of the term's leader.
-func (c *Core) follow(lead uint64) {
+func (c *Node) follow(lead uint64) {
 	if c.role != follower {
-		c.become(c.hard.Term, lead)
+		c.becomeFollower(c.hard.Term, lead)
 	}
-	c.lead, c.heardAt = lead, c.now
+	c.leaderID, c.leaderContactAt = lead, c.now
 	c.resetTimer() // after the lead is known: see there
 }
 
 // appendFrom takes entries of the leader where they join the own log.
-func (c *Core) appendFrom(m *wire.Raft) {
-	reply := &wire.Raft{Kind: wire.Raft_APPENDED, To: m.From, Round: m.Round, SyncUs: uint32(c.sync.Microseconds())}
+func (c *Node) appendFrom(m *wire.Raft) {
+	reply := &wire.Raft{Kind: wire.Raft_APPENDED, To: m.From, Round: m.Round, SyncUs: uint32(c.syncTime.Microseconds())}
 	defer func() { c.send(reply) }()
 	index, entries := m.Index, m.Entries
 	for len(entries) > 0 && index < c.snap.Index { // these are in the snapshot
@@ -131,7 +131,7 @@
 }
 
 // installFrom replaces the log by a snapshot that is ahead of it.
-func (c *Core) installFrom(m *wire.Raft) {
+func (c *Node) installFrom(m *wire.Raft) {
 	s := m.Snapshot
 	reply := &wire.Raft{Kind: wire.Raft_APPENDED, To: m.From, Round: m.Round, Index: c.commit}
 	if t, ok := c.term(s.GetIndex()); ok && t == s.GetTerm() {
@@ -142,8 +142,8 @@
 	} else if s.GetIndex() > c.commit {
 		c.snap, c.entries, c.unsaved = s, nil, 0
 		c.commit, c.applied, c.stable = s.Index, s.Index, s.Index
-		c.confs = []conf{{s.Index, s.GetPeers().GetPeers()}}
-		c.install = s
+		c.memberships = []membership{{s.Index, s.GetPeers().GetPeers()}}
+		c.pendingSnapshot = s
 		c.out.Committed = nil
 		reply.Index = s.Index
 	}
@@ -151,15 +151,15 @@
 }
 
 // appended takes a member's answer.
-func (c *Core) appended(m *wire.Raft) {
-	p := c.others[m.From]
+func (c *Node) appended(m *wire.Raft) {
+	p := c.progress[m.From]
 	if c.role != leader || p == nil {
 		return
 	}
-	p.heard, p.sync = c.now, time.Duration(m.SyncUs)*time.Microsecond
+	p.lastContact, p.syncTime = c.now, time.Duration(m.SyncUs)*time.Microsecond
 	if m.Round > p.round {
 		p.round = m.Round
-		c.contact()
+		c.confirmContact()
 	}
 	if m.Reject {
 		if m.Index < p.next-1 {
@@ -178,9 +178,9 @@
 }
 
 // Next is when the core wants a Tick.
-func (c *Core) Next() time.Duration {
+func (c *Node) Next() time.Duration {
 	if c.role == leader {
-		return c.beatAt
+		return c.heartbeatAt
 	}
 	return c.deadline
 }
