--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,4 +1,3 @@
-// The decisions of curlewring; its interface stands in decide/api.go.
 package decide
 
 import (
--- a/decide/mesh.go
+++ b/decide/mesh.go
@@ -1,4 +1,3 @@
-// The mesh's decisions: the verdict on a new call graph at its entry, and the server of a call.
 package decide
 
 import (
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -28,21 +28,18 @@
 	timers   []timer
 	nextID   uint64
 	sends    map[string][]time.Duration // to cold servers
-	log      strings.Builder
-	broken   bool // the rules are broken on purpose
+	broken   bool                       // the rules are broken on purpose
 }
 
 type listed struct {
 	Server
-	gone   bool
-	stopAt time.Duration // told that nothing new may be sent
+	gone bool
 }
 
 type owed struct {
 	Request
 	deadline time.Duration
 	sent     []try
-	ended    bool // the node was told of its end
 }
 
 type try struct {
@@ -225,12 +222,9 @@
 	case p < 210 && w.set.MustAsk:
 		w.members(Members{ListFailed, nil})
 	case p < 215:
-		for _, id := range slices.Sorted(maps.Keys(w.open)) {
-			if id%7 == 0 {
-				delete(w.open, id)
-				w.take(w.balancer.Gone(w.now, Gone{id}, w.buf[:0]))
-			}
-			break
+		if ids := slices.Sorted(maps.Keys(w.open)); len(ids) > 0 && ids[0]%7 == 0 {
+			delete(w.open, ids[0])
+			w.take(w.balancer.Gone(w.now, Gone{ids[0]}, w.buf[:0]))
 		}
 	case p < 217: // events for what is not held
 		w.take(w.balancer.Gone(w.now, Gone{1 << 40}, w.buf[:0]))
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -18,7 +18,6 @@
 	n      int
 	given  map[string]int // by zone
 	failed int
-	ends   []func()
 }
 
 func play(seed uint64) *world {
