Call the model checker and the mutation testing by their names

internal/explore is internal/modelcheck, internal/planted is internal/mutation, lab/planted.toml is lab/mutations.toml, and the command is meshlab mutate; meshlab planted stays as an alias. Names and places alone change.

--- a/cmd/meshlab/check.go
+++ b/cmd/meshlab/check.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"ivydeck/internal/explore"
-	"ivydeck/internal/planted"
+	"ivydeck/internal/modelcheck"
+	"ivydeck/internal/mutation"
 )
 
 type checkCmd struct {
@@ -31,11 +31,11 @@
 }
 
 func (c *checkCmd) Run() error {
-	list := explore.Named
+	list := modelcheck.Named
 	if c.Terms > 0 {
-		b := explore.Bounds{Machines: c.Machines, Terms: c.Terms, Link: c.Link, Proposals: c.Proposals, Reads: c.Reads, Beats: c.Beats,
+		b := modelcheck.Bounds{Machines: c.Machines, Terms: c.Terms, Link: c.Link, Proposals: c.Proposals, Reads: c.Reads, Beats: c.Beats,
 			Crashes: c.Crashes, Wipes: c.Wipes, Changes: c.Changes, Compacts: c.Compacts, Handovers: c.Handovers, Batch: c.Batch, Old: c.Old}
-		list = []explore.Set{{Name: "own", Bounds: b}}
+		list = []modelcheck.Set{{Name: "own", Bounds: b}}
 	}
 	for _, n := range list {
 		if len(c.Only) > 0 && !slices.Contains(c.Only, n.Name) {
@@ -44,7 +44,7 @@
 		if c.States > 0 {
 			n.Bounds.States = c.States
 		}
-		r := explore.Search(n.Bounds)
+		r := modelcheck.Search(n.Bounds)
 		all := "all of them"
 		if !r.Complete {
 			all = "not all"
@@ -58,19 +58,19 @@
 	return nil
 }
 
-type plantedCmd struct {
-	Bugs  string   `arg:"" type:"existingfile" help:"A list of bugs, such as lab/planted.toml."`
+type mutateCmd struct {
+	Bugs  string   `arg:"" type:"existingfile" help:"A list of bugs, such as lab/mutations.toml."`
 	Only  []string `placeholder:"NAME" help:"Of the bugs, those whose names hold this."`
 	Seeds int      `default:"600" help:"Worlds of the consensus's simulation; a twentieth of them of the lab's."`
 	Jobs  int      `default:"2" help:"Bugs at a time."`
 }
 
-func (c *plantedCmd) Run(ctx context.Context) error {
-	bugs, err := planted.Load(c.Bugs, ".")
+func (c *mutateCmd) Run(ctx context.Context) error {
+	bugs, err := mutation.Load(c.Bugs, ".")
 	if err != nil {
 		return err
 	}
-	rows, err := planted.Try(ctx, bugs, planted.Options{Root: ".", Only: c.Only, Seeds: c.Seeds, Jobs: c.Jobs, Progress: os.Stderr})
+	rows, err := mutation.Try(ctx, bugs, mutation.Options{Root: ".", Only: c.Only, Seeds: c.Seeds, Jobs: c.Jobs, Progress: os.Stderr})
 	if err != nil {
 		return err
 	}
--- a/cmd/meshlab/main.go
+++ b/cmd/meshlab/main.go
@@ -21,8 +21,8 @@
 	Sweep    sweepCmd         `cmd:"" help:"Play a world with some settings and many seeds."`
 	Compare  compareCmd       `cmd:"" help:"Compare two worlds, paired by seed."`
 	Report   reportCmd        `cmd:"" help:"Write a page about the results in a folder."`
-	Check    checkCmd         `cmd:"" help:"Look at all histories of the consensus within some bounds."`
-	Planted  plantedCmd       `cmd:"" help:"Put bugs into the sources on purpose, one at a time, and see which check finds them (needs the Go tools)."`
+	Check    checkCmd         `cmd:"" help:"Model-check the consensus: look at all histories within some bounds."`
+	Mutate   mutateCmd        `cmd:"" aliases:"planted" help:"Mutation testing: put bugs into the sources, one at a time, and see which check finds each (needs the Go tools)."`
 	Timeline timelineCmd      `cmd:"" help:"Say how the last start of many machines went, step by step, out of their logs."`
 	Demo     demoCmd          `cmd:"" help:"Start a small mesh of real processes on loopback, and send it traffic."`
 }
--- a/internal/explore/explore.go
+++ b/internal/modelcheck/modelcheck.go
@@ -1,11 +1,11 @@
-// Package explore plays the consensus in every way that some bounds allow: each message may arrive at any time or never,
+// Package modelcheck plays the consensus in every way that some bounds allow: each message may arrive at any time or never,
 // each machine may fall silent, lose its memory or its disk. It runs package raft's own code, breadth first, and keeps a
 // hash of each state that it has met, so that it ends; the first broken property comes with a shortest way there.
 //
 // A link keeps its messages in order, and holds the newest few: those in front are lost, as may be any. What can't have an
 // effect any more is taken off it. So what a simulation finds by luck is found for sure within the bounds, and what lies
 // beyond them, such as messages that overtake each other, is the simulation's.
-package explore
+package modelcheck
 
 import (
 	"bytes"
--- a/internal/explore/explore_test.go
+++ b/internal/modelcheck/modelcheck_test.go
@@ -1,4 +1,4 @@
-package explore
+package modelcheck
 
 import (
 	"strings"
--- a/internal/planted/planted.go
+++ b/internal/mutation/mutation.go
@@ -1,6 +1,6 @@
-// Package planted puts bugs into the project's sources on purpose, one at a time and in an overlay of the build alone, and
+// Package mutation is mutation testing: it puts bugs into the project's sources on purpose, one at a time and in an overlay of the build alone, and
 // sees which of the project's checks finds each: a check that finds nothing is worth nothing, and says so here.
-package planted
+package mutation
 
 import (
 	"bufio"
@@ -45,18 +45,18 @@
 	}
 	meta, err := toml.DecodeFile(path, &list)
 	if err != nil {
-		return nil, fmt.Errorf("planted: %w", err)
+		return nil, fmt.Errorf("mutation: %w", err)
 	}
 	var faults []error
 	for _, key := range meta.Undecoded() {
-		faults = append(faults, fmt.Errorf("planted: %s: %s is no key", path, key))
+		faults = append(faults, fmt.Errorf("mutation: %s: %s is no key", path, key))
 	}
 	for _, b := range list.Bug {
 		text, err := os.ReadFile(filepath.Join(root, b.File))
 		if err != nil {
-			faults = append(faults, fmt.Errorf("planted: %s: %w", b.Name, err))
+			faults = append(faults, fmt.Errorf("mutation: %s: %w", b.Name, err))
 		} else if n := strings.Count(string(text), b.Old); n != 1 || b.Old == b.New {
-			faults = append(faults, fmt.Errorf("planted: %s: its place is in %s %d times, not once", b.Name, b.File, n))
+			faults = append(faults, fmt.Errorf("mutation: %s: its place is in %s %d times, not once", b.Name, b.File, n))
 		}
 	}
 	return list.Bug, errors.Join(faults...)
@@ -121,9 +121,9 @@
 
 // try runs the checks that reach it on sources with the bug.
 func (r *Row) try(ctx context.Context, opt Options) error {
-	dir, err := os.MkdirTemp("", "planted")
+	dir, err := os.MkdirTemp("", "mutation")
 	if err != nil {
-		return fmt.Errorf("planted: %w", err)
+		return fmt.Errorf("mutation: %w", err)
 	}
 	defer os.RemoveAll(dir)
 	overlay, err := r.overlay(dir, opt.Root)
@@ -138,7 +138,7 @@
 	}
 	lab := filepath.Join(dir, "meshlab")
 	if out, ok := run("build", "-o", lab, "./cmd/meshlab"); !ok {
-		return fmt.Errorf("planted: %s does not build:\n%s", r.Name, out)
+		return fmt.Errorf("mutation: %s does not build:\n%s", r.Name, out)
 	}
 	own := func(args ...string) (string, bool) {
 		cmd := exec.CommandContext(ctx, lab, args...)
@@ -176,22 +176,22 @@
 func (r *Row) overlay(dir, root string) (string, error) {
 	real, err := filepath.Abs(filepath.Join(root, r.File))
 	if err != nil {
-		return "", fmt.Errorf("planted: %w", err)
+		return "", fmt.Errorf("mutation: %w", err)
 	}
 	text, err := os.ReadFile(real)
 	if err != nil {
-		return "", fmt.Errorf("planted: %w", err)
+		return "", fmt.Errorf("mutation: %w", err)
 	}
 	changed, list := filepath.Join(dir, "changed.go"), filepath.Join(dir, "overlay.json")
 	if err := os.WriteFile(changed, []byte(strings.Replace(string(text), r.Old, r.New, 1)), 0o644); err != nil {
-		return "", fmt.Errorf("planted: %w", err)
+		return "", fmt.Errorf("mutation: %w", err)
 	}
 	data, err := json.Marshal(map[string]any{"Replace": map[string]string{real: changed}})
 	if err != nil {
-		return "", fmt.Errorf("planted: %w", err)
+		return "", fmt.Errorf("mutation: %w", err)
 	}
 	if err := os.WriteFile(list, data, 0o644); err != nil {
-		return "", fmt.Errorf("planted: %w", err)
+		return "", fmt.Errorf("mutation: %w", err)
 	}
 	return list, nil
 }
--- a/internal/planted/planted_test.go
+++ b/internal/mutation/mutation_test.go
@@ -1,4 +1,4 @@
-package planted
+package mutation
 
 import (
 	"os"
@@ -9,7 +9,7 @@
 
 // TestBugsHaveTheirPlaces: each bug of the list can still be put in.
 func TestBugsHaveTheirPlaces(t *testing.T) {
-	bugs, err := Load("../../lab/planted.toml", "../..")
+	bugs, err := Load("../../lab/mutations.toml", "../..")
 	if err != nil {
 		t.Fatal(err)
 	}
