Count what processes exchange by method, and let a pool's dialer be replaced

Change: rpc counts bytes, frames, and by method messages in atomic counters; package metrics shows them. Methods that a peer makes up share one counter, so that the table stays small.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -59,7 +59,7 @@
 	}
 	s.registry.MustRegister(s.requests, s.latency, s.syncs, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	for _, g := range gauges {
+	for _, g := range append(gauges, traffic()...) {
 		s.registry.MustRegister(&collector{g, prometheus.NewDesc(g.Name, g.Help, g.Labels, nil)})
 	}
 	return s
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -39,7 +39,7 @@
 	}
 	for _, want := range []string{
 		`ivydeck_requests_total{promise="yes",route="order",status="503"} 1`, `ivydeck_request_seconds_count{route="order"} 2`,
-		"ivydeck_disk_sync_seconds_count 1", "ivydeck_term 7", `ivydeck_r{service="b"} 1.5`, "go_goroutines",
+		"ivydeck_disk_sync_seconds_count 1", "ivydeck_term 7", `ivydeck_rpc_bytes{direction="out"} 0`, `ivydeck_r{service="b"} 1.5`, "go_goroutines",
 	} {
 		if !strings.Contains(string(page), want) {
 			t.Errorf("no %s", want)
--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -145,6 +145,8 @@
 	if c.out = buf; cap(buf) > mostKept {
 		c.out = nil
 	}
+	framesOut.Add(1)
+	wireBytesOut.Add(uint64(len(buf)))
 	c.nc.SetWriteDeadline(time.Now().Add(writeWait))
 	if _, err := c.nc.Write(buf); err != nil {
 		err = fmt.Errorf("writing to %s: %w", c.nc.RemoteAddr(), err)
@@ -197,6 +199,8 @@
 		if err := proto.Unmarshal(buf, &f); err != nil {
 			return fmt.Errorf("a frame from %s: %w", c.nc.RemoteAddr(), err)
 		}
+		framesIn.Add(1)
+		wireBytesIn.Add(uint64(n) + 4)
 		c.heard.Store(steadyMs())
 		if c.waiting.Load() > 0 {
 			c.mu.Lock()
@@ -225,6 +229,7 @@
 			return c.write(&wire.Frame{Stream: f.Stream, Fin: true, Error: "too many streams"})
 		}
 		s = newStream(c, f.Stream, nil, nil)
+		s.meter = c.server.meterOf(f.Method)
 		if f.WaitMs > 0 {
 			s.until = time.Now().Add(time.Duration(f.WaitMs) * time.Millisecond)
 		}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -190,6 +190,8 @@
 // Pool makes calls, over one connection for each address.
 type Pool struct {
 	Identity *identity.Source // nil: connections are not secured
+	// Dial makes a connection for the pool; nil: a plain TCP connection. To be set before the first call.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	ctx context.Context
 	mu  sync.Mutex
@@ -262,13 +264,22 @@
 	return errors.As(err, &ne) && ne.Timeout()
 }
 
+// dialTCP makes one try of a connection.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialOnce, KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 func (p *Pool) dial(d *dialed, addr string) {
 	defer close(d.ready)
-	dialer := net.Dialer{Timeout: dialOnce, KeepAlive: -1}
+	connect := p.Dial
+	if connect == nil {
+		connect = dialTCP
+	}
 	began := time.Now()
-	nc, err := dialer.DialContext(p.ctx, "tcp", addr)
+	nc, err := connect(p.ctx, addr)
 	for timedOut(err) && time.Since(began) < dialWait && p.ctx.Err() == nil { // the machine may be there by now
-		nc, err = dialer.DialContext(p.ctx, "tcp", addr)
+		nc, err = connect(p.ctx, addr)
 	}
 	if err != nil {
 		d.err, d.failed = fmt.Errorf("dialing %s: %w", addr, err), time.Now()
@@ -409,7 +420,7 @@
 		return nil, fmt.Errorf("%w: %s takes no stream", ErrUnsent, c.nc.RemoteAddr())
 	}
 	s := newStream(c, c.next, ctx, cancel)
-	s.until = until
+	s.until, s.meter = until, meterOf(method)
 	c.next++
 	c.streams[s.id] = s
 	c.mu.Unlock()
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -47,6 +47,41 @@
 	return l.Addr().String(), NewPool(ctx), hold
 }
 
+// TestTraffic: both sides of a call are in this process, so that each message is counted twice.
+func TestTraffic(t *testing.T) {
+	addr, pool, _ := serve(t)
+	dials := 0
+	pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		dials++
+		return dialTCP(ctx, address)
+	}
+	before := ReadTraffic()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if err := pool.Call(ctx, addr, "echo", &wire.Forward{Body: make([]byte, 3*window)}, new(wire.Outcome)); err != nil {
+		t.Fatal(err)
+	}
+	if err := pool.Call(ctx, addr, "nothing", &wire.Ask{}, new(wire.Ask)); !IsPeer(err) {
+		t.Errorf("a method that nobody has: %v", err)
+	}
+	after := ReadTraffic()
+	echo, was := after.Methods["echo"], before.Methods["echo"]
+	if echo.MessagesOut-was.MessagesOut != 2 || echo.MessagesIn-was.MessagesIn != 2 {
+		t.Errorf("a call and its answer are %+v, after %+v", echo, was)
+	}
+	for name, bytes := range map[string]uint64{"out": echo.BytesOut - was.BytesOut, "in": echo.BytesIn - was.BytesIn} {
+		if bytes < 6*window || bytes > 6*window+1000 {
+			t.Errorf("%d bytes %s, of a message of %d each way", bytes, name, 3*window)
+		}
+	}
+	if whole := after.BytesIn - before.BytesIn; whole < 6*window || whole > 7*window || after.FramesIn == before.FramesIn {
+		t.Errorf("%d bytes on the connection", whole)
+	}
+	if after.Methods[unknownMethod].MessagesIn == before.Methods[unknownMethod].MessagesIn || dials != 1 {
+		t.Errorf("a method that nobody has is not counted as such; %d dials", dials)
+	}
+}
+
 func TestCalls(t *testing.T) {
 	addr, pool, hold := serve(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
--- a/internal/rpc/stream.go
+++ b/internal/rpc/stream.go
@@ -23,6 +23,7 @@
 	id     uint32
 	ctx    context.Context    // of the caller; the stream itself where it came from the peer
 	cancel context.CancelFunc // the caller's; nil: there is nothing to cancel
+	meter  *meter             // of the method
 
 	// The stream ends by then; zero: by its context alone. A peer that gives up sooner says so.
 	until time.Time
@@ -192,6 +193,9 @@
 			s.c.drop(s)
 			return s.c.write(&wire.Frame{Stream: s.id, Fin: true, Error: ErrTooLarge.Error()})
 		}
+		if f.Last {
+			s.meter.received(len(s.part) + len(f.Data))
+		}
 		if f.Last && s.part == nil {
 			s.messages = append(s.messages, f.Data)
 		} else {
@@ -301,6 +305,7 @@
 	if len(data) > mostMessage {
 		return fmt.Errorf("%w: %w", ErrUnsent, ErrTooLarge)
 	}
+	s.meter.sent(len(data))
 	for first := true; first || len(data) > 0; first = false {
 		chunk := data[:min(len(data), mostChunk)]
 		data = data[len(chunk):]
