--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -88,7 +88,7 @@
 	n.set.Store(set)
 	n.shares.Known = set.Bootstrap
 	n.gossip = gossip.New(&wire.Member{
-		Name: set.Node, Address: set.Internal(), Zone: set.Zone, Life: uint64(time.Now().UnixMilli()),
+		Name: set.Node, Address: set.Internal(), Zone: set.Zone, Generation: uint64(time.Now().UnixMilli()),
 	}, rng.Uint64(), n.pool, func() []string { return n.set.Load().SeedNodes() }, log)
 	n.place = relay.Place{Self: set.Node, Zone: set.Zone}
 	n.hub = relay.NewHub(func() time.Duration { return n.follower.Age() })
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -84,7 +84,7 @@
 	g.mu.Unlock()
 	told := 0
 	for _, m := range members {
-		if m.Name != self.Name && told < 4 && g.exchange(ctx, m.Address, &wire.Probe{From: self, News: []*wire.Member{self}}, membership.ProbeWait) {
+		if m.Name != self.Name && told < 4 && g.exchange(ctx, m.Address, &wire.Probe{From: self, Updates: []*wire.Member{self}}, membership.ProbeTimeout) {
 			told++
 		}
 	}
@@ -150,7 +150,7 @@
 	if err := g.pool.Call(ctx, addr, "probe", p, answer); err != nil {
 		return false
 	}
-	g.hear(answer.News)
+	g.hear(answer.Updates)
 	return answer.Reached
 }
 
@@ -158,11 +158,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	before := g.group.Version()
-	g.group.Hear(g.now(), news...)
+	g.group.Merge(g.now(), news...)
 	if g.group.Version() != before {
 		for _, n := range news {
 			if n.State != wire.Member_ALIVE {
-				g.log.Debug("member.news", "node", n.Name, "state", n.State.String())
+				g.log.Debug("member.update", "node", n.Name, "state", n.State.String())
 			}
 		}
 	}
@@ -176,15 +176,15 @@
 		}
 		g.hear([]*wire.Member{p.From})
 	}
-	g.hear(p.News)
+	g.hear(p.Updates)
 	reached := true
 	if p.Target != nil {
 		g.mu.Lock()
 		self := g.group.Self()
 		g.mu.Unlock()
-		reached = g.exchange(ctx, p.Target.Address, &wire.Probe{From: self}, membership.ProbeWait)
+		reached = g.exchange(ctx, p.Target.Address, &wire.Probe{From: self}, membership.ProbeTimeout)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return &wire.Probed{Reached: reached, News: g.group.Answer(p)}, nil
+	return &wire.Probed{Reached: reached, Updates: g.group.Answer(p)}, nil
 }
--- a/internal/lab/core.go
+++ b/internal/lab/core.go
@@ -320,13 +320,13 @@
 
 func (v *peerView) start(s *sim, m *machine) {
 	v.s, v.m, v.children = s, m, nil
-	self := &wire.Member{Name: m.name, Address: m.name, Zone: m.zone, Core: m.core, Life: m.life}
+	self := &wire.Member{Name: m.name, Address: m.name, Zone: m.zone, Core: m.core, Generation: m.life}
 	v.group = membership.New(self, s.rng.Uint64(), s.now)
 	if s.w.Steady && len(s.all) > 0 && s.now == 0 {
 		v.group.Load(s.now, s.all)
 	}
 	// Machines do not start in the same moment.
-	s.after(time.Duration(s.rng.Int64N(int64(membership.Period))), func() { v.probe(m.life) })
+	s.after(time.Duration(s.rng.Int64N(int64(membership.ProbeInterval))), func() { v.probe(m.life) })
 	s.after(time.Duration(s.rng.Int64N(int64(relay.Beat))), func() { v.beat(m.life) })
 }
 
@@ -360,14 +360,14 @@
 	v.s.m.probes++
 	v.s.m.probeBytes += int64(size + rpcBytes)
 	v.s.call(v.m, to.m, size, wait, func(answer func(int, func())) {
-		to.group.Hear(v.s.now, p.From)
-		to.group.Hear(v.s.now, p.News...)
+		to.group.Merge(v.s.now, p.From)
+		to.group.Merge(v.s.now, p.Updates...)
 		reply := func(reached bool) {
 			news := to.group.Answer(p)
-			size := proto.Size(&wire.Probed{Reached: reached, News: news})
+			size := proto.Size(&wire.Probed{Reached: reached, Updates: news})
 			v.s.m.probeBytes += int64(size + rpcBytes)
 			answer(size, func() {
-				v.group.Hear(v.s.now, news...)
+				v.group.Merge(v.s.now, news...)
 				done(reached)
 			})
 		}
@@ -375,7 +375,7 @@
 			reply(true)
 			return
 		}
-		to.exchange(p.Target.Address, &wire.Probe{From: to.group.Self()}, membership.ProbeWait, reply)
+		to.exchange(p.Target.Address, &wire.Probe{From: to.group.Self()}, membership.ProbeTimeout, reply)
 	}, func(bool) { done(false) })
 }
 
--- /dev/null
+++ b/internal/membership/dissemination.go
@@ -0,0 +1,144 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"ivydeck/internal/wire"
+)
+
+// Leave makes this node say that it goes. The answer is what to tell others.
+func (g *Group) Leave() {
+	g.updateSelf(func(m *wire.Member) { m.State = wire.Member_LEFT })
+}
+
+// become changes what this node says of itself.
+func (g *Group) updateSelf(f func(m *wire.Member)) {
+	g.self = proto.CloneOf(g.self)
+	f(g.self)
+	g.version++
+}
+
+// set gives a member a state, which is to be passed on.
+func (g *Group) setState(m *member, state wire.Member_State) {
+	if m.State != state {
+		g.digest ^= digest(m.Member)
+		changed := proto.CloneOf(m.Member)
+		changed.State = state
+		m.Member = changed
+		g.digest ^= digest(m.Member)
+	}
+	m.since, m.transmits = g.now, 0
+	if !m.broadcasting {
+		m.broadcasting = true
+		g.broadcasts = append(g.broadcasts, m)
+	}
+	if state != wire.Member_ALIVE && !m.unreachable {
+		m.unreachable = true
+		g.unreachable = append(g.unreachable, m)
+	}
+	g.version++
+}
+
+// Merge applies what another node says of some nodes. The updates are kept, and not to be changed afterwards.
+func (g *Group) Merge(now time.Duration, updates ...*wire.Member) {
+	g.now = now
+	for _, n := range updates {
+		if n == nil || n.Name == "" {
+			continue
+		}
+		if n.Name == g.self.Name {
+			g.refute(n)
+			continue
+		}
+		m := g.members[n.Name]
+		if m == nil {
+			if !reachable(n.State) || len(g.members) >= maxMembers {
+				continue
+			}
+			m = &member{Member: n}
+			g.members[n.Name] = m
+			g.all, g.unsorted = append(g.all, m), true
+			g.digest ^= digest(n)
+			g.setState(m, n.State)
+			// Somewhere in what is left of the round, not always at its end.
+			at := g.rng.IntN(len(g.order) + 1)
+			g.order = slices.Insert(g.order, at, m)
+			continue
+		}
+		if !overrides(n, m.Member) {
+			continue
+		}
+		if n.Generation > m.Generation {
+			m.probing = false
+		}
+		g.digest ^= digest(m.Member) ^ digest(n)
+		m.Member = n
+		g.setState(m, n.State)
+	}
+}
+
+// newer tells whether updates count against what is known.
+func overrides(n, old *wire.Member) bool {
+	if n.Generation != old.Generation {
+		return n.Generation > old.Generation
+	}
+	if old.State == wire.Member_LEFT {
+		return false
+	}
+	if n.Incarnation != old.Incarnation {
+		return n.Incarnation > old.Incarnation
+	}
+	return n.State > old.State
+}
+
+// refute answers a suspicion about this node itself.
+func (g *Group) refute(n *wire.Member) {
+	if n.Generation > g.self.Generation { // of an earlier process, whose clock was ahead
+		g.updateSelf(func(m *wire.Member) { m.Generation, m.Incarnation = n.Generation+1, 0 })
+		return
+	}
+	if n.Generation != g.self.Generation || n.State == wire.Member_ALIVE || g.self.State == wire.Member_LEFT {
+		return
+	}
+	if n.Incarnation >= g.self.Incarnation {
+		g.updateSelf(func(m *wire.Member) { m.Incarnation = n.Incarnation + 1 })
+	}
+}
+
+// updates are the pieces that were transmits least often, this node's own state first.
+func (g *Group) updates() []*wire.Member {
+	limit := uint8(3) // times that a piece is passed on, more among many
+	for n := len(g.members) + 1; n > 1; n /= 2 {
+		limit++
+	}
+	g.broadcasts = slices.DeleteFunc(g.broadcasts, func(m *member) bool {
+		m.broadcasting = m.transmits < limit && g.members[m.Name] == m
+		return !m.broadcasting
+	})
+	slices.SortFunc(g.broadcasts, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(a.transmits, b.transmits), strings.Compare(a.Name, b.Name))
+	})
+	out := []*wire.Member{g.self}
+	for _, m := range g.broadcasts[:min(maxPiggyback, len(g.broadcasts))] {
+		m.transmits++
+		out = append(out, m.Member)
+	}
+	return out
+}
+
+// Answer returns the updates that go back with a probe's answer: all that is known,
+// where that is asked for and the one who asks does not know as much.
+func (g *Group) Answer(p *wire.Probe) []*wire.Member {
+	if !p.Whole || p.Digest == g.Digest() {
+		return g.updates()
+	}
+	out := []*wire.Member{g.self}
+	for _, m := range g.sorted() {
+		out = append(out, m.Member)
+	}
+	return out
+}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -28,13 +28,13 @@
 		return false
 	}
 	g := f.groups[to]
-	g.Hear(f.now, p.From)
-	g.Hear(f.now, p.News...)
+	g.Merge(f.now, p.From)
+	g.Merge(f.now, p.Updates...)
 	reached := true
 	if p.Target != nil {
 		reached = f.exchange(to, p.Target.Name, &wire.Probe{From: g.Self()})
 	}
-	f.groups[from].Hear(f.now, g.Answer(p)...)
+	f.groups[from].Merge(f.now, g.Answer(p)...)
 	return reached
 }
 
@@ -65,7 +65,7 @@
 	f := &fleet{t: t, rng: rand.New(rand.NewPCG(1, 2)), groups: map[string]*Group{}}
 	for i := range n {
 		name := fmt.Sprint("n", i)
-		f.groups[name] = New(&wire.Member{Name: name, Address: name, Life: 1}, uint64(i), 0)
+		f.groups[name] = New(&wire.Member{Name: name, Address: name, Generation: 1}, uint64(i), 0)
 	}
 	for i := 1; i < n; i++ {
 		f.exchange(fmt.Sprint("n", i), "n0", &wire.Probe{From: f.groups[fmt.Sprint("n", i)].Self(), Whole: true})
@@ -100,14 +100,14 @@
 			t.Errorf("%s does not hold n7 for gone", name)
 		}
 	}
-	// A new life is known again, though all have heard of the death.
-	f.groups["n7"] = New(&wire.Member{Name: "n7", Address: "n7", Life: 2}, 77, f.now)
+	// A new process is known again, though all have heard of the death.
+	f.groups["n7"] = New(&wire.Member{Name: "n7", Address: "n7", Generation: 2}, 77, f.now)
 	f.exchange("n7", "n0", &wire.Probe{From: f.groups["n7"].Self(), Whole: true})
 	f.run(10 * time.Second)
 	f.want(20, "after its return")
 	g := f.groups["n3"]
 	g.Leave()
-	f.exchange("n3", "n4", &wire.Probe{From: g.Self(), News: []*wire.Member{g.Self()}})
+	f.exchange("n3", "n4", &wire.Probe{From: g.Self(), Updates: []*wire.Member{g.Self()}})
 	delete(f.groups, "n3")
 	f.run(8 * time.Second)
 	f.want(19, "after it left")
@@ -129,7 +129,34 @@
 	}
 	g := f.groups["n5"]
 	f.loss, f.cut = 0, nil
-	f.groups["n0"].Hear(f.now, &wire.Member{Name: "n5", Address: "n5", Life: 1, Incarnation: g.Self().Incarnation, State: wire.Member_SUSPECT})
+	f.groups["n0"].Merge(f.now, &wire.Member{Name: "n5", Address: "n5", Generation: 1, Incarnation: g.Self().Incarnation, State: wire.Member_SUSPECT})
 	f.run(10 * time.Second)
 	f.want(12, "after a slander")
 }
+
+// TestClockSetBack: a process that starts anew with a generation below that of its predecessor, as its clock was set back, is
+// known again: it raises its generation as soon as it sees the old one.
+func TestClockSetBack(t *testing.T) {
+	f := newFleet(t, 8)
+	f.groups["n7"] = New(&wire.Member{Name: "n7", Address: "n7", Generation: 1000}, 70, 0)
+	f.exchange("n7", "n0", &wire.Probe{From: f.groups["n7"].Self(), Whole: true})
+	f.run(10 * time.Second)
+	delete(f.groups, "n7")
+	f.run(10 * time.Second)
+	f.groups["n7"] = New(&wire.Member{Name: "n7", Address: "n7", Generation: 2}, 71, f.now)
+	f.run(10 * time.Second)
+	f.want(8, "after its return with an earlier clock")
+}
+
+// TestTargetSizeFits: a view holds all nodes of the largest mesh that is designed for.
+func TestTargetSizeFits(t *testing.T) {
+	const nodes = 28_000
+	g := New(&wire.Member{Name: "self", Address: "self", Generation: 1}, 1, 0)
+	for i := range nodes {
+		name := fmt.Sprint("n", i)
+		g.Merge(0, &wire.Member{Name: name, Address: name, Generation: 1})
+	}
+	if got := len(g.Members()); got != nodes+1 {
+		t.Errorf("%d members, want %d", got, nodes+1)
+	}
+}
