Forget a leader that was not heard for an election timeout, in all roles

Change: the election timer forgets the leader before it asks for votes. Measured: TestAMemberForgetsALeaderThatItDoesNotHear; without the line, member 4 (a learner) still names 2.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -86,6 +86,7 @@
 		return
 	}
 	c.resetTimer()
+	c.leaderID = 0 // not heard for an election timeout: nobody is to be sent there
 	if c.promotable() {
 		c.campaign(true, false)
 	}
--- /dev/null
+++ b/internal/raft/election_test.go
@@ -0,0 +1,28 @@
+package raft
+
+import (
+	"testing"
+
+	"ivydeck/internal/wire"
+)
+
+// TestAMemberForgetsALeaderThatItDoesNotHear: a learner, which never campaigns, as well as a voter.
+func TestAMemberForgetsALeaderThatItDoesNotHear(t *testing.T) {
+	peers := voters(3)
+	peers.Peers = append(peers.Peers, &wire.Peer{Id: 4})
+	for _, id := range []uint64{1, 4} {
+		member := New(id, &wire.HardState{Term: 1}, &wire.RaftSnapshot{Term: 1, Index: 1, Peers: peers}, nil, 1, lateNow)
+		member.Step(lateNow, &wire.Raft{Kind: wire.Raft_APPEND, From: 2, To: id, Term: 1, Index: 1, LogTerm: 1, Commit: 1})
+		if member.Leader() != 2 {
+			t.Fatalf("member %d: %d leads", id, member.Leader())
+		}
+		member.Tick(lateNow + electionMin - 1)
+		if member.Leader() != 2 {
+			t.Errorf("member %d has forgotten its leader too soon", id)
+		}
+		member.Tick(lateNow + electionMax)
+		if member.Leader() != 0 {
+			t.Errorf("member %d still names %d", id, member.Leader())
+		}
+	}
+}
