Count the age of the state by the holder's own clock, from quorum to last relay

Cause: a follower told its relays the time since it had heard the leader, not since the leader had heard a majority; a leader that is cut off goes on for 600 ms. A process that had just started said 600 ms without having heard anybody, a leader that had just been elected 0 ms without knowing what is committed. Change: answers to the leader carry a stamp of the sender's clock and process; the leader returns the newest one with the time by which the quorum's contact is older than its receipt; the follower counts from its own stamp, once all that the leader had committed is committed here. A leader's contact counts from the begin of its campaign, and once an entry of its term is committed. A feed says how far the contact lies from the receipt of the subscription, whose sending the child knows; it is renewed every two minutes for the clocks' drift, and where something was long on its way. The control loop ticks before each question. Ruled out: the age of the message alone with the round-trip halved (transit is not symmetric); a stamp on each beat of a feed (a reader per child at the parent).

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -65,8 +65,8 @@
 	ledSince  time.Duration
 	heard     map[uint64]string // addresses of those who sent messages
 
-	workers sync.WaitGroup
-	touch   atomic.Int64 // begin + ns when the core was last in touch
+	workers   sync.WaitGroup
+	contactAt atomic.Int64 // ns since the begin, when a quorum last confirmed the state here
 }
 
 // Run is the whole life of a core machine. It returns soon after the context ends: a leader gives the lead to another
@@ -93,8 +93,8 @@
 	}
 	n.pool.Identity = source
 	n.set.Store(set)
-	n.touch.Store(-int64(time.Hour))
-	n.hub = relay.NewHub(func() time.Duration { return n.now() - time.Duration(n.touch.Load()) })
+	n.contactAt.Store(-int64(raft.MaxContactAge))
+	n.hub = relay.NewHub(func() time.Duration { return n.now() - time.Duration(n.contactAt.Load()) })
 	if err := n.restore(rng.Uint64()); err != nil {
 		st.Close()
 		return err
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -36,6 +36,7 @@
 		case <-leave:
 			return
 		case f := <-n.events:
+			n.consensus.Tick(n.now()) // after a pause of the process the lead, or the word of it, may be out of date
 			f()
 			for more := true; more; { // what has come meanwhile shares a sync
 				select {
@@ -57,7 +58,8 @@
 			n.pause(lastWords)
 			return
 		}
-		n.touch.Store(int64(n.now() - n.consensus.Touch(n.now())))
+		now := n.now()
+		n.contactAt.Store(int64(now - n.consensus.QuorumContactAge(now)))
 		timer.Reset(max(time.Millisecond, min(n.consensus.Next()-n.now(), manageEvery)))
 	}
 }
--- a/internal/lab/core.go
+++ b/internal/lab/core.go
@@ -38,6 +38,8 @@
 	managed  time.Duration
 	leads    bool
 	ledSince time.Duration
+
+	contactAt time.Duration // when a quorum last confirmed what is applied
 }
 
 type change struct {
@@ -69,7 +71,8 @@
 	c.raft = raft.New(c.disk.ID, c.disk.Hard, c.disk.Snap, append([]*wire.Entry(nil), c.disk.Entries...), s.rng.Uint64(), s.now)
 	c.applied = c.disk.Snap.GetIndex()
 	c.changes, c.reads, c.inbox, c.busy, c.leads = map[uint64]*change{}, map[uint64]func(bool){}, nil, false, false
-	c.hub = relay.NewHub(func() time.Duration { return c.raft.Touch(s.now) })
+	c.contactAt = s.now - raft.MaxContactAge
+	c.hub = relay.NewHub(func() time.Duration { return s.now - c.contactAt })
 	c.hub.Load(c.catalog.State())
 	c.peerView.start(s, &c.machine)
 	c.loop(c.life)
@@ -135,6 +138,7 @@
 func (c *core) flush() {
 	o := c.raft.Take()
 	if o.Empty() {
+		c.contactAt = c.s.now - c.raft.QuorumContactAge(c.s.now)
 		return
 	}
 	if o.Snapshot == nil && o.Hard == nil && len(o.Entries) == 0 {
@@ -316,6 +320,9 @@
 	have uint64
 	last time.Duration // when the newest message to it arrives
 	gone bool
+
+	subscription relay.Subscription // of the node
+	subscribedAt time.Duration      // when the parent had it
 }
 
 func (v *peerView) start(s *sim, m *machine) {
@@ -413,8 +420,7 @@
 }
 
 func (v *peerView) feedOne(c *child) {
-	f, _ := v.hub.Since(c.have)
-	f.AgeMs = uint32(min(v.hub.Age(), time.Hour).Milliseconds())
+	f, _ := v.hub.Feed(c.have, v.s.now, c.subscribedAt)
 	c.have = max(c.have, f.Head)
 	size := proto.Size(f)
 	v.s.m.feedBytes += int64(size + rpcBytes)
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -142,7 +142,7 @@
 		n.s.after(wait, func() { n.follow(life) })
 		return
 	}
-	c := &child{node: n, life: life, have: n.hub.Number()}
+	c := &child{node: n, life: life, have: n.hub.Number(), subscription: relay.Subscription{AskedAt: n.s.now}}
 	n.parent, n.heardAt = c, n.s.now
 	to := n.s.views[addr]
 	n.s.call(&n.machine, to.m, rpcBytes, relay.Silence, func(answer func(int, func())) {
@@ -150,6 +150,7 @@
 			answer(rpcBytes, func() { n.abandon(c, relay.ErrFull.Error()) })
 			return
 		}
+		c.subscribedAt = n.s.now
 		to.children = append(to.children, c)
 		answer(rpcBytes, func() {})
 		to.feedOne(c)
@@ -184,14 +185,15 @@
 		return
 	}
 	n.heardAt = n.s.now
-	if why := n.climb.Judge(n.s.now, f); why != "" {
+	contactAt := c.subscription.ContactAt(n.s.now, f)
+	if why := n.climb.Judge(n.s.now, n.s.now-contactAt); why != "" {
 		n.abandon(c, why)
 		return
 	}
 	before := n.hub.Number()
 	fresh, ok := n.hub.Take(f)
 	if fresh {
-		n.freshAt = max(n.freshAt, n.s.now-time.Duration(f.AgeMs)*time.Millisecond)
+		n.freshAt = max(n.freshAt, contactAt)
 	}
 	after := n.hub.Number()
 	if after < before {
@@ -202,7 +204,7 @@
 		n.s.m.depth = max(n.s.m.depth, int(n.hub.Depth()))
 		n.feed()
 	}
-	if !ok || n.climb.Moves(n.s.now, n.parents()) {
+	if !ok || n.climb.Moves(n.s.now, n.parents()) || c.subscription.Outdated(n.s.now, f) {
 		n.abandon(c, relay.Again)
 	}
 }
--- a/internal/lab/sim.go
+++ b/internal/lab/sim.go
@@ -433,7 +433,7 @@
 	}
 }
 
-func (c *core) raftProof() time.Duration { return c.s.now - c.raft.Touch(c.s.now) }
+func (c *core) raftProof() time.Duration { return c.s.now - c.raft.QuorumContactAge(c.s.now) }
 
 // fingerprint is alike for plays that went alike.
 func (s *sim) fingerprint() uint64 {
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -56,12 +56,13 @@
 
 // becomeFollower enters a term as a follower.
 func (c *Node) becomeFollower(term, lead uint64) {
-	if term > c.hard.Term {
-		c.hard.Term, c.hard.Vote = term, 0
-	}
 	if c.role == leader {
+		c.contactAt = c.knownContactAt() // before the term changes
 		c.refuseReads()
 	}
+	if term > c.hard.Term {
+		c.hard.Term, c.hard.Vote = term, 0
+	}
 	c.role, c.leaderID, c.transferTarget = follower, lead, 0
 	c.resetTimer()
 }
@@ -70,7 +71,7 @@
 func (c *Node) Tick(now time.Duration) {
 	c.now = now
 	if c.role == leader {
-		if now-c.quorumContactAt > electionMax { // it may be cut off, and another may lead
+		if c.isolated() {
 			c.becomeFollower(c.hard.Term, 0)
 			return
 		}
@@ -104,6 +105,7 @@
 	} else {
 		c.role = candidate
 		c.hard.Term, c.hard.Vote = term, c.id
+		c.campaignAt = c.now
 	}
 	for _, p := range c.Peers() {
 		if p.Voter && p.Id != c.id {
@@ -133,7 +135,8 @@
 	}
 	c.role, c.leaderID, c.transferTarget = leader, c.id, 0
 	c.progress = map[uint64]*progress{}
-	c.quorumContactAt = c.now
+	// Nobody leads a later term before a majority has voted in this one, after the campaign's begin.
+	c.quorumContactAt, c.leaderSince = c.campaignAt, c.now
 	clear(c.roundStartedAt)
 	// Only an entry of the own term may be committed by count.
 	c.append(&wire.Entry{Term: c.hard.Term, Index: c.last() + 1, Kind: wire.Entry_BLANK})
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -94,13 +94,17 @@
 	batch           int           // entries in one message, at most
 	deadline        time.Duration // of the election timer
 	leaderContactAt time.Duration // when a leader was last heard
+	process         uint64        // tells the stamps of this process from those of the ones before it
+	contactAt       time.Duration // see knownContactAt
+	campaignAt      time.Duration // when votes of the current term were asked for
 	votes           map[uint64]bool
 
 	progress         map[uint64]*progress
 	heartbeatAt      time.Duration
 	round            uint64
 	roundStartedAt   map[uint64]time.Duration // when the last rounds began
-	quorumContactAt  time.Duration            // begin of the newest round that a majority answered
+	quorumContactAt  time.Duration            // begin of the newest round, or of the campaign, that a majority answered
+	leaderSince      time.Duration            // when it was elected
 	reads            []pendingRead
 	syncTime         time.Duration // that a synced write takes here, averaged; 0: not known
 	transferTarget   uint64        // the member that is asked to lead; 0: none
@@ -109,7 +113,8 @@
 	out Output
 }
 
-// New returns a member as its disk has it. A nil snapshot is an empty one.
+// New returns a member as its disk has it. A nil snapshot is an empty one. The seed has to differ between the processes
+// that have the same disk one after another.
 func New(id uint64, hard *wire.HardState, snap *wire.RaftSnapshot, entries []*wire.Entry, seed uint64, now time.Duration) *Node {
 	if snap == nil {
 		snap = &wire.RaftSnapshot{}
@@ -118,7 +123,7 @@
 		id: id, rng: rand.New(rand.NewPCG(seed, id)), now: now, snap: snap, entries: entries,
 		commit: snap.Index, applied: snap.Index, progress: map[uint64]*progress{},
 		memberships: []membership{{snap.Index, snap.GetPeers().GetPeers()}}, roundStartedAt: map[uint64]time.Duration{},
-		leaderContactAt: -electionMax, quorumContactAt: now, startedAt: now, batch: maxEntries,
+		leaderContactAt: -electionMax, contactAt: now - MaxContactAge, process: seed, startedAt: now, batch: maxEntries,
 	}
 	if hard != nil {
 		c.hard.Term, c.hard.Vote = hard.Term, hard.Vote
@@ -153,17 +158,9 @@
 // Settled tells whether the newest change of members is committed.
 func (c *Node) Settled() bool { return c.memberships[len(c.memberships)-1].index <= c.commit }
 
-// Touch is how long ago this member was surely in touch with a majority: as the
-// leader by a round, else through the leader.
-func (c *Node) Touch(now time.Duration) time.Duration {
-	if c.role == leader {
-		return now - c.quorumContactAt
-	}
-	return now - c.leaderContactAt
-}
-
 func (c *Node) send(m *wire.Raft) {
 	m.From, m.Term = c.id, cmp.Or(m.Term, c.hard.Term)
+	c.stampMessage(m)
 	c.out.Messages = append(c.out.Messages, m)
 }
 
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -15,6 +15,8 @@
 	lastContact time.Duration
 	snapshot    time.Duration // when a snapshot was last sent
 	syncTime    time.Duration // that a synced write takes there; 0: not known
+	stamp       *wire.Stamp   // the newest of its clock
+	stampAt     time.Duration // when that was received
 }
 
 // Lag returns how many entries a member lacks, as far as it has said what it
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -404,7 +404,7 @@
 // is to be borne; what the others lag behind is theirs to catch up.
 func (w *world) wipe(m *machine) {
 	for _, lead := range w.machines {
-		if lead.core == nil || !lead.core.Leads() || !lead.core.Settled() || lead.core.Touch(w.now+lead.skew) > Heartbeat {
+		if lead.core == nil || !lead.core.Leads() || !lead.core.Settled() || lead.core.QuorumContactAge(w.now+lead.skew) > Heartbeat {
 			continue
 		}
 		peers := lead.core.Peers()
--- a/internal/raft/state.go
+++ b/internal/raft/state.go
@@ -20,8 +20,9 @@
 		id: c.id, rng: rand.New(rand.NewPCG(c.id, c.hard.Term)), now: c.now, role: c.role, leaderID: c.leaderID,
 		snap: c.snap, entries: slices.Clone(c.entries), stable: c.stable, unsaved: c.unsaved, commit: c.commit, applied: c.applied,
 		memberships: slices.Clone(c.memberships), startedAt: c.startedAt, batch: c.batch, deadline: c.deadline, leaderContactAt: c.leaderContactAt,
+		process: c.process, contactAt: c.contactAt, campaignAt: c.campaignAt,
 		votes: maps.Clone(c.votes), progress: make(map[uint64]*progress, len(c.progress)), heartbeatAt: c.heartbeatAt, round: c.round,
-		roundStartedAt: maps.Clone(c.roundStartedAt), quorumContactAt: c.quorumContactAt, reads: slices.Clone(c.reads), syncTime: c.syncTime, transferTarget: c.transferTarget, transferDeadline: c.transferDeadline,
+		roundStartedAt: maps.Clone(c.roundStartedAt), quorumContactAt: c.quorumContactAt, leaderSince: c.leaderSince, reads: slices.Clone(c.reads), syncTime: c.syncTime, transferTarget: c.transferTarget, transferDeadline: c.transferDeadline,
 	}
 	d.hard.Term, d.hard.Vote = c.hard.Term, c.hard.Vote
 	d.saved.Term, d.saved.Vote = c.saved.Term, c.saved.Vote
@@ -84,7 +85,7 @@
 	if c.role != leader {
 		return b
 	}
-	flag(c.now-c.quorumContactAt > electionMax)
+	flag(c.isolated())
 	u(c.round)
 	for r := c.round; r > 0 && c.round-r < 4; r-- { // what an answer to one of them would prove
 		at, ok := c.roundStartedAt[r]
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -45,9 +45,11 @@
 	case wire.Raft_APPEND:
 		c.follow(m.From)
 		c.appendFrom(m)
+		c.learnContact(m)
 	case wire.Raft_SNAPSHOT:
 		c.follow(m.From)
 		c.installFrom(m)
+		c.learnContact(m)
 	case wire.Raft_APPENDED:
 		c.appended(m)
 	case wire.Raft_HANDOVER:
@@ -157,6 +159,7 @@
 		return
 	}
 	p.lastContact, p.syncTime = c.now, time.Duration(m.SyncUs)*time.Microsecond
+	c.keepStamp(p, m.Stamp)
 	if m.Round > p.round {
 		p.round = m.Round
 		c.confirmContact()
--- a/internal/relay/climb.go
+++ b/internal/relay/climb.go
@@ -1,10 +1,6 @@
 package relay
 
-import (
-	"time"
-
-	"ivydeck/internal/wire"
-)
+import "time"
 
 const (
 	settledFor = 5 * time.Second // a parent that lasted as long was a good one
@@ -43,9 +39,9 @@
 	return c.addr, 0
 }
 
-// Judge says why a parent should be left for what it has sent; empty: it should not.
-func (c *Climb) Judge(now time.Duration, f *wire.Feed) string {
-	if time.Duration(f.AgeMs)*time.Millisecond > Stale && now-c.began > Beat {
+// Judge says why a parent should be left for the age of what it has sent; empty: it should not.
+func (c *Climb) Judge(now, age time.Duration) string {
+	if age > Stale && now-c.began > Beat {
 		return "the parent is out of touch"
 	}
 	return ""
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -18,25 +18,26 @@
 	Parents func() []string // candidates, the best first
 	Log     *slog.Logger
 
-	mu      sync.Mutex
-	freshAt time.Time // when the source was last known to be in touch, by this node's clock
+	mu        sync.Mutex
+	contactAt time.Time // when a quorum is known to have confirmed the state here, by this node's clock; zero: never
 }
 
-// Age tells how old the news may be.
+// Age is an upper bound of the time since a quorum confirmed the state here: all that was acknowledged before then is
+// in it.
 func (f *Follower) Age() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.freshAt.IsZero() {
-		return time.Hour
+	if f.contactAt.IsZero() {
+		return never
 	}
-	return time.Since(f.freshAt)
+	return time.Since(f.contactAt)
 }
 
-func (f *Follower) fresh(age time.Duration) {
+func (f *Follower) confirmed(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if at := time.Now().Add(-age); at.After(f.freshAt) {
-		f.freshAt = at
+	if at.After(f.contactAt) {
+		f.contactAt = at
 	}
 }
 
@@ -74,6 +75,7 @@
 	// The stream has no deadline of its own: silence ends it.
 	watchdog := time.AfterFunc(Silence, cancel)
 	defer watchdog.Stop()
+	subscription := Subscription{AskedAt: time.Since(began)}
 	s, err := f.Pool.Open(ctx, addr, "subscribe", &wire.Subscribe{Have: f.Hub.Number(), Node: f.Node})
 	if err != nil {
 		return err.Error()
@@ -86,14 +88,15 @@
 		}
 		watchdog.Reset(Silence)
 		now := time.Since(began)
-		if why := climb.Judge(now, feed); why != "" {
+		contactAt := subscription.ContactAt(now, feed)
+		if why := climb.Judge(now, now-contactAt); why != "" {
 			return why
 		}
 		fresh, ok := f.Hub.Take(feed)
 		if fresh {
-			f.fresh(time.Duration(feed.AgeMs) * time.Millisecond)
+			f.confirmed(began.Add(contactAt))
 		}
-		if !ok || climb.Moves(now, f.Parents()) {
+		if !ok || climb.Moves(now, f.Parents()) || subscription.Outdated(now, feed) {
 			return Again
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -101,8 +101,7 @@
 
 // Hub holds what a node has been told, and passes it on to its children.
 type Hub struct {
-	// Age tells how long ago the source of the news was surely in touch with a
-	// majority of the core.
+	// Age is an upper bound of the time since a quorum confirmed the state here.
 	Age func() time.Duration
 
 	mu      sync.Mutex
@@ -223,6 +222,15 @@
 	return f, h.changed
 }
 
+// Feed is Since with the age of the state, for a child whose request was received at a moment of the caller's clock. The
+// age is read before the state that it speaks of: news that come in between make it no older.
+func (h *Hub) Feed(have uint64, now, subscribedAt time.Duration) (*wire.Feed, <-chan struct{}) {
+	contactAt := now - h.Age()
+	f, changed := h.Since(have)
+	SetAge(f, now, contactAt, subscribedAt)
+	return f, changed
+}
+
 // ErrFull is the end of a subscription to a node that feeds enough children.
 var ErrFull = errors.New("relay: no room for another child")
 
@@ -249,6 +257,7 @@
 	if err := s.Recv(ask); err != nil {
 		return err
 	}
+	subscribedAt := time.Now()
 	if !h.enter() {
 		return ErrFull
 	}
@@ -257,8 +266,7 @@
 	tick := time.NewTicker(Beat)
 	defer tick.Stop()
 	for {
-		f, changed := h.Since(have)
-		f.AgeMs = uint32(min(h.Age(), time.Hour).Milliseconds())
+		f, changed := h.Feed(have, time.Since(subscribedAt), 0)
 		if err := s.Send(f); err != nil {
 			return err
 		}
