Remember accepted changes for hours, and refuse none that may have been accepted

Cause: 1,024 accepted changes were remembered. Whatever else went wrong with a change in the log was answered with 400, which ends the operator's call. Change: 16,384 are remembered by revision and digest, in their order, so that the look-up is a search by halves. Only ErrInvalid is answered with 400. Seen to fail: TestResendsAreNeverRefused with mayHaveForgotten answering false ("change 0, sent again: another version is in place"), TestSnapshotsOfOldVersions likewise.

--- /dev/null
+++ b/internal/catalog/accepted.go
@@ -0,0 +1,79 @@
+package catalog
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"slices"
+
+	"ivydeck/internal/wire"
+)
+
+// maxAccepted is how many accepted configurations are remembered, so that one that is sent again is told from another
+// one under the same revision. At 49,000 changes a day they reach eight hours back, and at the most that a quorum takes
+// one after another (some tens a second) several minutes; operators send a change again for seconds. They are 40 bytes
+// each, in memory and in snapshots. Replicas need not agree on the bound: it decides what a sender is told, never the
+// state.
+const maxAccepted = 16384
+
+// maxAcceptedBefore is the bound of the versions whose snapshots do not say what has been forgotten.
+const maxAcceptedBefore = 1024
+
+// acceptedChange is a configuration that was once in force.
+type acceptedChange struct {
+	revision uint64
+	digest   [sha256.Size]byte
+}
+
+// acceptedChanges remembers the newest configurations that were accepted. Revisions only rise, so the list is in
+// their order, and all that is forgotten is below all that is remembered.
+type acceptedChanges struct {
+	newest    []acceptedChange // ascending by revision
+	forgotten uint64           // the highest revision that is no longer remembered; 0: none is
+}
+
+// add remembers a change whose revision is above all others.
+func (a *acceptedChanges) add(c acceptedChange) {
+	a.newest = append(a.newest, c)
+	if len(a.newest) <= maxAccepted {
+		return
+	}
+	drop := maxAccepted / 8 // some at a time: each move costs the whole list
+	a.forgotten = a.newest[drop-1].revision
+	a.newest = slices.Delete(a.newest, 0, drop)
+}
+
+// contains tells whether a very change is remembered.
+func (a *acceptedChanges) contains(c acceptedChange) bool {
+	i, found := slices.BinarySearchFunc(a.newest, c.revision, func(x acceptedChange, revision uint64) int {
+		return cmp.Compare(x.revision, revision)
+	})
+	return found && a.newest[i] == c
+}
+
+// mayHaveForgotten tells whether a change may have been accepted and forgotten since. A change was accepted on top of a
+// revision below its own, so one that says otherwise never was.
+func (a *acceptedChanges) mayHaveForgotten(base, revision uint64) bool {
+	return base < revision && revision <= a.forgotten
+}
+
+// encode puts the memory into a snapshot.
+func (a *acceptedChanges) encode(s *wire.Snapshot) {
+	s.Taken = make([]*wire.Taken, len(a.newest))
+	for i := range a.newest {
+		s.Taken[i] = &wire.Taken{Revision: a.newest[i].revision, Hash: a.newest[i].digest[:]}
+	}
+	s.Forgotten = &a.forgotten
+}
+
+// decodeAccepted returns the memory that is in a snapshot.
+func decodeAccepted(s *wire.Snapshot) acceptedChanges {
+	a := acceptedChanges{newest: make([]acceptedChange, len(s.GetTaken())), forgotten: s.GetForgotten()}
+	for i, t := range s.GetTaken() {
+		a.newest[i].revision = t.Revision
+		copy(a.newest[i].digest[:], t.Hash)
+	}
+	if s.Forgotten == nil && len(a.newest) >= maxAcceptedBefore { // there may have been others
+		a.forgotten = a.newest[0].revision - 1
+	}
+	return a
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -18,16 +18,21 @@
 )
 
 const (
-	mostTaken   = 1024     // configurations remembered, for resends
 	mostServers = 20000    // registered at a time
 	leastNews   = 256      // items kept for those who missed some, or as many as there are servers ...
 	newsBytes   = 16 << 20 // ... and so much of them
 )
 
-// Verdicts on a configuration. Whatever else Apply returns is an invalid one.
+// Verdicts on a command.
 var (
+	// ErrStale: the configuration builds on a revision that is not the current one.
 	ErrStale = errors.New("another version is in place")
-	ErrFull  = errors.New("too many servers")
+	// ErrInvalid: the configuration can never be accepted.
+	ErrInvalid = errors.New("invalid configuration")
+	// ErrForgotten: the configuration may have been accepted so long ago that this is no longer known.
+	ErrForgotten = errors.New("not known any more whether this was accepted")
+	// ErrFull: no more servers can be registered.
+	ErrFull = errors.New("too many servers")
 )
 
 // View is a state that news add up to. Both worlds use it: the core's replicas
@@ -137,8 +142,8 @@
 // Catalog is the replicated state.
 type Catalog struct {
 	View
-	taken  []*wire.Taken // oldest first
-	config *meshconfig.Config
+	accepted acceptedChanges
+	config   *meshconfig.Config
 }
 
 // New returns the state before all entries.
@@ -196,30 +201,28 @@
 func (c *Catalog) judge(put *wire.PutConfig) (*meshconfig.Config, error) {
 	config, err := meshconfig.Parse(put.Body)
 	if err != nil {
-		return nil, err
-	}
-	hash := sha256.Sum256(put.Body)
-	for _, t := range c.taken {
-		if t.Revision == config.Revision && string(t.Hash) == string(hash[:]) {
-			return nil, nil
-		}
-	}
-	if put.Base != c.Revision() {
+		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	change := acceptedChange{revision: config.Revision, digest: sha256.Sum256(put.Body)}
+	switch {
+	case c.accepted.contains(change):
+		return nil, nil
+	case c.accepted.mayHaveForgotten(put.Base, config.Revision):
+		return nil, ErrForgotten
+	case put.Base != c.Revision():
 		return nil, ErrStale
+	case config.Revision <= c.Revision():
+		return nil, fmt.Errorf("%w: revision %d is not above the current one, %d", ErrInvalid, config.Revision, c.Revision())
 	}
-	if config.Revision <= c.Revision() {
-		return nil, fmt.Errorf("configuration: revision %d is not above the current one, %d", config.Revision, c.Revision())
-	}
-	if len(c.taken) >= mostTaken {
-		c.taken = append(c.taken[:0], c.taken[1:]...)
-	}
-	c.taken = append(c.taken, &wire.Taken{Revision: config.Revision, Hash: hash[:]})
+	c.accepted.add(change)
 	return config, nil
 }
 
 // Snapshot returns the whole state as bytes.
 func (c *Catalog) Snapshot() ([]byte, error) {
-	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(&wire.Snapshot{State: c.State(), Taken: c.taken})
+	s := &wire.Snapshot{State: c.State()}
+	c.accepted.encode(s)
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
 	if err != nil {
 		return nil, fmt.Errorf("catalog: %w", err)
 	}
@@ -240,6 +243,6 @@
 		}
 	}
 	c.Load(s.State)
-	c.taken, c.config = s.Taken, config
+	c.accepted, c.config = decodeAccepted(&s), config
 	return nil
 }
--- a/internal/control/web.go
+++ b/internal/control/web.go
@@ -15,7 +15,6 @@
 	"ivydeck/internal/identity"
 	"ivydeck/internal/meshconfig"
 	"ivydeck/internal/metrics"
-	"ivydeck/internal/raft"
 	"ivydeck/internal/wire"
 )
 
@@ -200,11 +199,10 @@
 		reply(w, http.StatusOK, "taken")
 	case errors.Is(err, catalog.ErrStale):
 		reply(w, http.StatusPreconditionFailed, err.Error())
-	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrBusy), errors.Is(err, errTimeout),
-		errors.Is(err, errLost), errors.Is(err, errYoung):
-		reply(w, http.StatusServiceUnavailable, err.Error())
-	default:
+	case errors.Is(err, catalog.ErrInvalid):
 		reply(w, http.StatusBadRequest, err.Error())
+	default:
+		reply(w, http.StatusServiceUnavailable, err.Error()) // it may still be accepted, or may have been
 	}
 }
 
