--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -26,6 +26,7 @@
 
 	"ivydeck/internal/meshconfig"
 	"ivydeck/internal/operator"
+	"ivydeck/internal/standin"
 )
 
 const (
@@ -53,7 +54,7 @@
 
 	mu        sync.Mutex
 	processes map[string]*process
-	servers   []*server
+	servers   []*standin.Server
 }
 
 type process struct {
@@ -154,7 +155,7 @@
 // end stops all processes and servers.
 func (m *mesh) end() {
 	for _, s := range m.servers {
-		s.stop()
+		s.Stop()
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -223,7 +224,9 @@
 	}
 	m.say("%5.1f s  the core has a leader, and the configuration on a majority of its disks", time.Since(began).Seconds())
 	for n := machines + 1; n <= 2*machines; n++ {
-		s, err := newServer(fmt.Sprintf("shop-%d", n), m.at(n, 4), "http://"+m.at(n, 1))
+		id := fmt.Sprintf("shop-%d", n)
+		s, err := standin.Start(standin.Options{ID: id, Service: "shop", Zone: "a", Address: m.at(n, 4), Control: m.at(n, 1), Slots: slots,
+			Heartbeat: heartbeatEvery, Handler: work(id)})
 		if err != nil {
 			return err
 		}
@@ -325,7 +328,7 @@
 		if spent := time.Since(began); !drained && spent > m.Length/3 {
 			drained = true
 			m.say("         shop-%d drains", machines+1)
-			m.servers[0].drain()
+			m.servers[0].Drain()
 		} else if !ended && spent > 2*m.Length/3 {
 			ended = true
 			if err := m.endLeader(ctx, core); err != nil {
