--- a/cmd/ivydeckctl/main.go
+++ b/cmd/ivydeckctl/main.go
@@ -325,7 +325,7 @@
 		return err
 	}
 	fmt.Printf("identity %016x: %d entries from %d to %d, none damaged; revision %d and %d servers at the snapshot\n",
-		s.ID, len(s.Entries), s.Snapshot.GetIndex()+1, s.Snapshot.GetIndex()+uint64(len(s.Entries)), state.Revision(), len(state.Servers))
+		s.ID, len(s.Entries), s.Snapshot.GetIndex()+1, s.Snapshot.GetIndex()+uint64(len(s.Entries)), state.Revision(), len(state.Servers()))
 	return nil
 }
 
@@ -397,14 +397,10 @@
 	if c.Output == "table" {
 		fmt.Println(b.Summary())
 	}
-	if len(b.State.Config) == 0 {
+	if b.State.Config() == nil {
 		return nil
 	}
-	config, err := meshconfig.Parse(b.State.Config)
-	if err != nil {
-		return err
-	}
-	return show(config, c.Output)
+	return show(b.State.Config(), c.Output)
 }
 
 type restoreCmd struct {
--- a/internal/backup/backup.go
+++ b/internal/backup/backup.go
@@ -23,9 +23,9 @@
 // magic begins a backup's file; its last byte is the format. A checksum follows, big-endian, and the message.
 var magic = []byte("ivydeck backup\x01")
 
-// newsAhead is how far the news of a restored core begin beyond the backup's. Nodes that outlived the core take nothing
+// updatesAhead is how far the updates of a restored core begin beyond the backup's. Nodes that outlived the core take nothing
 // older than what they have, and could have more than the backup.
-const newsAhead = 1 << 32
+const updatesAhead = 1 << 32
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
@@ -137,7 +137,7 @@
 
 // Summary is what a backup has, in a line.
 func (b *Backup) Summary() string {
-	return fmt.Sprintf("revision %d and %d servers, at entry %d of term %d", b.State.Revision(), len(b.State.Servers), b.Index, b.Term)
+	return fmt.Sprintf("revision %d and %d servers, at entry %d of term %d", b.State.Revision(), len(b.State.Servers()), b.Index, b.Term)
 }
 
 // Loss says what a restore into a folder takes away; empty: the folder holds nothing newer.
@@ -178,8 +178,6 @@
 		return fmt.Errorf("backup: %s is not empty; move what is in it elsewhere first", dir)
 	}
 	state := catalog.New()
-	whole := b.State.State()
-	whole.Number += newsAhead // servers that are gone meanwhile are found so, as ever
 	snapshot, err := b.State.Snapshot()
 	if err != nil {
 		return err
@@ -187,7 +185,7 @@
 	if err := state.Restore(snapshot); err != nil {
 		return err
 	}
-	state.Load(whole)
+	state.Advance(updatesAhead) // servers that are gone meanwhile are found so, as ever
 	data, err := state.Snapshot()
 	if err != nil {
 		return err
--- a/internal/backup/backup_test.go
+++ b/internal/backup/backup_test.go
@@ -81,7 +81,7 @@
 		t.Errorf("members %v, term %d, index %d", peers, s.Hard.GetTerm(), s.Snapshot.Index)
 	}
 	again, _, err := OfStore(made)
-	if err != nil || again.State.Revision() != 4 || again.State.Servers["i-1"] == nil || again.State.Number <= b.State.Number {
+	if err != nil || again.State.Revision() != 4 || len(again.State.Servers()) != 1 || again.State.Servers()[0].Member != "i-1" || again.State.Index() <= b.State.Index() {
 		t.Errorf("%+v, %v", again, err)
 	}
 	if err := read.Restore(made, "a", "b", rng()); err == nil || !strings.Contains(err.Error(), "not empty") {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"bytes"
 	"errors"
 	"testing"
 
@@ -66,22 +67,22 @@
 		}), "invalid"},
 		{"a good one after all", 7, config(t, 9, nil), "taken"},
 	} {
-		before := c.Number
-		item, err := c.Apply(put(step.base, step.body))
+		before := c.Index()
+		changes, err := c.Apply(put(step.base, step.body))
 		got := "known"
 		switch {
 		case errors.Is(err, ErrStale):
 			got = "stale"
 		case err != nil:
 			got = "invalid"
-		case item != nil:
+		case changes != nil:
 			got = "taken"
 		}
 		if got != step.want {
 			t.Errorf("%s: %s (%v), want %s", step.name, got, err, step.want)
 		}
-		if (c.Number != before) != (step.want == "taken") {
-			t.Errorf("%s: news number went from %d to %d", step.name, before, c.Number)
+		if (c.Index() != before) != (step.want == "taken") {
+			t.Errorf("%s: the index went from %d to %d", step.name, before, c.Index())
 		}
 	}
 }
@@ -100,57 +101,13 @@
 	if err := d.Restore(data); err != nil {
 		t.Fatal(err)
 	}
-	if !proto.Equal(c.State(), d.State()) || d.Revision() != 3 {
-		t.Errorf("%v and %v", c.State(), d.State())
+	if !proto.Equal(c.Whole(), d.Whole()) || d.Revision() != 3 || !bytes.Equal(d.Body(), body) {
+		t.Errorf("%v and %v", c.Whole(), d.Whole())
 	}
-	if item, err := d.Apply(put(0, body)); item != nil || err != nil {
-		t.Errorf("a resend after a snapshot: %v, %v", item, err)
+	if changes, err := d.Apply(put(0, body)); changes != nil || err != nil {
+		t.Errorf("a resend after a snapshot: %v, %v", changes, err)
 	}
 	if err := New().Restore(data[:len(data)-3]); err == nil {
 		t.Error("a torn snapshot was taken")
 	}
 }
-
-func TestNewsWithGaps(t *testing.T) {
-	c, v := New(), NewView()
-	var news News
-	for i := range 3 * leastNews {
-		srv := &wire.Server{Member: "i", Slots: uint32(i)}
-		item, _ := c.Apply(&wire.Command{What: &wire.Command_Server{Server: srv}})
-		if item == nil {
-			t.Fatal("no news of a change")
-		}
-		news.Add(item, 0)
-	}
-	if _, ok := news.Since(0, c.Number); ok {
-		t.Error("news are kept without a bound")
-	}
-	v.Load(c.State())
-	if v.Follow(&wire.Item{Number: c.Number}) || v.Follow(&wire.Item{Number: c.Number + 2}) || !v.Follow(&wire.Item{Number: c.Number + 1}) {
-		t.Error("old news, or news behind a gap, were followed")
-	}
-	if items, ok := news.Since(c.Number-2, c.Number); !ok || len(items) != 2 || items[1].Number != c.Number {
-		t.Errorf("%v, %v", items, ok)
-	}
-}
-
-// TestNewsAreBounded: by their number and by their bytes; the newest always stays.
-func TestNewsAreBounded(t *testing.T) {
-	for _, c := range []struct{ items, bytes, most int }{{1000, 10, leastNews}, {40, 1 << 20, 16}, {3, 20 << 20, 1}} {
-		var n News
-		for i := range c.items {
-			n.Add(&wire.Item{Number: uint64(i + 1), What: &wire.Item_Config{Config: make([]byte, c.bytes)}}, 0)
-			sum := 0
-			for _, item := range n.items {
-				sum += proto.Size(item)
-			}
-			if len(n.items) > c.most || len(n.items) == 0 || sum != n.bytes {
-				t.Fatalf("%d of %d bytes: %d are kept, %d bytes, %d booked", i+1, c.bytes, len(n.items), sum, n.bytes)
-			}
-		}
-		newest := uint64(c.items)
-		if items, ok := n.Since(newest-1, newest); !ok || len(items) != 1 || items[0].Number != newest {
-			t.Errorf("the newest is not kept: %v", ok)
-		}
-	}
-}
--- /dev/null
+++ b/internal/catalog/local.go
@@ -0,0 +1,51 @@
+package catalog
+
+import (
+	"slices"
+	"strings"
+
+	"ivydeck/internal/wire"
+)
+
+// Local follows the servers of one node, at the cost of what changes.
+type Local struct {
+	Node string
+
+	index   uint64
+	servers map[string]*wire.Server
+}
+
+// Index up to which changes were applied.
+func (l *Local) Index() uint64 { return l.index }
+
+// Apply takes the changes after Index; nil: there are none.
+func (l *Local) Apply(c *wire.Changes) {
+	if c == nil {
+		return
+	}
+	if c.Whole || l.servers == nil {
+		l.servers = map[string]*wire.Server{}
+	}
+	for _, r := range c.Resources {
+		k, _ := keyOf(r)
+		if k.kind != kindServer {
+			continue
+		}
+		if s := r.GetServer(); s.GetNode() == l.Node && s != nil {
+			l.servers[k.name] = s
+		} else {
+			delete(l.servers, k.name)
+		}
+	}
+	l.index = c.To
+}
+
+// Servers are those that are listed, by name.
+func (l *Local) Servers() []*wire.Server {
+	list := make([]*wire.Server, 0, len(l.servers))
+	for _, s := range l.servers {
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b *wire.Server) int { return strings.Compare(a.Member, b.Member) })
+	return list
+}
--- /dev/null
+++ b/internal/catalog/view.go
@@ -0,0 +1,188 @@
+package catalog
+
+import (
+	"slices"
+	"strings"
+
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/wire"
+)
+
+// maxTombstones is how many removed resources are remembered for those who have not heard of it. Who lags behind the
+// oldest of them gets the whole state.
+const maxTombstones = 4096
+
+// View is a state that updates add up to: resources, each with the index of the update that changed it last. Quorum
+// members, relays and nodes all keep one. It shows the states that its source had after single updates, never a mixture
+// of them, and it never goes back. What it returns is not to be changed. It is not for use by several goroutines.
+type View struct {
+	index      uint64
+	floor      uint64 // resources removed up to this index may be forgotten
+	entries    map[key]*entry
+	order      *entry // the head of a ring, in the order of the last changes: oldest next, newest prev
+	tombstones int
+	servers    int
+
+	config   *meshconfig.Config // as of configAt
+	configAt uint64
+}
+
+// entry is a resource, or the tombstone of one, in the ring of all.
+type entry struct {
+	key        key
+	resource   *wire.Resource
+	removed    bool
+	prev, next *entry
+}
+
+// NewView returns the state before all updates.
+func NewView() *View {
+	v := &View{entries: map[key]*entry{}, order: &entry{}}
+	v.order.prev, v.order.next = v.order, v.order
+	return v
+}
+
+// Index of the latest update.
+func (v *View) Index() uint64 { return v.index }
+
+// Apply takes changes that begin at the view's index, or a whole state that is newer. It reports false for changes that
+// begin elsewhere, which are to be asked for again; old ones change nothing.
+func (v *View) Apply(c *wire.Changes) bool {
+	switch {
+	case c.To <= v.index:
+		return true
+	case c.Whole:
+		*v = *NewView()
+		v.floor = c.Floor
+	case c.From != v.index:
+		return false
+	}
+	for _, r := range c.Resources {
+		v.set(r)
+	}
+	v.index = c.To
+	v.forget()
+	return true
+}
+
+// set puts a resource in place of an earlier one with its key, as the newest of all.
+func (v *View) set(r *wire.Resource) {
+	k, removed := keyOf(r)
+	if k.kind == 0 {
+		return // of a later version
+	}
+	e := v.entries[k]
+	if e == nil {
+		e = &entry{key: k}
+		v.entries[k] = e
+	} else {
+		e.unlink()
+		v.count(e, -1)
+	}
+	e.resource, e.removed = r, removed
+	v.count(e, 1)
+	e.prev, e.next = v.order.prev, v.order
+	e.prev.next, e.next.prev = e, e
+}
+
+func (e *entry) unlink() { e.prev.next, e.next.prev = e.next, e.prev }
+
+// count books that an entry comes or goes.
+func (v *View) count(e *entry, n int) {
+	switch {
+	case e.removed:
+		v.tombstones += n
+	case e.key.kind == kindServer:
+		v.servers += n
+	}
+}
+
+// forget drops the older half of the tombstones where there are too many.
+func (v *View) forget() {
+	if v.tombstones <= maxTombstones {
+		return
+	}
+	for e := v.order.next; v.tombstones > maxTombstones/2; e = e.next {
+		if e.removed {
+			e.unlink()
+			v.count(e, -1)
+			delete(v.entries, e.key)
+			v.floor = e.resource.Index
+		}
+	}
+}
+
+// Changes returns what leads from an index to the view's; nil where there is nothing. A later change of a resource stands
+// for all earlier ones. Behind the floor it is the whole state.
+func (v *View) Changes(since uint64) *wire.Changes {
+	if since >= v.index {
+		return nil
+	}
+	c := &wire.Changes{From: since, To: v.index}
+	if since < v.floor || since == 0 {
+		c.Whole, c.From, c.Floor = true, 0, v.floor
+		c.Resources = make([]*wire.Resource, 0, len(v.entries))
+	}
+	for e := v.order.prev; e != v.order && e.resource.Index > c.From; e = e.prev {
+		c.Resources = append(c.Resources, e.resource)
+	}
+	slices.Reverse(c.Resources)
+	return c
+}
+
+// Config returns the configuration; nil: there is none yet. It costs what changed since the last call.
+func (v *View) Config() *meshconfig.Config {
+	if v.configAt == v.index {
+		return v.config
+	}
+	base := v.config
+	c := v.Changes(v.configAt)
+	if c.Whole {
+		base = nil
+	}
+	v.configAt = v.index
+	changed := slices.DeleteFunc(c.Resources, func(r *wire.Resource) bool {
+		k, removed := keyOf(r)
+		return !k.ofConfig() || c.Whole && removed
+	})
+	if len(changed) > 0 {
+		v.config = base.Apply(patchOf(changed))
+	} else if c.Whole {
+		v.config = nil
+	}
+	return v.config
+}
+
+// Server returns a registered server; nil: it is not listed.
+func (v *View) Server(member string) *wire.Server {
+	if e := v.entries[key{kind: kindServer, name: member}]; e != nil && !e.removed {
+		return e.resource.GetServer()
+	}
+	return nil
+}
+
+// ServerCount is how many servers are listed.
+func (v *View) ServerCount() int { return v.servers }
+
+// Servers returns all that are listed, by name.
+func (v *View) Servers() []*wire.Server {
+	return v.ServersOn(func(string) bool { return true })
+}
+
+// ServersOn returns the servers that stand on nodes of which a function holds, by name.
+func (v *View) ServersOn(holds func(node string) bool) []*wire.Server {
+	var list []*wire.Server
+	for e := v.order.next; e != v.order; e = e.next {
+		if s := e.resource.GetServer(); s != nil && holds(s.Node) {
+			list = append(list, s)
+		}
+	}
+	slices.SortFunc(list, func(a, b *wire.Server) int { return strings.Compare(a.Member, b.Member) })
+	return list
+}
+
+// Advance begins a history of its own at a later index: whoever has heard of the old one needs the whole state.
+func (v *View) Advance(by uint64) {
+	v.index += by
+	v.floor = v.index
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -120,7 +120,7 @@
 	server.Handle("raft", n.raftStream, identity.Core)
 	server.Handle("join", rpc.Unary(n.join), identity.Core)
 	server.Handle("propose", rpc.Unary(n.propose))
-	server.Handle("head", rpc.Unary(n.head))
+	server.Handle("latest", rpc.Unary(n.latest))
 	server.Handle("subscribe", n.hub.Serve)
 	web := &http.Server{
 		Handler: n.routes(), ReadHeaderTimeout: 3 * time.Second, ReadTimeout: 10 * time.Second, WriteTimeout: 10 * time.Second,
@@ -178,6 +178,6 @@
 	n.consensus = raft.New(st.ID, st.Hard, st.Snapshot, st.Entries, seed, 0)
 	st.Entries = nil
 	n.applied = st.Snapshot.GetIndex()
-	n.hub.Load(n.catalog.State())
+	n.hub.Apply(n.catalog.Whole())
 	return nil
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -128,7 +128,7 @@
 			panic(err)
 		}
 		n.applied = s.Index
-		n.hub.Load(n.catalog.State())
+		n.hub.Apply(n.catalog.Whole())
 	}
 	if len(out.Entries) > 0 {
 		n.consensus.Stable(out.Entries[len(out.Entries)-1].Index)
@@ -153,11 +153,11 @@
 		if err := proto.Unmarshal(e.Data, cmd); err != nil {
 			verdict = err // all replicas pass over it alike
 		} else {
-			var item *wire.Item
-			if item, verdict = n.catalog.Apply(cmd); item != nil {
-				n.hub.Add(item)
-				if _, ok := item.What.(*wire.Item_Config); ok {
-					n.log.Info("config.taken", "revision", n.catalog.Revision(), "number", item.Number)
+			var changes *wire.Changes
+			if changes, verdict = n.catalog.Apply(cmd); changes != nil {
+				n.hub.Apply(changes)
+				if cmd.GetConfig() != nil {
+					n.log.Info("config.accepted", "revision", n.catalog.Revision(), "index", changes.To, "resources", len(changes.Resources))
 				}
 			}
 		}
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -116,15 +116,15 @@
 	return &wire.Proposed{Done: true}, nil
 }
 
-// head tells how far the news have come.
-func (n *Node) head(ctx context.Context, _ *wire.Ask) (*wire.Head, error) {
+// latest tells how far the updates have come.
+func (n *Node) latest(ctx context.Context, _ *wire.Ask) (*wire.Latest, error) {
 	leader, self := n.ask(ctx)
 	if !self {
-		return &wire.Head{Leader: leader.GetAddress()}, nil
+		return &wire.Latest{Leader: leader.GetAddress()}, nil
 	}
-	h := &wire.Head{Known: true}
-	if err := n.read(ctx, func() { h.Number = n.catalog.Number }); err != nil {
-		return &wire.Head{}, nil
+	answer := &wire.Latest{Known: true}
+	if err := n.read(ctx, func() { answer.Index = n.catalog.Index() }); err != nil {
+		return &wire.Latest{}, nil
 	}
-	return h, nil
+	return answer, nil
 }
--- a/internal/control/web.go
+++ b/internal/control/web.go
@@ -91,7 +91,7 @@
 		for _, p := range n.consensus.Peers() {
 			s.Members = append(s.Members, Member{fmt.Sprintf("%016x", p.Id), p.Address, p.Voter})
 		}
-		for _, v := range n.catalog.State().Servers {
+		for _, v := range n.catalog.Servers() {
 			s.Servers = append(s.Servers, Server{v.Member, v.Service, v.Node, v.Zone, v.Slots, v.Draining})
 		}
 		c <- s
@@ -236,7 +236,7 @@
 		return
 	}
 	var body []byte
-	if err := n.read(r.Context(), func() { body = n.catalog.Config }); err != nil {
+	if err := n.read(r.Context(), func() { body = n.catalog.Body() }); err != nil {
 		reply(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -1,6 +1,6 @@
 // Package data is the program of the sidecar machines: it carries the requests
 // that begin there, stands beside the machine's server, and is one of the
-// relays of the news.
+// relays of the updates.
 package data
 
 import (
@@ -21,7 +21,6 @@
 	"ivydeck/internal/budget"
 	"ivydeck/internal/entry"
 	"ivydeck/internal/gossip"
-	"ivydeck/internal/meshconfig"
 	"ivydeck/internal/nodefile"
 	"ivydeck/internal/proxy"
 	"ivydeck/internal/relay"
@@ -36,8 +35,6 @@
 	stopMargin  = 1600 * time.Millisecond // before the platform kills the process: no further request is begun
 	leaveMargin = 600 * time.Millisecond  // the same: the process ends
 	serverGoes  = 1500 * time.Millisecond // after SIGTERM, until then the server beside the node has work as ever
-	updateRest  = 6                       // times as long as an update takes the next one waits ...
-	updateMost  = 200 * time.Millisecond  // ... up to this
 	callWait    = time.Second
 	askAgain    = 100 * time.Millisecond // after a round of questions that has found no leader
 	askNext     = 120 * time.Millisecond // without a word from one core machine the next is asked as well
@@ -62,14 +59,13 @@
 
 	leaving  atomic.Bool
 	emptying atomic.Bool   // the server beside the node takes nothing more: the node is about to end
-	fenced   atomic.Bool   // the news are as new as what was acknowledged before the start
+	fenced   atomic.Bool   // the state is as new as what was acknowledged before the start
 	traces   *trace.Ring   // nil: none are kept
 	refused  atomic.Int64  // connections and calls of others, for their identity
 	served   atomic.Bool   // there is a configuration and a server
 	shares   budget.Shares // the upkeep's own
 
-	parsed   []byte // what config was parsed from
-	config   *meshconfig.Config
+	world    entry.WorldBuilder // watch's own
 	leaderMu sync.Mutex
 	leader   string // internal address of the leader, as last told
 }
@@ -292,15 +288,15 @@
 	return answer, false
 }
 
-// fence waits until the news here are as new as what had been acknowledged when
+// fence waits until the state here is as new as what had been acknowledged when
 // the process started: a node never begins with an older configuration.
 func (n *Node) fence(ctx context.Context) {
-	var head uint64
+	var latest uint64
 	known := false
 	for ctx.Err() == nil && !known && time.Since(n.began) < fenceWait {
 		round, cancel := context.WithCancel(ctx)
-		if first := n.hub.Changed(); n.hub.Number() == 0 {
-			// The first news show that there is a leader by now. What is still being asked may be a machine without
+		if first := n.hub.Changed(); n.hub.Index() == 0 {
+			// The first updates show that there is a leader by now. What is still being asked may be a machine without
 			// power, whose dial goes on for long.
 			n.workers.Go(func() {
 				select {
@@ -310,19 +306,19 @@
 				}
 			})
 		}
-		head, known = atLeader(round, n, func(ctx context.Context, address string) (uint64, bool, string) {
-			h := new(wire.Head)
-			if err := n.pool.Call(ctx, address, "head", &wire.Ask{}, h); err != nil {
+		latest, known = atLeader(round, n, func(ctx context.Context, address string) (uint64, bool, string) {
+			answer := new(wire.Latest)
+			if err := n.pool.Call(ctx, address, "latest", &wire.Ask{}, answer); err != nil {
 				return 0, false, ""
 			}
-			return h.Number, h.Known, h.Leader
+			return answer.Index, answer.Known, answer.Leader
 		})
 		if !known {
 			wait(round, askAgain)
 		}
 		cancel()
 	}
-	for ctx.Err() == nil && n.hub.Number() < head {
+	for ctx.Err() == nil && n.hub.Index() < latest {
 		select {
 		case <-n.hub.Changed():
 		case <-time.After(100 * time.Millisecond):
@@ -330,7 +326,7 @@
 		}
 	}
 	n.fenced.Store(true)
-	n.log.Info("data.fenced", "number", head, "confirmed", known)
+	n.log.Info("data.fenced", "index", latest, "confirmed", known)
 }
 
 func wait(ctx context.Context, d time.Duration) {
@@ -342,55 +338,6 @@
 	}
 }
 
-// watch keeps the outbound side up to date with the news and the members.
-func (n *Node) watch(ctx context.Context) {
-	tick := time.NewTicker(upkeepEvery)
-	defer tick.Stop()
-	var number, version uint64
-	for ctx.Err() == nil {
-		changed := n.hub.Changed()
-		if a, b := n.hub.Number(), n.gossip.Version(); a != number || b != version {
-			number, version = a, b
-			began := time.Now()
-			n.update()
-			// The work of an update grows with the list: where changes come one behind the other, as at a start of
-			// all machines, several share one, so that most of the time is left for requests.
-			wait(ctx, min(updateRest*time.Since(began), updateMost))
-		}
-		select {
-		case <-changed:
-		case <-tick.C:
-			n.inbound.Sweep(time.Now())
-			n.share()
-		case <-ctx.Done():
-		}
-	}
-}
-
-// update hands on the world as it is now known.
-func (n *Node) update() {
-	state := n.hub.State()
-	if len(state.Config) > 0 && string(state.Config) != string(n.parsed) {
-		config, err := meshconfig.Parse(state.Config)
-		if err != nil { // it passed on the leader, which may run a newer version
-			n.log.Error("config.unreadable", "err", err)
-		} else {
-			n.config, n.parsed = config, state.Config
-			n.log.Info("config.applied", "revision", config.Revision, "number", state.Number)
-		}
-	}
-	if set := n.set.Load(); time.Since(n.began) < 2*set.Heartbeat {
-		for _, s := range state.Servers {
-			if s.Node == set.Node && s.Service == set.Backend && !s.Draining {
-				n.inbound.Adopt(proxy.Beat{ID: s.Member, Service: s.Service, Address: set.App, Zone: s.Zone, Slots: int(s.Slots)}, time.Now())
-			}
-		}
-	}
-	w := entry.NewWorld(n.config, state, n.gossip.Members(), func(node string) bool { return n.gossip.Gone(node) > 0 })
-	n.outbound.Update(w)
-	n.served.Store(n.config != nil && len(state.Servers) > 0)
-}
-
 // share sets this node's part of the retry slack.
 func (n *Node) share() {
 	nodes := 0
--- a/internal/data/mesh_test.go
+++ b/internal/data/mesh_test.go
@@ -303,7 +303,7 @@
 
 	// All that the core has is lost but a backup, and a change that came after it.
 	kept, err := core.Backup(ctx)
-	if err != nil || kept.State.Revision() != 9 || len(kept.State.Servers) != 1 {
+	if err != nil || kept.State.Revision() != 9 || len(kept.State.Servers()) != 1 {
 		t.Fatalf("a backup: %v, %v", kept, err)
 	}
 	m.until("a fourth configuration", func() bool { return core.Apply(ctx, 9, config(t, 11, "/four/")) == nil })
--- a/internal/data/metrics.go
+++ b/internal/data/metrics.go
@@ -69,9 +69,9 @@
 				emit(float64(alive), "alive")
 				emit(float64(suspect), "suspect")
 			})},
-		metrics.One("ivydeck_news_number", "Newest item of news that is known.", func() float64 { return float64(n.hub.Number()) }),
-		metrics.One("ivydeck_news_age_seconds", "Since the news were known to be the newest.", func() float64 { return n.follower.Age().Seconds() }),
-		metrics.One("ivydeck_news_depth", "Places between this node and the core.", func() float64 { return float64(n.hub.Depth()) }),
+		metrics.One("ivydeck_update_index", "Index of the latest update that is known.", func() float64 { return float64(n.hub.Index()) }),
+		metrics.One("ivydeck_update_age_seconds", "Since the state was known to be the newest.", func() float64 { return n.follower.Age().Seconds() }),
+		metrics.One("ivydeck_update_depth", "Places between this node and the quorum.", func() float64 { return float64(n.hub.Depth()) }),
 		metrics.One("ivydeck_identity_refused", "Connections and calls of others that were refused for their identity.", func() float64 { return float64(n.refused.Load()) }),
 		metrics.One("ivydeck_identity_ends_seconds", "Time that is left of this process's certificate; -1: it has none.", func() float64 { return n.pool.Identity.Left().Seconds() }),
 		metrics.One("ivydeck_client_connections", "Open.", func() float64 { return float64(n.front.Open()) }),
--- /dev/null
+++ b/internal/data/update.go
@@ -0,0 +1,62 @@
+package data
+
+import (
+	"context"
+	"time"
+
+	"ivydeck/internal/proxy"
+	"ivydeck/internal/wire"
+)
+
+// watch keeps the outbound side up to date with the updates and the members. What comes while an update is under way shares
+// the next one.
+func (n *Node) watch(ctx context.Context) {
+	tick := time.NewTicker(upkeepEvery)
+	defer tick.Stop()
+	var members uint64 // the version that was taken last
+	for ctx.Err() == nil {
+		changed := n.hub.Changed()
+		version := n.gossip.Version()
+		if version != members {
+			n.world.Members(n.gossip.Members(), func(node string) bool { return n.gossip.Gone(node) > 0 })
+		}
+		if n.hub.Index() != n.world.Index() || version != members {
+			members = version
+			n.update()
+		}
+		select {
+		case <-changed:
+		case <-tick.C:
+			n.inbound.Sweep(time.Now())
+			n.share()
+		case <-ctx.Done():
+		}
+	}
+}
+
+// update hands on what has changed.
+func (n *Node) update() {
+	before := n.world.World().Config
+	changes, config := n.hub.State(n.world.Index())
+	n.world.Apply(changes, config)
+	n.adopt(changes)
+	n.outbound.Update(n.world.World())
+	n.served.Store(config != nil && n.world.Listed() > 0)
+	if config != nil && config != before {
+		n.log.Info("config.applied", "revision", config.Revision, "index", n.world.Index(), "resources", len(changes.GetResources()))
+	}
+}
+
+// adopt takes on what is listed of this node's server by the process before, until the server has called.
+func (n *Node) adopt(changes *wire.Changes) {
+	set := n.set.Load()
+	if time.Since(n.began) >= 2*set.Heartbeat {
+		return
+	}
+	for _, r := range changes.GetResources() {
+		s := r.GetServer()
+		if s != nil && s.Node == set.Node && s.Service == set.Backend && !s.Draining {
+			n.inbound.Adopt(proxy.Beat{ID: s.Member, Service: s.Service, Address: set.App, Zone: s.Zone, Slots: int(s.Slots)}, time.Now())
+		}
+	}
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -210,11 +210,11 @@
 // ready brings the mesh to where it serves.
 func (m *mesh) ready(ctx context.Context, core *operator.Core) error {
 	began := time.Now()
-	route := func(name string, kind meshconfig.Kind, priority int) meshconfig.Route {
-		return meshconfig.Route{Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, TimeoutMs: 2000, AimMs: 200,
+	route := func(name string, kind meshconfig.Kind, priority int) *meshconfig.Route {
+		return &meshconfig.Route{Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, TimeoutMs: 2000, AimMs: 200,
 			Priority: priority, Backend: "shop", MaxAttempts: 3}
 	}
-	body, err := msgpack.Marshal(&meshconfig.Config{Revision: 1, Backends: []meshconfig.Backend{{Name: "shop"}}, Routes: []meshconfig.Route{
+	body, err := msgpack.Marshal(&meshconfig.Config{Revision: 1, Backends: []meshconfig.Backend{{Name: "shop"}}, Routes: []*meshconfig.Route{
 		route("order", meshconfig.Once, 0), route("ask", meshconfig.Repeatable, 1), route("browse", meshconfig.Repeatable, 2)}})
 	if err != nil {
 		return fmt.Errorf("demo: %w", err)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -8,7 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"ivydeck/decide"
-	"ivydeck/internal/catalog"
+	"ivydeck/internal/cowmap"
 	"ivydeck/internal/meshconfig"
 	"ivydeck/internal/wire"
 )
@@ -17,11 +17,11 @@
 
 func table(t *testing.T, servers int) *Table {
 	t.Helper()
-	route := func(name string, kind meshconfig.Kind) meshconfig.Route {
-		return meshconfig.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, TimeoutMs: 2000, AimMs: 200, Priority: 1, Backend: "s", MaxAttempts: 3}
+	route := func(name string, kind meshconfig.Kind) *meshconfig.Route {
+		return &meshconfig.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, TimeoutMs: 2000, AimMs: 200, Priority: 1, Backend: "s", MaxAttempts: 3}
 	}
 	body, err := msgpack.Marshal(&meshconfig.Config{Revision: 1, Backends: []meshconfig.Backend{{Name: "s"}},
-		Routes: []meshconfig.Route{route("safe", meshconfig.Repeatable), route("once", meshconfig.Once)}})
+		Routes: []*meshconfig.Route{route("safe", meshconfig.Repeatable), route("once", meshconfig.Once)}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -29,11 +29,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &World{Config: config, Servers: map[string]*wire.Server{}}
+	var list cowmap.Map[*wire.Server]
+	edit := list.Edit()
 	for i := range servers {
 		id := fmt.Sprint("i", i)
-		w.Servers[id] = &wire.Server{Member: id, Service: "s"}
+		edit.Set(id, &wire.Server{Member: id, Service: "s"})
 	}
+	w := &World{Config: config, Servers: edit.Map()}
 	tab := NewTable(Options{Node: "n", Ratio: 1, Window: time.Second, Seed: 1})
 	tab.Update(0, w)
 	tab.Share(100)
@@ -231,25 +233,3 @@
 		}
 	}
 }
-
-// BenchmarkUpdate measures what a change of the list costs a node, by the number of servers.
-func BenchmarkUpdate(b *testing.B) {
-	for _, n := range []int{85, 1000, 10000} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			view := catalog.NewView()
-			var members []*wire.Member
-			for i := range n {
-				node, zone := fmt.Sprint("node-", i), fmt.Sprint("z", i%4)
-				view.Follow(&wire.Item{Number: uint64(i + 1), What: &wire.Item_Server{Server: &wire.Server{
-					Member: fmt.Sprintf("i-%08x", i*7919), Service: fmt.Sprint("s", i%2), Node: node, Zone: zone, Slots: 12}}})
-				members = append(members, &wire.Member{Name: node, Zone: zone})
-			}
-			config := &meshconfig.Config{Backends: []meshconfig.Backend{{Name: "s0"}, {Name: "s1"}}}
-			t := NewTable(Options{Node: "node-0", Zone: "z0", Ratio: 0.2, Window: 10 * time.Second})
-			b.ReportAllocs()
-			for b.Loop() {
-				t.Update(0, NewWorld(config, view.State(), members, func(string) bool { return false }))
-			}
-		})
-	}
-}
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -9,7 +9,6 @@
 package entry
 
 import (
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -21,42 +20,12 @@
 )
 
 const (
-	graphGain    = 0.05 // weight of the newest run in the averages of calls
-	usualGain    = 0.03 // the same in that of their times
-	graphLeast   = 0.1  // calls a run below which a service is not counted as called
-	mostServices = 4096
+	graphGain   = 0.05 // weight of the newest run in the averages of calls
+	usualGain   = 0.03 // the same in that of their times
+	graphLeast  = 0.1  // calls a run below which a service is not counted as called
+	maxServices = 4096
 )
 
-// World is what a node has been told: a configuration and the servers. It is
-// not changed once made.
-type World struct {
-	Config  *meshconfig.Config
-	Servers map[string]*wire.Server // by member, those that may be sent to
-	Nodes   map[string][]string     // sidecar machines that are there, by zone
-}
-
-// NewWorld is the world as the news and the members have it: servers that drain,
-// or whose machines are not alive, are not sent to. gone tells of a machine that
-// it has died or left.
-func NewWorld(config *meshconfig.Config, news *wire.State, members []*wire.Member, gone func(node string) bool) *World {
-	silent := map[string]bool{}
-	w := &World{Config: config, Servers: make(map[string]*wire.Server, len(news.Servers)), Nodes: map[string][]string{}}
-	for _, m := range members {
-		switch {
-		case m.State != wire.Member_ALIVE:
-			silent[m.Name] = true
-		case !m.Core:
-			w.Nodes[m.Zone] = append(w.Nodes[m.Zone], m.Name)
-		}
-	}
-	for _, s := range news.Servers {
-		if !s.Draining && !s.Leaving && !silent[s.Node] && !gone(s.Node) {
-			w.Servers[s.Member] = s
-		}
-	}
-	return w
-}
-
 // Options are what a node knows of itself.
 type Options struct {
 	Node, Zone string
@@ -70,7 +39,12 @@
 	opt      Options
 	rng      *rand.Rand
 	world    *World
+	config   *meshconfig.Config // that the services are those of; nil: none yet
 	services map[string]*service
+	listed   map[string][]decide.Target    // servers that may be sent to, by service, also of services that no route has
+	place    float64                       // where the subsets begin
+	levels   map[int]int                   // routes of each priority
+	routes   map[string]int                // routes of each name
 	graphs   map[string]map[string]float64 // calls that a run makes, by route and service, averaged
 	usual    map[string]time.Duration      // how long a run takes, by route, averaged
 	slack    float64                       // this node's part of the retry slack
@@ -89,7 +63,7 @@
 	return &Table{
 		opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 1)), world: &World{},
 		services: map[string]*service{}, graphs: map[string]map[string]float64{},
-		usual: map[string]time.Duration{},
+		usual: map[string]time.Duration{}, listed: map[string][]decide.Target{}, levels: map[int]int{}, routes: map[string]int{},
 	}
 }
 
@@ -104,48 +78,6 @@
 	}
 }
 
-// Update takes news of the world.
-func (t *Table) Update(now time.Duration, w *World) {
-	t.world = w
-	if w.Config == nil {
-		return
-	}
-	lists, place := map[string][]decide.Target{}, decide.Place(t.opt.Node, w.Nodes[t.opt.Zone])
-	for _, s := range w.Servers {
-		lists[s.Service] = append(lists[s.Service], decide.Target{ID: s.Member, Near: s.Zone == t.opt.Zone})
-	}
-	var priorities []int
-	for i := range w.Config.Routes {
-		priorities = append(priorities, w.Config.Routes[i].Priority)
-	}
-	for _, b := range w.Config.Backends {
-		s := t.services[b.Name]
-		if s == nil && len(t.services) < mostServices {
-			s = &service{
-				gate: decide.NewGate(t.rng.Uint64(), now), picker: decide.NewPicker(t.rng.Uint64()),
-				budget: budget.New(t.opt.Ratio, t.opt.Window), hedges: hedgeSaved,
-			}
-			s.budget.Share(t.slack)
-			t.services[b.Name] = s
-		}
-		if s == nil {
-			continue
-		}
-		s.gate.Priorities(priorities)
-		s.picker.List(now, lists[b.Name], place)
-	}
-	dropped := func(name string) bool {
-		return !slices.ContainsFunc(w.Config.Routes, func(r meshconfig.Route) bool { return r.Name == name })
-	}
-	maps.DeleteFunc(t.graphs, func(name string, _ map[string]float64) bool { return dropped(name) })
-	maps.DeleteFunc(t.usual, func(name string, _ time.Duration) bool { return dropped(name) })
-	for name := range t.services {
-		if !slices.ContainsFunc(w.Config.Backends, func(b meshconfig.Backend) bool { return b.Name == name }) {
-			delete(t.services, name)
-		}
-	}
-}
-
 // learn notes how long a run of a route has taken, and which services it has called.
 func (t *Table) learn(now time.Duration, route string, out *wire.Outcome) {
 	called := out.Called
--- /dev/null
+++ b/internal/entry/update.go
@@ -0,0 +1,151 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"ivydeck/decide"
+	"ivydeck/internal/budget"
+	"ivydeck/internal/cowmap"
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/wire"
+)
+
+// Update takes a newer version of the world. It costs what has changed: a change of the configuration touches no list of
+// servers, and one of the servers those of their services alone.
+func (t *Table) Update(now time.Duration, w *World) {
+	old := t.world
+	t.world = w
+	touched := t.updateServers(old, w)
+	if place := t.placeIn(old, w); place != t.place {
+		t.place = place
+		for name := range t.services {
+			touched[name] = true
+		}
+	}
+	if w.Config != nil && w.Config != t.config {
+		t.updateConfig(now, t.config, w.Config, touched)
+		t.config = w.Config
+	}
+	for name := range touched {
+		if s := t.services[name]; s != nil {
+			s.picker.List(now, t.listed[name], t.place)
+		}
+	}
+}
+
+// placeIn is where this node's subsets begin.
+func (t *Table) placeIn(old, w *World) float64 {
+	nodes := w.Nodes[t.opt.Zone]
+	if slices.Equal(nodes, old.Nodes[t.opt.Zone]) {
+		return t.place
+	}
+	return decide.Place(t.opt.Node, nodes)
+}
+
+// updateServers brings the lists of servers up to date, and returns the services whose lists have changed.
+func (t *Table) updateServers(old, w *World) (touched map[string]bool) {
+	touched = map[string]bool{}
+	cowmap.Compare(old.Servers, w.Servers, func(c cowmap.Change[*wire.Server]) {
+		if c.Had && c.Has && (c.Old == c.New || c.Old.Service == c.New.Service && c.Old.Zone == c.New.Zone) {
+			return
+		}
+		if c.Had {
+			t.unlist(c.Old)
+			touched[c.Old.Service] = true
+		}
+		if c.Has {
+			target := decide.Target{ID: c.New.Member, Near: c.New.Zone == t.opt.Zone}
+			t.listed[c.New.Service] = append(t.listed[c.New.Service], target)
+			touched[c.New.Service] = true
+		}
+	})
+	return touched
+}
+
+// unlist takes a server off the list of its service.
+func (t *Table) unlist(s *wire.Server) {
+	list := t.listed[s.Service]
+	i := slices.IndexFunc(list, func(x decide.Target) bool { return x.ID == s.Member })
+	list[i] = list[len(list)-1]
+	if list = list[:len(list)-1]; len(list) == 0 {
+		delete(t.listed, s.Service)
+		return
+	}
+	t.listed[s.Service] = list
+}
+
+// updateConfig takes what differs between two configurations; the old one may be nil. It adds the services that are new
+// to those whose pickers need their list.
+func (t *Table) updateConfig(now time.Duration, old, config *meshconfig.Config, touched map[string]bool) {
+	if old == nil {
+		old = &meshconfig.Config{}
+	}
+	newLevels := t.updateRoutes(old, config)
+	if !sameBackends(old.Backends, config.Backends) {
+		t.updateServices(now, config, touched)
+		newLevels = true
+	}
+	if newLevels {
+		levels := slices.Collect(maps.Keys(t.levels))
+		for _, s := range t.services {
+			s.gate.Priorities(levels)
+		}
+	}
+}
+
+// updateRoutes counts the routes of each priority and name. It reports whether there are other priorities than before.
+func (t *Table) updateRoutes(old, config *meshconfig.Config) (newLevels bool) {
+	added, removed := meshconfig.Diff(old, config)
+	for _, r := range added {
+		newLevels = newLevels || t.levels[r.Priority] == 0
+		t.levels[r.Priority]++
+		t.routes[r.Name]++
+	}
+	for _, r := range removed {
+		if t.levels[r.Priority]--; t.levels[r.Priority] == 0 {
+			delete(t.levels, r.Priority)
+			newLevels = true
+		}
+		if t.routes[r.Name]--; t.routes[r.Name] == 0 {
+			delete(t.routes, r.Name)
+			delete(t.graphs, r.Name)
+			delete(t.usual, r.Name)
+		}
+	}
+	return newLevels
+}
+
+// sameBackends tells whether two lists have the same services, in their order.
+func sameBackends(a, b []meshconfig.Backend) bool {
+	return slices.EqualFunc(a, b, func(x, y meshconfig.Backend) bool { return x.Name == y.Name })
+}
+
+// updateServices begins what is kept of new services, and drops that of those that are gone.
+func (t *Table) updateServices(now time.Duration, config *meshconfig.Config, touched map[string]bool) {
+	there := make(map[string]bool, len(config.Backends))
+	for _, b := range config.Backends {
+		there[b.Name] = true
+	}
+	for name := range t.services {
+		if !there[name] {
+			delete(t.services, name)
+		}
+	}
+	for _, b := range config.Backends {
+		if t.services[b.Name] == nil && len(t.services) < maxServices {
+			t.services[b.Name] = t.newService(now)
+			touched[b.Name] = true
+		}
+	}
+}
+
+func (t *Table) newService(now time.Duration) *service {
+	s := &service{
+		gate: decide.NewGate(t.rng.Uint64(), now), picker: decide.NewPicker(t.rng.Uint64()),
+		budget: budget.New(t.opt.Ratio, t.opt.Window), hedges: hedgeSaved,
+	}
+	s.budget.Share(t.slack)
+	return s
+}
--- a/internal/lab/core.go
+++ b/internal/lab/core.go
@@ -73,7 +73,7 @@
 	c.changes, c.reads, c.inbox, c.busy, c.leads = map[uint64]*change{}, map[uint64]func(bool){}, nil, false, false
 	c.contactAt = s.now - raft.MaxContactAge
 	c.hub = relay.NewHub(func() time.Duration { return s.now - c.contactAt })
-	c.hub.Load(c.catalog.State())
+	c.hub.Apply(c.catalog.Whole())
 	c.peerView.start(s, &c.machine)
 	c.loop(c.life)
 	c.askToJoin(c.life)
@@ -160,7 +160,7 @@
 		if o.Snapshot != nil {
 			c.s.must(c.catalog.Restore(o.Snapshot.Data))
 			c.applied = o.Snapshot.Index
-			c.hub.Load(c.catalog.State())
+			c.hub.Apply(c.catalog.Whole())
 			c.feed()
 		}
 		if n := len(o.Entries); n > 0 {
@@ -206,10 +206,10 @@
 	if e.Kind == wire.Entry_COMMAND {
 		cmd := new(wire.Command)
 		c.s.must(proto.Unmarshal(e.Data, cmd))
-		var item *wire.Item
-		if item, verdict = c.catalog.Apply(cmd); item != nil {
-			c.s.m.committed(c.s.now, item.Number)
-			c.hub.Add(item)
+		var changes *wire.Changes
+		if changes, verdict = c.catalog.Apply(cmd); changes != nil {
+			c.s.m.committed(c.s.now, changes.To)
+			c.hub.Apply(changes)
 			c.feed()
 		}
 	}
@@ -313,7 +313,7 @@
 	children []*child
 }
 
-// child is a subscriber of a machine's news.
+// child is a subscriber of a machine's updates.
 type child struct {
 	node *node
 	life uint64
@@ -334,7 +334,7 @@
 	}
 	// Machines do not start in the same moment.
 	s.after(time.Duration(s.rng.Int64N(int64(membership.ProbeInterval))), func() { v.probe(m.life) })
-	s.after(time.Duration(s.rng.Int64N(int64(relay.Beat))), func() { v.beat(m.life) })
+	s.after(time.Duration(s.rng.Int64N(int64(relay.Heartbeat))), func() { v.beat(m.life) })
 }
 
 // probe is the driver of membership.
@@ -392,7 +392,7 @@
 		return
 	}
 	v.feed()
-	v.s.after(relay.Beat, func() { v.beat(life) })
+	v.s.after(relay.Heartbeat, func() { v.beat(life) })
 }
 
 // feed sends each child what it lacks.
@@ -421,7 +421,7 @@
 
 func (v *peerView) feedOne(c *child) {
 	f, _ := v.hub.Feed(c.have, v.s.now, c.subscribedAt)
-	c.have = max(c.have, f.Head)
+	c.have = max(c.have, f.Latest)
 	size := proto.Size(f)
 	v.s.m.feedBytes += int64(size + rpcBytes)
 	v.s.stream(v.m, &c.node.machine, size+rpcBytes, &c.last, func() { c.node.hear(c, f) })
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -206,17 +206,17 @@
 	s := prepare(w, 1)
 	told := uint64(0)
 	for at := 100 * time.Millisecond; at <= sec(w.Seconds); at += 100 * time.Millisecond {
-		told = s.cores[0].catalog.Number
+		told = s.cores[0].catalog.Index()
 		s.run(at)
 		for name, v := range s.views {
-			if v.fed() > relay.MostChildren {
+			if v.fed() > relay.MaxChildren {
 				t.Fatalf("after %v %s feeds %d children", at, name, v.fed())
 			}
 		}
 	}
 	for _, n := range s.nodes {
-		if n.hub.Number() < told {
-			t.Fatalf("%s has news up to %d, %d were there 0.1 s ago", n.name, n.hub.Number(), told)
+		if n.hub.Index() < told {
+			t.Fatalf("%s has updates up to %d, %d were there 0.1 s ago", n.name, n.hub.Index(), told)
 		}
 	}
 }
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -33,7 +33,7 @@
 	ByPriority []int   `json:"refused_by_priority"`
 	Repeats    int     `json:"repeats"`
 	Budget     float64 `json:"budget"`     // part of the shared budget that was used, at its worst
-	LagMs      float64 `json:"lag_ms"`     // of news, the worst
+	LagMs      float64 `json:"lag_ms"`     // of updates, the worst
 	Leaderless float64 `json:"leaderless"` // part of the second
 	P99Ms      float64 `json:"p99_ms"`
 	// Slots that were taken on average, by service; runs count in the second in
@@ -218,7 +218,7 @@
 	m.second(now).Budget = max(m.second(now).Budget, used)
 }
 
-// committed notes when an item of news was first applied by a core machine.
+// committed notes when an update was first applied by a core machine.
 func (m *measures) committed(now time.Duration, number uint64) {
 	if number > m.newest {
 		m.newest = number
@@ -226,7 +226,7 @@
 	}
 }
 
-// heard notes that a node has got the news after one number up to another.
+// heard notes that a node has got the updates after one index up to another.
 func (m *measures) heard(now time.Duration, before, after uint64) {
 	if before == 0 { // a new life, which has everything at once
 		return
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -8,6 +8,7 @@
 
 	"ivydeck/decide"
 	"ivydeck/internal/budget"
+	"ivydeck/internal/catalog"
 	"ivydeck/internal/entry"
 	"ivydeck/internal/health"
 	"ivydeck/internal/meshconfig"
@@ -34,20 +35,22 @@
 type node struct {
 	machine
 	peerView
-	place   relay.Place
-	climb   relay.Climb
-	parent  *child // as the parent has it
-	heardAt time.Duration
-	freshAt time.Duration
+	place    relay.Place
+	selector relay.Selector
+	parent   *child // as the parent has it
+	heardAt  time.Duration
+	freshAt  time.Duration
 
 	table    *entry.Table
 	station  *station.Station[*ticket]
 	shares   budget.Shares
 	server   *server
 	began    time.Duration
-	built    [2]uint64 // news and members that the table has been told
+	world    entry.WorldBuilder
+	listed   catalog.Local
+	members  uint64 // the version of them that the table has been told
 	proposes bool
-	ready    bool   // it takes clients: its news are as new as what had been acknowledged when it started
+	ready    bool   // it takes clients: its state is as new as what had been acknowledged when it started
 	owed     uint64 // the revision that had been
 }
 
@@ -59,7 +62,8 @@
 	s.lives++
 	n.life, n.up, n.powered, n.began = s.lives, true, true, s.now
 	n.place = relay.Place{Self: n.name, Zone: n.zone}
-	n.climb, n.parent, n.freshAt, n.built, n.proposes = relay.Climb{}, nil, -time.Hour, [2]uint64{}, false
+	n.selector, n.parent, n.freshAt, n.proposes = relay.Selector{}, nil, -time.Hour, false
+	n.world, n.listed, n.members = entry.WorldBuilder{}, catalog.Local{Node: n.name}, 0
 	n.hub = relay.NewHub(func() time.Duration { return s.now - n.freshAt })
 	n.table = entry.NewTable(entry.Options{Node: n.name, Zone: n.zone, Ratio: s.w.Retry.Ratio, Window: sec(s.w.Retry.WindowS), Seed: s.rng.Uint64()})
 	n.station = station.New[*ticket](ms(s.w.DrainMs), ms(s.w.BeatMs))
@@ -72,7 +76,7 @@
 	s.after(time.Duration(s.rng.Int64N(int64(200*time.Millisecond))), func() { n.follow(life) })
 }
 
-// fence asks the leader how far the news have come, and waits for them.
+// fence asks the leader how far the updates have come, and waits for them.
 func (n *node) fence(life uint64) {
 	s := n.s
 	over := func() bool { return !n.up || n.life != life || n.ready }
@@ -83,14 +87,14 @@
 		n.ready = true
 		return
 	}
-	var head uint64
+	var latest uint64
 	s.atLeader(&n.machine, rpcBytes, func(c *core, answer func(error)) {
 		c.read(func(ok bool) {
 			if !ok {
 				answer(errLost)
 				return
 			}
-			head = c.catalog.Number
+			latest = c.catalog.Index()
 			answer(nil)
 		})
 	}, func(err error) {
@@ -102,11 +106,11 @@
 		look = func() {
 			switch {
 			case over():
-			case n.hub.Number() < head:
+			case n.hub.Index() < latest:
 				s.after(fenceLook, look)
 			default:
 				n.ready = true
-				if c := s.parse(n.hub.State().Config); n.owed > 0 && (c == nil || c.Revision < n.owed) {
+				if c := n.hub.Config(); n.owed > 0 && (c == nil || c.Revision < n.owed) {
 					s.broken("%s is ready without revision %d, which was acknowledged before its start", n.name, n.owed)
 				}
 			}
@@ -137,16 +141,16 @@
 	if !n.up || n.life != life || n.parent != nil {
 		return
 	}
-	addr, wait := n.climb.Next(n.s.now, n.parents())
+	addr, wait := n.selector.Next(n.s.now, n.parents())
 	if addr == "" {
 		n.s.after(wait, func() { n.follow(life) })
 		return
 	}
-	c := &child{node: n, life: life, have: n.hub.Number(), subscription: relay.Subscription{AskedAt: n.s.now}}
+	c := &child{node: n, life: life, have: n.hub.Index(), subscription: relay.Subscription{AskedAt: n.s.now}}
 	n.parent, n.heardAt = c, n.s.now
 	to := n.s.views[addr]
 	n.s.call(&n.machine, to.m, rpcBytes, relay.Silence, func(answer func(int, func())) {
-		if to.fed() >= relay.MostChildren {
+		if to.fed() >= relay.MaxChildren {
 			answer(rpcBytes, func() { n.abandon(c, relay.ErrFull.Error()) })
 			return
 		}
@@ -174,38 +178,38 @@
 func (n *node) abandon(c *child, why string) {
 	if n.up && n.life == c.life && n.parent == c {
 		n.parent.gone, n.parent = true, nil
-		n.climb.Ended(n.s.now, why)
+		n.selector.Ended(n.s.now, why)
 		n.follow(n.life)
 	}
 }
 
-// hear takes news from a parent.
+// hear takes updates from a parent.
 func (n *node) hear(c *child, f *wire.Feed) {
 	if n.parent != c {
 		return
 	}
 	n.heardAt = n.s.now
 	contactAt := c.subscription.ContactAt(n.s.now, f)
-	if why := n.climb.Judge(n.s.now, n.s.now-contactAt); why != "" {
+	if why := n.selector.Check(n.s.now, n.s.now-contactAt); why != "" {
 		n.abandon(c, why)
 		return
 	}
-	before := n.hub.Number()
-	fresh, ok := n.hub.Take(f)
-	if fresh {
+	before := n.hub.Index()
+	current, ok := n.hub.Receive(f)
+	if current {
 		n.freshAt = max(n.freshAt, contactAt)
 	}
-	after := n.hub.Number()
+	after := n.hub.Index()
 	if after < before {
-		n.s.broken("%s went back from news %d to %d", n.name, before, after)
+		n.s.broken("%s went back from update %d to %d", n.name, before, after)
 	}
 	if after > before {
 		n.s.m.heard(n.s.now, before, after)
 		n.s.m.depth = max(n.s.m.depth, int(n.hub.Depth()))
 		n.feed()
 	}
-	if !ok || n.climb.Moves(n.s.now, n.parents()) || c.subscription.Outdated(n.s.now, f) {
-		n.abandon(c, relay.Again)
+	if !ok || n.selector.ShouldMove(n.s.now, n.parents()) || c.subscription.Outdated(n.s.now, f) {
+		n.abandon(c, relay.Renew)
 	}
 }
 
@@ -226,7 +230,9 @@
 
 func (n *node) register() {
 	m := station.Machine{Node: n.name, Address: n.name, Zone: n.zone}
-	todo := station.Difference(m, n.station.Servers(), n.hub.State().Servers, n.s.now-n.began < ms(2*n.s.w.BeatMs))
+	changes, _ := n.hub.State(n.listed.Index())
+	n.listed.Apply(changes)
+	todo := station.Difference(m, n.station.Servers(), n.listed.Servers(), n.s.now-n.began < ms(2*n.s.w.BeatMs))
 	if len(todo) == 0 {
 		return
 	}
@@ -245,12 +251,14 @@
 // refresh brings the table up to what the node has been told. The real node does so
 // at once; here it is put off until somebody asks.
 func (n *node) refresh() bool {
-	if now := [2]uint64{n.hub.Number(), n.group.Version()}; n.built != now {
-		n.built = now
-		state := n.hub.State()
-		n.table.Update(n.s.now, entry.NewWorld(n.s.parse(state.Config), state, n.group.Members(), func(name string) bool {
-			return n.group.Gone(n.s.now, name) > 0
-		}))
+	members := n.group.Version()
+	if members != n.members {
+		n.world.Members(n.group.Members(), func(name string) bool { return n.group.Gone(n.s.now, name) > 0 })
+	}
+	if n.hub.Index() != n.world.Index() || members != n.members {
+		n.members = members
+		n.world.Apply(n.hub.State(n.world.Index()))
+		n.table.Update(n.s.now, n.world.World())
 	}
 	return n.table.World().Config != nil
 }
@@ -340,7 +348,7 @@
 func (n *node) attempt(t *try, r *entry.Request, step entry.Step, done func(*wire.Outcome, decide.Result)) {
 	id := step.Server
 	s := n.s
-	listed := n.table.World().Servers[id]
+	listed, _ := n.table.World().Servers.Get(id)
 	if listed == nil {
 		done(&wire.Outcome{Fate: wire.Outcome_UNSENT, Gone: true}, decide.NotSent)
 		return
--- a/internal/lab/sim.go
+++ b/internal/lab/sim.go
@@ -10,7 +10,6 @@
 	"strings"
 	"time"
 
-	"ivydeck/internal/meshconfig"
 	"ivydeck/internal/raft"
 	"ivydeck/internal/wire"
 )
@@ -35,7 +34,6 @@
 	losses  []float64 // under way
 
 	base, acked uint64 // of the operator's revisions
-	parsed      map[string]*meshconfig.Config
 	pipes       map[[2]*core]*time.Duration
 	faults      []string
 	faultAt     time.Duration // of the first
@@ -86,7 +84,7 @@
 func prepare(w *World, seed uint64) *sim {
 	s := &sim{
 		w: w, m: newMeasures(w), views: map[string]*peerView{}, index: map[string]int{},
-		parsed: map[string]*meshconfig.Config{}, pipes: map[[2]*core]*time.Duration{},
+		pipes:   map[[2]*core]*time.Duration{},
 		outside: machine{name: "operator", zone: "z0", up: true, powered: true, life: 1},
 	}
 	s.network = network{engine: &engine{rng: rand.New(rand.NewPCG(seed, 0x1ab))}, Net: w.Net, cuts: map[[2]string]bool{}}
@@ -177,23 +175,6 @@
 	return &s.w.Routes[i]
 }
 
-// parse reads a configuration once for all nodes: it is not changed afterwards.
-func (s *sim) parse(body []byte) *meshconfig.Config {
-	if len(body) == 0 {
-		return nil
-	}
-	if c := s.parsed[string(body)]; c != nil {
-		return c
-	}
-	c, err := meshconfig.Parse(body)
-	s.must(err)
-	if len(s.parsed) > 8 {
-		clear(s.parsed)
-	}
-	s.parsed[string(body)] = c
-	return c
-}
-
 // begin lets a trouble befall its target, and end in time.
 func (s *sim) begin(t Trouble) {
 	i := s.w.find(t)
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -355,7 +355,7 @@
 		if r.Once {
 			kind = meshconfig.Once
 		}
-		c.Routes = append(c.Routes, meshconfig.Route{Name: r.Name, Host: host, Prefix: "/" + r.Name + "/", Kind: kind,
+		c.Routes = append(c.Routes, &meshconfig.Route{Name: r.Name, Host: host, Prefix: "/" + r.Name + "/", Kind: kind,
 			TimeoutMs: r.TimeoutMs, AimMs: r.AimMs, Priority: r.Priority, Backend: r.Service, MaxAttempts: r.MaxAttempts})
 	}
 	for _, r := range w.Routes {
--- a/internal/meshconfig/fuzz_test.go
+++ b/internal/meshconfig/fuzz_test.go
@@ -66,7 +66,7 @@
 			known[b.Name] = true
 		}
 		for i := range c.Routes {
-			r := &c.Routes[i]
+			r := c.Routes[i]
 			for _, x := range []float64{0, 0.5, 0.999999} {
 				if s := r.Service(x); !known[s] {
 					t.Errorf("route %d goes to %q, which is no service", i, s)
--- a/internal/meshconfig/meshconfig.go
+++ b/internal/meshconfig/meshconfig.go
@@ -3,14 +3,11 @@
 package meshconfig
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
-	"slices"
 	"strings"
-	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
+	"ivydeck/internal/cowmap"
 )
 
 // Bounds on what an operator may send.
@@ -19,64 +16,6 @@
 	mostRoutes = 100_000
 )
 
-// Kind says how often a request may run.
-type Kind string
-
-// The kinds of requests.
-const (
-	Repeatable Kind = "idempotent"
-	Once       Kind = "non_idempotent"
-)
-
-// Weighted is one of the services that share a route.
-type Weighted struct {
-	Backend string  `msgpack:"backend"`
-	Weight  float64 `msgpack:"weight"`
-}
-
-// Route sends requests of one host below one path to services.
-type Route struct {
-	Name        string     `msgpack:"name"`
-	Host        string     `msgpack:"hostname"`
-	Prefix      string     `msgpack:"path_prefix"`
-	Kind        Kind       `msgpack:"route_type"`
-	TimeoutMs   float64    `msgpack:"timeout_ms"`
-	AimMs       float64    `msgpack:"target_latency_ms"`
-	Priority    int        `msgpack:"priority"` // 0 is the highest
-	Backend     string     `msgpack:"backend"`  // empty: the weighted ones
-	Backends    []Weighted `msgpack:"weighted_backends"`
-	MaxAttempts int        `msgpack:"max_attempts"`
-
-	total float64
-}
-
-// Timeout is the longest that the operator wants a request held.
-func (r *Route) Timeout() time.Duration {
-	return time.Duration(r.TimeoutMs * float64(time.Millisecond))
-}
-
-// Aim is the time within which an answer earns its full worth.
-func (r *Route) Aim() time.Duration { return time.Duration(r.AimMs * float64(time.Millisecond)) }
-
-// Service picks the service for one request; x lies in [0, 1).
-func (r *Route) Service(x float64) string {
-	if r.Backend != "" {
-		return r.Backend
-	}
-	x *= r.total
-	for _, w := range r.Backends {
-		if x -= w.Weight; x < 0 {
-			return w.Backend
-		}
-	}
-	for i := len(r.Backends) - 1; i >= 0; i-- { // rounding
-		if r.Backends[i].Weight > 0 {
-			return r.Backends[i].Backend
-		}
-	}
-	return ""
-}
-
 // Backend is a service.
 type Backend struct {
 	Name     string `msgpack:"name"`
@@ -94,38 +33,21 @@
 	IdleMs      float64 `msgpack:"idle_timeout_ms"`
 }
 
-// Config is a whole configuration. It is not changed once parsed.
+// Config is a whole configuration. It is not changed once made. The order of routes and backends says nothing: a request
+// goes by the longest prefix of its host, and no two routes have the same one.
 type Config struct {
 	Revision uint64    `msgpack:"revision"`
-	Routes   []Route   `msgpack:"route_table"`
+	Routes   []*Route  `msgpack:"route_table"`
 	Backends []Backend `msgpack:"backend_table"`
 	Limits   Limits    `msgpack:"request_limits"`
 
-	hosts map[string][]*Route // longest prefix first
-}
-
-// Parse reads a configuration and checks all that can be checked of it alone.
-// The error names every fault with its place.
-func Parse(body []byte) (*Config, error) {
-	if len(body) > MostBytes {
-		return nil, fmt.Errorf("configuration: %d bytes, at most %d are allowed", len(body), MostBytes)
-	}
-	c := new(Config)
-	dec := msgpack.NewDecoder(strings.NewReader(string(body)))
-	if err := dec.Decode(c); err != nil {
-		return nil, fmt.Errorf("configuration: not readable: %w", err)
-	}
-	if _, err := dec.PeekCode(); err == nil {
-		return nil, errors.New("configuration: more follows behind its end")
-	}
-	if err := c.check(); err != nil {
-		return nil, fmt.Errorf("configuration: %w", err)
-	}
-	c.index()
-	return c, nil
+	raw           [][]byte           // of each route, as it was parsed; nil: it was not
+	places        cowmap.Map[*Route] // by Key.bytes
+	longestPrefix int                // of any route, or more
 }
 
-func (c *Config) check() error {
+// check finds all faults. Routes for which known holds were found good in another configuration.
+func (c *Config) check(known func(r *Route) bool) error {
 	var faults []error
 	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
 	if c.Revision == 0 {
@@ -134,61 +56,29 @@
 	if len(c.Routes) > mostRoutes || len(c.Backends) > mostRoutes {
 		fault("more than %d routes or services", mostRoutes)
 	}
-	known := map[string]bool{}
+	services := make(map[string]bool, len(c.Backends))
 	for i, b := range c.Backends {
 		if b.Name == "" {
 			fault("backend_table[%d] has no name", i)
 		}
-		if known[b.Name] {
+		if services[b.Name] {
 			fault("backend_table[%d]: %q is there twice", i, b.Name)
 		}
-		known[b.Name] = true
-	}
-	places := map[[2]string]bool{}
-	for i := range c.Routes {
-		r := &c.Routes[i]
-		where := fmt.Sprintf("route_table[%d] (%s)", i, r.Name)
-		if r.Host == "" {
-			fault("%s has no hostname", where)
-		}
-		if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
-			fault("%s: path_prefix %q does not start and end with a slash", where, r.Prefix)
-		}
-		place := [2]string{strings.ToLower(r.Host), r.Prefix}
-		if places[place] {
-			fault("%s: another route has host %q and prefix %q", where, r.Host, r.Prefix)
-		}
-		places[place] = true
-		if r.Kind != Repeatable && r.Kind != Once {
-			fault("%s: route_type is %q", where, r.Kind)
-		}
-		if !(r.TimeoutMs > 0) {
-			fault("%s: timeout_ms is %g", where, r.TimeoutMs)
-		}
-		if r.AimMs < 0 || r.Priority < 0 || r.MaxAttempts < 0 {
-			fault("%s: a negative number", where)
-		}
-		if r.Backend != "" {
-			if !known[r.Backend] {
-				fault("%s: no service %q", where, r.Backend)
-			}
-			if len(r.Backends) > 0 {
-				fault("%s: both backend and weighted_backends", where)
-			}
-			continue
+		services[b.Name] = true
+	}
+	places := make(map[Key]bool, len(c.Routes))
+	for i, r := range c.Routes {
+		faultOf := func(format string, args ...any) {
+			fault("route_table[%d] (%s)"+format, append([]any{i, r.Name}, args...)...)
 		}
-		for _, w := range r.Backends {
-			if !known[w.Backend] {
-				fault("%s: no service %q", where, w.Backend)
-			}
-			if !(w.Weight >= 0) || w.Weight > 1e9 {
-				fault("%s: weight %g", where, w.Weight)
-			}
-			r.total += w.Weight
+		if places[r.Key()] {
+			faultOf(": another route has host %q and prefix %q", r.Host, r.Prefix)
 		}
-		if !(r.total > 0) {
-			fault("%s: its weights add up to 0", where)
+		places[r.Key()] = true
+		if !known(r) {
+			r.check(faultOf)
 		}
+		r.checkServices(services, faultOf)
 	}
 	if c.Limits.HeaderBytes < 0 || c.Limits.BodyBytes < 0 || c.Limits.HeaderMs < 0 || c.Limits.IdleMs < 0 {
 		fault("request_limits: a negative number")
@@ -196,17 +86,74 @@
 	return errors.Join(faults...)
 }
 
-// index orders the routes for Find.
-func (c *Config) index() {
-	c.hosts = map[string][]*Route{}
-	for i := range c.Routes {
-		r := &c.Routes[i]
-		host := strings.ToLower(r.Host)
-		c.hosts[host] = append(c.hosts[host], r)
+// check finds the faults of a route alone.
+func (r *Route) check(fault func(format string, args ...any)) {
+	if r.Host == "" {
+		fault(" has no hostname")
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		fault(": path_prefix %q does not start and end with a slash", r.Prefix)
+	}
+	if r.Kind != Repeatable && r.Kind != Once {
+		fault(": route_type is %q", r.Kind)
+	}
+	if !(r.TimeoutMs > 0) {
+		fault(": timeout_ms is %g", r.TimeoutMs)
+	}
+	if r.AimMs < 0 || r.Priority < 0 || r.MaxAttempts < 0 {
+		fault(": a negative number")
+	}
+	if r.Backend != "" {
+		if len(r.Backends) > 0 {
+			fault(": both backend and weighted_backends")
+		}
+		return
+	}
+	for _, w := range r.Backends {
+		if !(w.Weight >= 0) || w.Weight > 1e9 {
+			fault(": weight %g", w.Weight)
+		}
+	}
+	if !(r.total > 0) {
+		fault(": its weights add up to 0")
+	}
+}
+
+// checkServices finds services that a route names and the configuration lacks.
+func (r *Route) checkServices(services map[string]bool, fault func(format string, args ...any)) {
+	if r.Backend != "" {
+		if !services[r.Backend] {
+			fault(": no service %q", r.Backend)
+		}
+		return
+	}
+	for _, w := range r.Backends {
+		if !services[w.Backend] {
+			fault(": no service %q", w.Backend)
+		}
+	}
+}
+
+// index orders the routes for Find, beginning with the index of a configuration that may share most of them.
+func (c *Config) index(base *Config) {
+	if base == nil {
+		base = &Config{}
+	}
+	c.longestPrefix = base.longestPrefix
+	added, removed := Diff(base, c)
+	c.places = base.places
+	if len(added) == 0 && len(removed) == 0 {
+		return
 	}
-	for _, routes := range c.hosts {
-		slices.SortFunc(routes, func(x, y *Route) int { return cmp.Compare(len(y.Prefix), len(x.Prefix)) })
+	edit := base.places.Edit()
+	for _, r := range removed {
+		edit.Delete(r.Key().bytes())
 	}
+	for _, r := range added {
+		edit.Set(r.Key().bytes(), r)
+		c.longestPrefix = max(c.longestPrefix, len(r.Prefix))
+	}
+	c.places = edit.Map()
 }
 
 // Find returns the route for a Host header and a path, or nil.
@@ -214,14 +161,55 @@
 	if name, _, ok := strings.Cut(host, ":"); ok {
 		host = name
 	}
-	routes, ok := c.hosts[host]
-	if !ok {
-		routes = c.hosts[strings.ToLower(host)]
-	}
-	for _, r := range routes {
-		if strings.HasPrefix(path, r.Prefix) {
+	host = strings.ToLower(host)
+	path = path[:min(len(path), c.longestPrefix)]
+	for {
+		slash := strings.LastIndexByte(path, '/')
+		if slash < 0 {
+			return nil
+		}
+		if r := c.At(host, path[:slash+1]); r != nil {
 			return r
 		}
+		path = path[:slash]
+	}
+}
+
+// At returns the route of a place, or nil. The host is in lower case.
+func (c *Config) At(host, prefix string) *Route {
+	var room [128]byte
+	r, _ := c.places.GetBytes(appendKey(room[:0], host, prefix))
+	return r
+}
+
+// Diff returns the routes that only one of two configurations has. One that was changed is in both lists. It costs little
+// where most routes stand at the same places.
+func Diff(old, now *Config) (added, removed []*Route) {
+	common := min(len(old.Routes), len(now.Routes))
+	for i := range common {
+		if old.Routes[i] != now.Routes[i] {
+			removed = append(removed, old.Routes[i])
+			added = append(added, now.Routes[i])
+		}
+	}
+	removed = append(removed, old.Routes[common:]...)
+	added = append(added, now.Routes[common:]...)
+	if len(added) == 0 || len(removed) == 0 {
+		return added, removed
+	}
+	return without(added, removed), without(removed, added)
+}
+
+// without returns the routes of one list that are not in another.
+func without(list, others []*Route) (rest []*Route) {
+	there := make(map[*Route]bool, len(others))
+	for _, r := range others {
+		there[r] = true
+	}
+	for _, r := range list {
+		if !there[r] {
+			rest = append(rest, r)
+		}
 	}
-	return nil
+	return rest
 }
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -93,8 +93,8 @@
 func (o *Outbound) Priorities() int {
 	most := 0
 	if config := o.world().Config; config != nil {
-		for i := range config.Routes {
-			most = max(most, config.Routes[i].Priority+1)
+		for _, r := range config.Routes {
+			most = max(most, r.Priority+1)
 		}
 	}
 	return min(most, mostPriorities)
@@ -107,7 +107,7 @@
 	return o.table.Pressure(o.now(), service)
 }
 
-// Update takes news of the world.
+// Update takes a newer version of the world.
 func (o *Outbound) Update(w *World) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -406,9 +406,9 @@
 // the context of the way there, ctx that of the call.
 func (o *Outbound) begin(dial, ctx context.Context, c *Call, world *World, r *entry.Request, step entry.Step) (*rpc.Stream, try) {
 	t := try{server: step.Server}
-	server := world.Servers[t.server]
+	server, _ := world.Servers.Get(t.server)
 	if server == nil { // the list is newer than the request's
-		server = o.world().Servers[t.server]
+		server, _ = o.world().Servers.Get(t.server)
 	}
 	if server == nil {
 		t.out, t.result = unsent(true, "not listed"), decide.NotSent
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"ivydeck/internal/cowmap"
 	"ivydeck/internal/http1"
 	"ivydeck/internal/identity"
 	"ivydeck/internal/meshconfig"
@@ -149,11 +150,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &World{Config: config, Servers: map[string]*wire.Server{}}
+	var list cowmap.Map[*wire.Server]
+	edit := list.Edit()
 	for _, id := range []string{"i-1", "i-2"} {
 		b.in.Beat(Beat{ID: id, Service: "s", Address: b.app(id, gate), Zone: "z", Slots: 8}, time.Now())
-		w.Servers[id] = &wire.Server{Member: id, Service: "s", Address: nodes.Addr().String(), Zone: "z", Speaks: station.SpeaksFields}
+		edit.Set(id, &wire.Server{Member: id, Service: "s", Address: nodes.Addr().String(), Zone: "z", Speaks: station.SpeaksFields})
 	}
+	w := &World{Config: config, Servers: edit.Map()}
 	b.out.Update(w)
 	return b
 }
@@ -188,10 +191,11 @@
 	b := newBed(t, nil)
 	_, want, wantHeaders := b.ask("POST", "/once/x", "new", "payload", "X-A", "1: 2")
 	w := *b.out.world()
-	w.Servers = map[string]*wire.Server{}
-	for id, s := range b.out.world().Servers {
-		w.Servers[id] = &wire.Server{Member: id, Service: s.Service, Address: s.Address, Zone: s.Zone}
-	}
+	edit := w.Servers.Edit()
+	b.out.world().Servers.Each(func(id string, s *wire.Server) {
+		edit.Set(id, &wire.Server{Member: id, Service: s.Service, Address: s.Address, Zone: s.Zone})
+	})
+	w.Servers = edit.Map()
 	b.out.Update(&w)
 	_, got, gotHeaders := b.ask("POST", "/once/x", "old", "payload", "X-A", "1: 2")
 	if got != want {
--- a/internal/raft/lease_sim_test.go
+++ b/internal/raft/lease_sim_test.go
@@ -304,10 +304,10 @@
 		subscribe()
 	}
 	if c.subscribedAt < 0 && w.now >= c.requestAt {
-		c.subscribedAt, c.sentAt = parentNow, -relay.Beat
+		c.subscribedAt, c.sentAt = parentNow, -relay.Heartbeat
 	}
-	if c.subscribedAt >= 0 && w.now-c.sentAt >= relay.Beat {
-		f := &wire.Feed{Head: head}
+	if c.subscribedAt >= 0 && w.now-c.sentAt >= relay.Heartbeat {
+		f := &wire.Feed{Latest: head}
 		relay.SetAge(f, parentNow, parentContact, c.subscribedAt)
 		arrives := w.now + delay()
 		if n := len(c.feeds); n > 0 {
@@ -318,8 +318,8 @@
 	for len(c.feeds) > 0 && c.feeds[0].arrives <= w.now {
 		f := c.feeds[0].feed
 		c.feeds = c.feeds[1:]
-		c.applied = max(c.applied, f.Head)
-		if c.applied == f.Head {
+		c.applied = max(c.applied, f.Latest)
+		if c.applied == f.Latest {
 			c.contact = max(c.contact, c.subscription.ContactAt(own, f))
 		}
 		if c.subscription.Outdated(own, f) {
--- a/internal/relay/age_test.go
+++ b/internal/relay/age_test.go
@@ -61,10 +61,10 @@
 func TestAgeIsReadBeforeTheState(t *testing.T) {
 	var h *Hub
 	h = NewHub(func() time.Duration {
-		h.Add(&wire.Item{Number: 1, What: &wire.Item_Config{Config: []byte{1}}})
+		h.Apply(&wire.Changes{To: 1})
 		return 0
 	})
-	if f, _ := h.Feed(0, 0, 0); f.Head != 1 {
-		t.Errorf("the age was read after a state of number %d", f.Head)
+	if f, _ := h.Feed(0, 0, 0); f.Latest != 1 {
+		t.Errorf("the age was read after a state of index %d", f.Latest)
 	}
 }
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -44,14 +44,14 @@
 // Run follows one parent after another until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	began := time.Now()
-	var climb Climb
+	var selector Selector
 	for ctx.Err() == nil {
-		addr, wait := climb.Next(time.Since(began), f.Parents())
+		addr, wait := selector.Next(time.Since(began), f.Parents())
 		if addr == "" {
 			pause(ctx, wait)
 			continue
 		}
-		why := f.follow(ctx, &climb, addr, began)
+		why := f.follow(ctx, &selector, addr, began)
 		if ctx.Err() == nil {
 			f.Log.Debug("relay.parent", "address", addr, "why", why)
 		}
@@ -67,16 +67,16 @@
 	}
 }
 
-// follow takes news of one parent until that fails, and says why it did.
-func (f *Follower) follow(ctx context.Context, climb *Climb, addr string, began time.Time) (why string) {
+// follow takes the updates of one parent until that fails, and says why it did.
+func (f *Follower) follow(ctx context.Context, selector *Selector, addr string, began time.Time) (why string) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer func() { climb.Ended(time.Since(began), why) }()
+	defer func() { selector.Ended(time.Since(began), why) }()
 	// The stream has no deadline of its own: silence ends it.
 	watchdog := time.AfterFunc(Silence, cancel)
 	defer watchdog.Stop()
 	subscription := Subscription{AskedAt: time.Since(began)}
-	s, err := f.Pool.Open(ctx, addr, "subscribe", &wire.Subscribe{Have: f.Hub.Number(), Node: f.Node})
+	s, err := f.Pool.Open(ctx, addr, "subscribe", &wire.Subscribe{Have: f.Hub.Index(), Node: f.Node, Format: Format})
 	if err != nil {
 		return err.Error()
 	}
@@ -87,17 +87,21 @@
 			return err.Error()
 		}
 		watchdog.Reset(Silence)
+		if err := CheckFormat("the parent", feed.Format); err != nil {
+			f.Log.Error("relay.format", "address", addr, "err", err)
+			return err.Error()
+		}
 		now := time.Since(began)
 		contactAt := subscription.ContactAt(now, feed)
-		if why := climb.Judge(now, now-contactAt); why != "" {
+		if why := selector.Check(now, now-contactAt); why != "" {
 			return why
 		}
-		fresh, ok := f.Hub.Take(feed)
-		if fresh {
+		current, ok := f.Hub.Receive(feed)
+		if current {
 			f.confirmed(began.Add(contactAt))
 		}
-		if !ok || climb.Moves(now, f.Parents()) || subscription.Outdated(now, feed) {
-			return Again
+		if !ok || selector.ShouldMove(now, f.Parents()) || subscription.Outdated(now, feed) {
+			return Renew
 		}
 	}
 }
--- /dev/null
+++ b/internal/relay/hub.go
@@ -0,0 +1,259 @@
+package relay
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"ivydeck/internal/catalog"
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/rpc"
+	"ivydeck/internal/wire"
+)
+
+const (
+	// feedEvery is the least time between two feeds to a child, so that updates that come faster share one. The first
+	// after a pause goes at once.
+	feedEvery = 25 * time.Millisecond
+
+	maxCached      = 16      // differences that are kept for the children that stand at the same index
+	maxCachedBytes = 1 << 20 // of one of them, encoded
+)
+
+// Hub holds what a node was told, and passes it on to its children.
+type Hub struct {
+	// Age is an upper bound of the time since a quorum confirmed the state here.
+	Age func() time.Duration
+
+	mu       sync.Mutex
+	view     *catalog.View
+	changed  chan struct{}          // closed and replaced at each change
+	cached   map[uint64]*difference // to the latest index, by where they begin
+	depth    uint32
+	children int
+}
+
+// difference is what leads to the latest index, made once for all children that stand at another.
+type difference struct {
+	changes *wire.Changes
+	encoded []byte // a Feed with nothing but the changes
+}
+
+// NewHub returns a hub that has been told nothing.
+func NewHub(age func() time.Duration) *Hub {
+	return &Hub{Age: age, view: catalog.NewView(), changed: make(chan struct{}), cached: map[uint64]*difference{}}
+}
+
+// notify tells those who wait of a change; called with mu held.
+func (h *Hub) notify() {
+	clear(h.cached)
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed at the next change.
+func (h *Hub) Changed() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.changed
+}
+
+// Index of the latest update.
+func (h *Hub) Index() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.view.Index()
+}
+
+// Server returns a registered server; nil: it is not listed.
+func (h *Hub) Server(member string) *wire.Server {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.view.Server(member)
+}
+
+// Config returns the configuration; nil: there is none yet.
+func (h *Hub) Config() *meshconfig.Config {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.view.Config()
+}
+
+// State returns what has changed since an index, and the configuration; nil changes: none.
+func (h *Hub) State(since uint64) (*wire.Changes, *meshconfig.Config) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.view.Changes(since), h.view.Config()
+}
+
+// Apply takes changes in. It reports false where they do not begin at what is here, so that those in between have to be
+// asked for; old ones are passed over.
+func (h *Hub) Apply(c *wire.Changes) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.apply(c)
+}
+
+func (h *Hub) apply(c *wire.Changes) bool {
+	if c == nil {
+		return true
+	}
+	before := h.view.Index()
+	ok := h.view.Apply(c)
+	if h.view.Index() != before {
+		h.notify()
+	}
+	return ok
+}
+
+// Receive takes in what a parent has sent. It reports not ok where changes are missing:
+// the subscription has to be renewed. current tells that the parent knows nothing
+// newer than what is here, so that its age is the age of this node's state too.
+func (h *Hub) Receive(f *wire.Feed) (current, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ok = h.apply(f.Changes)
+	h.depth = f.Depth + 1
+	return ok && f.Latest == h.view.Index(), ok
+}
+
+// Depth is this node's place below the quorum, whose members are at 0.
+func (h *Hub) Depth() uint32 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.depth
+}
+
+// Feed returns what to send to a child that has the state at an index and whose request was received at a moment of the
+// caller's clock, and a channel that is closed at the next change. The age is read before the state that it speaks of:
+// updates that come in between make it no older.
+func (h *Hub) Feed(have uint64, now, subscribedAt time.Duration) (*wire.Feed, <-chan struct{}) {
+	contactAt := now - h.Age()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f := h.heartbeat()
+	SetAge(f, now, contactAt, subscribedAt)
+	if d := h.difference(have); d != nil {
+		f.Changes = d.changes
+	}
+	return f, h.changed
+}
+
+// heartbeat is a feed without changes; called with mu held.
+func (h *Hub) heartbeat() *wire.Feed {
+	return &wire.Feed{Latest: h.view.Index(), Depth: h.depth, Format: Format}
+}
+
+// difference returns what leads from an index to the latest; nil: nothing. Called with mu held.
+func (h *Hub) difference(have uint64) *difference {
+	if d := h.cached[have]; d != nil {
+		return d
+	}
+	changes := h.view.Changes(have)
+	if changes == nil {
+		return nil
+	}
+	d := &difference{changes: changes}
+	if len(h.cached) < maxCached {
+		h.cached[have] = d
+	}
+	return d
+}
+
+// encodedFeed is Feed in bytes. The changes are encoded once for all children that stand at the same index.
+func (h *Hub) encodedFeed(have uint64, now, subscribedAt time.Duration) (data []byte, latest uint64, changed <-chan struct{}, err error) {
+	contactAt := now - h.Age()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f := h.heartbeat()
+	SetAge(f, now, contactAt, subscribedAt)
+	data, err = proto.Marshal(f)
+	if err != nil {
+		return nil, 0, nil, err
+	}
+	if d := h.difference(have); d != nil {
+		changes, err := d.encode()
+		if err != nil {
+			return nil, 0, nil, err
+		}
+		data = append(data, changes...) // messages that follow each other are merged
+	}
+	return data, f.Latest, h.changed, nil
+}
+
+// encode returns the bytes, which are kept unless they are many.
+func (d *difference) encode() ([]byte, error) {
+	if d.encoded != nil {
+		return d.encoded, nil
+	}
+	data, err := proto.Marshal(&wire.Feed{Changes: d.changes})
+	if err == nil && len(data) <= maxCachedBytes {
+		d.encoded = data
+	}
+	return data, err
+}
+
+// ErrFull is the end of a subscription to a node that feeds enough children.
+var ErrFull = errors.New("relay: no room for another child")
+
+// enter takes a child in, unless there are too many.
+func (h *Hub) enter() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.children >= MaxChildren {
+		return false
+	}
+	h.children++
+	return true
+}
+
+func (h *Hub) exit() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.children--
+}
+
+// Serve feeds one child until it leaves.
+func (h *Hub) Serve(s *rpc.Stream) error {
+	ask := new(wire.Subscribe)
+	if err := s.Recv(ask); err != nil {
+		return err
+	}
+	subscribedAt := time.Now()
+	if err := CheckFormat(ask.Node, ask.Format); err != nil {
+		return err
+	}
+	if !h.enter() {
+		return ErrFull
+	}
+	defer h.exit()
+	have := ask.Have
+	heartbeat := time.NewTicker(Heartbeat)
+	defer heartbeat.Stop()
+	pause := time.NewTimer(feedEvery)
+	defer pause.Stop()
+	for {
+		data, latest, changed, err := h.encodedFeed(have, time.Since(subscribedAt), 0)
+		if err != nil {
+			return err
+		}
+		if err := s.SendEncoded(data); err != nil {
+			return err
+		}
+		have = max(have, latest)
+		pause.Reset(feedEvery)
+		select {
+		case <-changed:
+			select {
+			case <-pause.C:
+			case <-s.Context().Done():
+				return s.Context().Err()
+			}
+		case <-heartbeat.C:
+		case <-s.Context().Done():
+			return s.Context().Err()
+		}
+	}
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,11 +1,15 @@
 package relay
 
 import (
+	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"ivydeck/internal/wire"
 )
 
@@ -20,9 +24,9 @@
 	return list
 }
 
-// news spreads from the core machines, each hop taking link and the sender's time
+// spread follows an update from the quorum members, each hop taking link and the sender's time
 // for each child; it returns when the last node has it and what a node sends at most.
-func news(n, zones int, link, each time.Duration) (last time.Duration, most, crossings int) {
+func spread(n, zones int, link, each time.Duration) (last time.Duration, most, crossings int) {
 	all := members(n, zones)
 	zone := map[string]string{}
 	children := map[string][]string{}
@@ -61,9 +65,9 @@
 	return last, most, crossings
 }
 
-func TestNewsReachAll(t *testing.T) {
+func TestUpdatesReachAll(t *testing.T) {
 	for _, n := range []int{1, 13, 130, 1300} {
-		last, most, crossings := news(n, 4, 2*time.Millisecond, time.Millisecond)
+		last, most, crossings := spread(n, 4, 2*time.Millisecond, time.Millisecond)
 		t.Logf("%5d nodes: %v, a node sends it %d times at most", n, last, most)
 		if last < 0 || last > time.Second || most > 8 || crossings > 0 {
 			t.Errorf("%d nodes: %v, %d times, %d between zones", n, last, most, crossings)
@@ -71,11 +75,11 @@
 	}
 }
 
-func BenchmarkNews(b *testing.B) {
+func BenchmarkSpread(b *testing.B) {
 	for _, n := range []int{13, 130, 1300} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			for b.Loop() {
-				last, most, _ := news(n, 4, 2*time.Millisecond, time.Millisecond)
+				last, most, _ := spread(n, 4, 2*time.Millisecond, time.Millisecond)
 				b.ReportMetric(float64(last.Milliseconds()), "sim-ms")
 				b.ReportMetric(float64(most), "sends/node")
 			}
@@ -102,7 +106,7 @@
 
 func TestAHubFeedsSoManyChildren(t *testing.T) {
 	h := NewHub(nil)
-	for range MostChildren {
+	for range MaxChildren {
 		if !h.enter() {
 			t.Fatal("no room for a child below the bound")
 		}
@@ -118,22 +122,70 @@
 
 func TestHubNeverGoesBack(t *testing.T) {
 	h := NewHub(func() time.Duration { return 0 })
-	item := func(n uint64) *wire.Item {
-		return &wire.Item{Number: n, What: &wire.Item_Config{Config: []byte{byte(n)}}}
+	change := func(from, to uint64) *wire.Changes {
+		return &wire.Changes{From: from, To: to, Resources: []*wire.Resource{{Index: to, Value: &wire.Resource_Config{
+			Config: &wire.ConfigHeader{Revision: to}}}}}
+	}
+	whole := func(to uint64) *wire.Changes {
+		c := change(0, to)
+		c.Whole = true
+		return c
 	}
-	if !h.Add(item(1), item(2)) || h.Add(item(4)) || !h.Add(item(1), item(3)) || h.Number() != 3 {
-		t.Errorf("at %d", h.Number())
+	if !h.Apply(change(0, 1)) || !h.Apply(change(1, 2)) || h.Apply(change(3, 4)) || !h.Apply(change(0, 1)) || !h.Apply(change(2, 3)) || h.Index() != 3 {
+		t.Errorf("at %d", h.Index())
 	}
-	if h.Load(&wire.State{Number: 3}) || h.Load(&wire.State{Number: 2}) || h.State().Config[0] != 3 {
-		t.Errorf("went back to %v", h.State())
+	if !h.Apply(whole(3)) || !h.Apply(whole(2)) || h.Index() != 3 || h.Config().Revision != 3 {
+		t.Errorf("went back to %d, revision %d", h.Index(), h.Config().Revision)
 	}
-	if f, _ := h.Since(1); len(f.Items) != 2 || f.Whole != nil || f.Head != 3 {
+	if f, _ := h.Feed(1, 0, 0); len(f.Changes.GetResources()) != 1 || f.Changes.Whole || f.Changes.From != 1 || f.Latest != 3 {
 		t.Errorf("%v", f)
 	}
-	if !h.Load(&wire.State{Number: 9}) {
+	if f, _ := h.Feed(3, 0, 0); f.Changes != nil {
+		t.Errorf("nothing has changed, and %v is sent", f)
+	}
+	if !h.Apply(whole(9)) || h.Index() != 9 {
 		t.Error("a newer state was not taken")
 	}
-	if f, _ := h.Since(3); f.Whole == nil {
-		t.Error("items that are not kept were promised")
+	other := NewHub(func() time.Duration { return 0 })
+	f, _ := h.Feed(0, 0, 0)
+	if current, ok := other.Receive(f); !current || !ok || other.Index() != 9 || other.Depth() != 1 {
+		t.Errorf("a child is at %d", other.Index())
+	}
+	f.Latest, f.Changes = 12, nil
+	if current, ok := other.Receive(f); current || !ok {
+		t.Error("a child that lacks updates takes its state for the newest")
+	}
+}
+
+// TestFeedsOfOtherFormats: a node that understands other feeds is told so in one line.
+func TestFeedsOfOtherFormats(t *testing.T) {
+	if err := CheckFormat("p", Format+1); !errors.Is(err, ErrFormat) || !strings.Contains(err.Error(), "p has feeds of format 2, this node of format 1") {
+		t.Errorf("of another format it says %v", err)
+	}
+	if err := CheckFormat("p", Format); err != nil {
+		t.Errorf("of the same format it says %v", err)
+	}
+}
+
+// TestEncodedFeed: what is sent is what Feed says, and the changes are encoded once.
+func TestEncodedFeed(t *testing.T) {
+	h := NewHub(func() time.Duration { return 0 })
+	h.Apply(&wire.Changes{To: 7, Resources: []*wire.Resource{{Index: 7, Value: &wire.Resource_Server{Server: &wire.Server{Member: "i-1"}}}}})
+	for _, have := range []uint64{0, 3, 7} {
+		data, latest, _, err := h.encodedFeed(have, 9*time.Second, 5*time.Second)
+		got := new(wire.Feed)
+		want, _ := h.Feed(have, 9*time.Second, 5*time.Second)
+		if err = errors.Join(err, proto.Unmarshal(data, got)); err != nil || latest != 7 || !proto.Equal(got, want) {
+			t.Errorf("%v, want %v: %v", got, want, err)
+		}
+	}
+	before := h.cached[3].encoded
+	h.encodedFeed(3, 0, 0)
+	if len(before) == 0 || &before[0] != &h.cached[3].encoded[0] {
+		t.Error("the same changes were encoded again")
+	}
+	h.Apply(&wire.Changes{From: 7, To: 8})
+	if len(h.cached) != 0 {
+		t.Error("differences to an old index are kept")
 	}
 }
--- a/internal/rpc/stream.go
+++ b/internal/rpc/stream.go
@@ -302,6 +302,13 @@
 	if err != nil {
 		return fmt.Errorf("%w: encoding a message: %w", ErrUnsent, err)
 	}
+	return s.sendData(data, method, waitMs, fin)
+}
+
+// SendEncoded is Send for a message that was encoded before, so that many receivers can share the bytes.
+func (s *Stream) SendEncoded(data []byte) error { return s.sendData(data, "", 0, false) }
+
+func (s *Stream) sendData(data []byte, method string, waitMs uint32, fin bool) error {
 	if len(data) > mostMessage {
 		return fmt.Errorf("%w: %w", ErrUnsent, ErrTooLarge)
 	}
