Put the difference to the configuration in force into the log, not the whole one

Change: package bytedelta says how one string of bytes comes of another (copied ranges, found where they stand or by blocks of 32 bytes, and what stands in between). Where the base of a change is the revision in force, its command has the delta, the revision and the hash; replicas rebuild the very body and check the hash, and a delta for another body is a stale base, as ever. What was accepted before is known by revision and hash, as ever. Parsing at the operator's call reuses the routes in force.

Ruled out: a difference of routes (the operator reads back the very bytes, whatever else stands in them).

--- a/Makefile
+++ b/Makefile
@@ -9,3 +9,4 @@
 	go test ./internal/nodefile -run none -fuzz FuzzParse -fuzztime $(FUZZTIME)
 	go test ./internal/meshconfig -run none -fuzz FuzzConfig -fuzztime $(FUZZTIME)
 	go test ./internal/store -run none -fuzz FuzzRecovery -fuzztime $(FUZZTIME)
+	go test ./internal/bytedelta -run none -fuzz FuzzDelta -fuzztime $(FUZZTIME)
--- /dev/null
+++ b/internal/bytedelta/bytedelta.go
@@ -0,0 +1,147 @@
+// Package bytedelta says how one string of bytes comes of another: which ranges are copied, and what stands in between.
+// It costs about what differs, wherever bytes were put in or taken out. Its functions are pure.
+package bytedelta
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+)
+
+const (
+	blockSize = 32 // ranges that moved are found by blocks of the base
+	minCopy   = 12 // a copy costs a few bytes itself
+
+	hashFactor = 0x9E3779B97F4A7C15
+)
+
+// ErrMalformed is an error of Apply: the delta is none, or one for another base.
+var ErrMalformed = errors.New("bytedelta: the delta does not fit the base")
+
+// A delta is a row of steps. Each begins with a number, twice the length and one more for a copy. A copy's offset in the
+// base follows, less the end of the copy before; else so many bytes do.
+
+// Encode returns the delta that leads from a base to a target.
+func Encode(base, target []byte) []byte {
+	e := encoder{base: base, target: target}
+	at, inBase := 0, 0 // inBase lines up with at, if nothing was put in or taken out since the last copy
+	for at < len(target) {
+		n := commonPrefix(base[min(inBase, len(base)):], target[at:])
+		if n >= minCopy || n > 0 && at+n == len(target) {
+			at, inBase = e.copyRange(at, inBase, n)
+			continue
+		}
+		if moved, ok := e.find(at); ok {
+			at, inBase = e.copyMoved(at, moved)
+			continue
+		}
+		at++
+		inBase++
+	}
+	e.literal(len(target))
+	return e.out
+}
+
+// encoder makes one delta.
+type encoder struct {
+	base, target []byte
+	out          []byte
+	written      int            // of the target
+	copyEnd      int            // in the base, of the last copy
+	blocks       map[uint64]int // where blocks of the base begin, by their hash; made when it is needed
+}
+
+// literal puts the target's bytes up to an offset into the delta.
+func (e *encoder) literal(upTo int) {
+	if upTo > e.written {
+		e.out = binary.AppendUvarint(e.out, uint64(upTo-e.written)<<1)
+		e.out = append(e.out, e.target[e.written:upTo]...)
+		e.written = upTo
+	}
+}
+
+// copyRange puts a copy into the delta, and returns where both sides are behind it.
+func (e *encoder) copyRange(at, inBase, n int) (nextAt, nextInBase int) {
+	e.literal(at)
+	e.out = binary.AppendUvarint(e.out, uint64(n)<<1|1)
+	e.out = binary.AppendVarint(e.out, int64(inBase-e.copyEnd))
+	e.written, e.copyEnd = at+n, inBase+n
+	return at + n, inBase + n
+}
+
+// copyMoved copies all around a block that was found elsewhere in the base.
+func (e *encoder) copyMoved(at, inBase int) (nextAt, nextInBase int) {
+	for at > e.written && inBase > 0 && e.target[at-1] == e.base[inBase-1] {
+		at, inBase = at-1, inBase-1
+	}
+	return e.copyRange(at, inBase, commonPrefix(e.base[inBase:], e.target[at:]))
+}
+
+// find returns where the base has the block that begins at an offset of the target.
+func (e *encoder) find(at int) (inBase int, ok bool) {
+	if at+blockSize > len(e.target) {
+		return 0, false
+	}
+	if e.blocks == nil {
+		e.blocks = make(map[uint64]int, len(e.base)/blockSize)
+		for i := 0; i+blockSize <= len(e.base); i += blockSize {
+			e.blocks[hash(e.base[i:])] = i
+		}
+	}
+	block := e.target[at : at+blockSize]
+	inBase, ok = e.blocks[hash(block)]
+	return inBase, ok && bytes.Equal(block, e.base[inBase:inBase+blockSize])
+}
+
+// hash of the block that some bytes begin with.
+func hash(b []byte) (h uint64) {
+	for i := 0; i < blockSize; i += 8 {
+		h = (h ^ binary.LittleEndian.Uint64(b[i:])) * hashFactor
+		h ^= h >> 29
+	}
+	return h
+}
+
+func commonPrefix(a, b []byte) int {
+	n := min(len(a), len(b))
+	for i := range n {
+		if a[i] != b[i] {
+			return i
+		}
+	}
+	return n
+}
+
+// Apply returns the target of a delta, which has maxSize bytes at most.
+func Apply(base, delta []byte, maxSize int) ([]byte, error) {
+	var target []byte
+	copyEnd := 0
+	for len(delta) > 0 {
+		head, used := binary.Uvarint(delta)
+		if used <= 0 || head>>1 > uint64(maxSize-len(target)) {
+			return nil, ErrMalformed
+		}
+		delta = delta[used:]
+		n := int(head >> 1)
+		if head&1 == 0 {
+			if n > len(delta) {
+				return nil, ErrMalformed
+			}
+			target = append(target, delta[:n]...)
+			delta = delta[n:]
+			continue
+		}
+		move, used := binary.Varint(delta)
+		if used <= 0 || move < -int64(len(base)) || move > int64(len(base)) {
+			return nil, ErrMalformed
+		}
+		delta = delta[used:]
+		from := copyEnd + int(move)
+		if from < 0 || n > len(base)-from {
+			return nil, ErrMalformed
+		}
+		target = append(target, base[from:from+n]...)
+		copyEnd = from + n
+	}
+	return target, nil
+}
--- /dev/null
+++ b/internal/bytedelta/bytedelta_test.go
@@ -0,0 +1,92 @@
+package bytedelta
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+const maxSize = 1 << 20
+
+// TestRandomEdits: a delta leads to the target, and is no longer than what was put in and a few bytes an edit.
+func TestRandomEdits(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	random := func(n int) []byte {
+		b := make([]byte, n)
+		for i := range b {
+			b[i] = byte(rng.IntN(256))
+		}
+		return b
+	}
+	for round := range 400 {
+		base := random(rng.IntN(20_000))
+		target, bound := slices.Clone(base), 0
+		for range rng.IntN(6) {
+			at := 0
+			if len(target) > 0 {
+				at = rng.IntN(len(target))
+			}
+			switch rng.IntN(3) {
+			case 0:
+				in := random(rng.IntN(40))
+				target = slices.Insert(target, at, in...)
+				bound += len(in)
+			case 1:
+				target = slices.Delete(target, at, min(len(target), at+rng.IntN(200)))
+			default:
+				in := random(min(20, len(target)-at))
+				copy(target[at:], in)
+				bound += len(in)
+			}
+			bound += 2*blockSize + minCopy + 24 // what is left of blocks at both ends, and two steps
+		}
+		delta := Encode(base, target)
+		got, err := Apply(base, delta, maxSize)
+		if err != nil || !bytes.Equal(got, target) {
+			t.Fatalf("round %d: %v", round, err)
+		}
+		if len(delta) > bound+16 {
+			t.Fatalf("round %d: %d bytes for edits of %d", round, len(delta), bound)
+		}
+	}
+}
+
+func TestMalformedDeltas(t *testing.T) {
+	for _, delta := range [][]byte{{0x80}, {9}, {5, 200}, {2}, {3, 1, 0xff}, {0xff, 0xff, 0xff, 0xff, 0x0f, 0}, {9, 1}} {
+		if got, err := Apply([]byte("base"), delta, 100); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%v gives %q, %v", delta, got, err)
+		}
+	}
+}
+
+// FuzzDelta: any two strings, and any delta.
+func FuzzDelta(f *testing.F) {
+	f.Add([]byte("one two three four five six seven eight nine ten"), []byte("one two 3 four five six seven eight nine ten"), []byte{3, 0})
+	f.Fuzz(func(t *testing.T, base, target, delta []byte) {
+		if got, err := Apply(base, Encode(base, target), len(target)); err != nil || !bytes.Equal(got, target) {
+			t.Errorf("%q to %q gives %q, %v", base, target, got, err)
+		}
+		if got, err := Apply(base, delta, maxSize); err == nil && len(got) > maxSize {
+			t.Errorf("%d bytes", len(got))
+		}
+	})
+}
+
+func BenchmarkEncode(b *testing.B) {
+	for _, size := range []int{80_000, 8_000_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			rng := rand.New(rand.NewPCG(1, 1))
+			base := make([]byte, size)
+			for i := range base {
+				base[i] = byte(rng.IntN(64))
+			}
+			target := slices.Insert(slices.Clone(base), size/2, []byte("put in")...)
+			for b.Loop() {
+				Encode(base, target)
+			}
+		})
+	}
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -6,9 +6,7 @@
 package catalog
 
 import (
-	"crypto/sha256"
 	"errors"
-	"fmt"
 
 	"google.golang.org/protobuf/proto"
 
@@ -90,12 +88,12 @@
 func (c *Catalog) resources(index uint64, cmd *wire.Command) (changed []*wire.Resource, err error) {
 	switch what := cmd.What.(type) {
 	case *wire.Command_Config:
-		config, err := c.judge(what.Config)
-		if config == nil || err != nil {
+		accepted, err := c.judge(what.Config)
+		if accepted == nil || err != nil {
 			return nil, err
 		}
-		changed = configChanges(index, c.config, config)
-		c.config, c.body = config, what.Config.Body
+		changed = configChanges(index, c.config, accepted.Config)
+		c.config, c.body = accepted.Config, accepted.Body
 	case *wire.Command_Server:
 		old := c.view.Server(what.Server.GetMember())
 		if proto.Equal(old, what.Server) {
@@ -114,25 +112,3 @@
 	}
 	return changed, nil // a command of a later version changes nothing; all replicas pass over it alike
 }
-
-// judge decides on a configuration. It returns neither a configuration nor an
-// error for one that has been taken before.
-func (c *Catalog) judge(put *wire.PutConfig) (*meshconfig.Config, error) {
-	config, err := meshconfig.ParseNext(put.Body, c.config)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
-	}
-	change := acceptedChange{revision: config.Revision, digest: sha256.Sum256(put.Body)}
-	switch {
-	case c.accepted.contains(change):
-		return nil, nil
-	case c.accepted.mayHaveForgotten(put.Base, config.Revision):
-		return nil, ErrForgotten
-	case put.Base != c.Revision():
-		return nil, ErrStale
-	case config.Revision <= c.Revision():
-		return nil, fmt.Errorf("%w: revision %d is not above the current one, %d", ErrInvalid, config.Revision, c.Revision())
-	}
-	c.accepted.add(change)
-	return config, nil
-}
--- /dev/null
+++ b/internal/catalog/judge.go
@@ -0,0 +1,100 @@
+package catalog
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+
+	"ivydeck/internal/bytedelta"
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/wire"
+)
+
+// Current is the configuration in force at one moment.
+type Current struct {
+	Config *meshconfig.Config // nil: none yet
+	Body   []byte             // as the operator sent it
+}
+
+// Current returns the configuration in force. It may be used by others while the catalog goes on.
+func (c *Catalog) Current() Current { return Current{c.config, c.body} }
+
+// Revision of the configuration; 0: none yet.
+func (c Current) Revision() uint64 {
+	if c.Config == nil {
+		return 0
+	}
+	return c.Config.Revision
+}
+
+// Parse reads another configuration, at the cost of what differs. The error says what is wrong with it.
+func (c Current) Parse(body []byte) (*meshconfig.Config, error) {
+	return meshconfig.ParseNext(body, c.Config)
+}
+
+// Command returns the command that puts a configuration and its body in place of the one with the base's revision. Where
+// that is the current one, the command has only what differs.
+func (c Current) Command(base uint64, config *meshconfig.Config, body []byte) *wire.Command {
+	put := &wire.PutConfig{Base: base, Body: body}
+	if c.Config != nil && base == c.Revision() {
+		if delta := bytedelta.Encode(c.Body, body); len(delta) < len(body)/2 {
+			hash := sha256.Sum256(body)
+			put = &wire.PutConfig{Base: base, Delta: delta, Revision: config.Revision, Hash: hash[:]}
+		}
+	}
+	return &wire.Command{What: &wire.Command_Config{Config: put}}
+}
+
+// judge decides on a configuration. It returns neither a configuration nor an
+// error for one that has been accepted before.
+func (c *Catalog) judge(put *wire.PutConfig) (*Current, error) {
+	body := put.Body
+	if len(put.Delta) > 0 {
+		change := acceptedChange{revision: put.Revision}
+		copy(change.digest[:], put.Hash)
+		if known, err := c.verdict(change, put.Base); known || err != nil {
+			return nil, err
+		}
+		var err error
+		if body, err = c.rebuild(put); err != nil {
+			return nil, err
+		}
+	}
+	config, err := meshconfig.ParseNext(body, c.config)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	change := acceptedChange{revision: config.Revision, digest: sha256.Sum256(body)}
+	if known, err := c.verdict(change, put.Base); known || err != nil {
+		return nil, err
+	}
+	c.accepted.add(change)
+	return &Current{config, body}, nil
+}
+
+// rebuild returns the body that a delta leads to, from the one in force.
+func (c *Catalog) rebuild(put *wire.PutConfig) ([]byte, error) {
+	body, err := bytedelta.Apply(c.body, put.Delta, meshconfig.MostBytes)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrStale, err)
+	}
+	if hash := sha256.Sum256(body); !bytes.Equal(hash[:], put.Hash) {
+		return nil, fmt.Errorf("%w: the delta was made for another body", ErrStale)
+	}
+	return body, nil
+}
+
+// verdict tells whether a change is known, and otherwise why it can't be accepted.
+func (c *Catalog) verdict(change acceptedChange, base uint64) (known bool, err error) {
+	switch {
+	case c.accepted.contains(change):
+		return true, nil
+	case c.accepted.mayHaveForgotten(base, change.revision):
+		return false, ErrForgotten
+	case base != c.Revision():
+		return false, ErrStale
+	case change.revision <= c.Revision():
+		return false, fmt.Errorf("%w: revision %d is not above the current one, %d", ErrInvalid, change.revision, c.Revision())
+	}
+	return false, nil
+}
--- /dev/null
+++ b/internal/catalog/judge_test.go
@@ -0,0 +1,89 @@
+package catalog
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"google.golang.org/protobuf/proto"
+
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/wire"
+)
+
+// manyRoutes is a configuration of 400 routes, one of which has another timeout.
+func manyRoutes(t *testing.T, revision uint64, timeout float64) []byte {
+	t.Helper()
+	c := meshconfig.Config{Revision: revision, Backends: []meshconfig.Backend{{Name: "s"}}}
+	for i := range 400 {
+		r := &meshconfig.Route{Name: fmt.Sprint("r", i), Host: "h.example", Prefix: fmt.Sprintf("/%d/", i), Kind: meshconfig.Once, TimeoutMs: 1000, Backend: "s"}
+		if i == 200 {
+			r.TimeoutMs = timeout
+		}
+		c.Routes = append(c.Routes, r)
+	}
+	body, err := msgpack.Marshal(&c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body
+}
+
+func command(t *testing.T, current Current, base uint64, body []byte) *wire.Command {
+	t.Helper()
+	config, err := current.Parse(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return current.Command(base, config, body)
+}
+
+// TestCommandsHoldWhatDiffers: what goes into the log is the difference, replicas rebuild the very body from it, and the
+// verdicts are those on whole bodies.
+func TestCommandsHoldWhatDiffers(t *testing.T) {
+	c, replica := New(), New()
+	apply := func(cmd *wire.Command) (bool, error) {
+		t.Helper()
+		changes, err := c.Apply(cmd)
+		other, otherErr := replica.Apply(cmd)
+		if !proto.Equal(changes, other) || fmt.Sprint(err) != fmt.Sprint(otherErr) || !bytes.Equal(c.Body(), replica.Body()) {
+			t.Fatalf("replicas differ: %v and %v", err, otherErr)
+		}
+		return changes != nil, err
+	}
+	first := manyRoutes(t, 3, 1000)
+	if accepted, err := apply(command(t, c.Current(), 0, first)); !accepted || err != nil {
+		t.Fatal(err)
+	}
+	before := c.Current()
+	second := manyRoutes(t, 5, 2000)
+	cmd := command(t, before, 3, second)
+	if size := proto.Size(cmd); size > 200 || cmd.GetConfig().Body != nil {
+		t.Errorf("%d bytes for one route of %d", size, len(second))
+	}
+	if accepted, err := apply(cmd); !accepted || err != nil || !bytes.Equal(c.Body(), second) || c.Revision() != 5 {
+		t.Fatalf("%v: revision %d", err, c.Revision())
+	}
+	if accepted, err := apply(cmd); accepted || err != nil {
+		t.Errorf("the same again: %v, %v", accepted, err)
+	}
+	if accepted, err := apply(command(t, c.Current(), 3, second)); accepted || err != nil {
+		t.Errorf("the same again, whole: %v, %v", accepted, err)
+	}
+	if accepted, err := apply(command(t, before, 3, manyRoutes(t, 6, 3000))); accepted || !errors.Is(err, ErrStale) {
+		t.Errorf("another one on the same base: %v, %v", accepted, err)
+	}
+	if accepted, err := apply(command(t, c.Current(), 5, manyRoutes(t, 4, 3000))); accepted || !errors.Is(err, ErrInvalid) {
+		t.Errorf("an old revision: %v, %v", accepted, err)
+	}
+	wrong := command(t, c.Current(), 5, manyRoutes(t, 8, 3000))
+	wrong.GetConfig().Hash[0]++
+	if accepted, err := apply(wrong); accepted || !errors.Is(err, ErrStale) || !bytes.Equal(c.Body(), second) {
+		t.Errorf("a delta for another body: %v, %v", accepted, err)
+	}
+	if accepted, err := apply(command(t, c.Current(), 5, manyRoutes(t, 8, 3000))); !accepted || err != nil {
+		t.Errorf("a good one after all: %v, %v", accepted, err)
+	}
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -45,8 +45,9 @@
 	pool    *rpc.Pool
 	gossip  *gossip.Gossip
 	hub     *relay.Hub
-	shown   *metrics.Set // nil: not served
-	refused atomic.Int64 // calls of the operator's interface, for want of a proper identity
+	current atomic.Pointer[catalog.Current] // the configuration as last applied
+	shown   *metrics.Set                    // nil: not served
+	refused atomic.Int64                    // calls of the operator's interface, for want of a proper identity
 	began   time.Time
 	events  chan func()
 	ctx     context.Context
@@ -178,6 +179,6 @@
 	n.consensus = raft.New(st.ID, st.Hard, st.Snapshot, st.Entries, seed, 0)
 	st.Entries = nil
 	n.applied = st.Snapshot.GetIndex()
-	n.hub.Apply(n.catalog.Whole())
+	n.publish()
 	return nil
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -128,7 +128,7 @@
 			panic(err)
 		}
 		n.applied = s.Index
-		n.hub.Apply(n.catalog.Whole())
+		n.publish()
 	}
 	if len(out.Entries) > 0 {
 		n.consensus.Stable(out.Entries[len(out.Entries)-1].Index)
@@ -157,6 +157,7 @@
 			if changes, verdict = n.catalog.Apply(cmd); changes != nil {
 				n.hub.Apply(changes)
 				if cmd.GetConfig() != nil {
+					n.setCurrent()
 					n.log.Info("config.accepted", "revision", n.catalog.Revision(), "index", changes.To, "resources", len(changes.Resources))
 				}
 			}
@@ -171,6 +172,18 @@
 	}
 }
 
+// publish hands a state on that was restored.
+func (n *Node) publish() {
+	n.hub.Apply(n.catalog.Whole())
+	n.setCurrent()
+}
+
+// setCurrent lets the operator's calls see the configuration.
+func (n *Node) setCurrent() {
+	current := n.catalog.Current()
+	n.current.Store(&current)
+}
+
 func (n *Node) compact() {
 	if !n.consensus.SnapshotDue() {
 		return
--- a/internal/control/web.go
+++ b/internal/control/web.go
@@ -15,7 +15,6 @@
 	"ivydeck/internal/identity"
 	"ivydeck/internal/meshconfig"
 	"ivydeck/internal/metrics"
-	"ivydeck/internal/wire"
 )
 
 // routes is what the operator calls.
@@ -186,14 +185,16 @@
 		reply(w, http.StatusBadRequest, "Base-Revision is no number")
 		return
 	}
-	if _, err := meshconfig.Parse(body); err != nil {
+	current := n.current.Load()
+	config, err := current.Parse(body)
+	if err != nil {
 		reply(w, http.StatusBadRequest, err.Error())
 		return
 	}
 	if n.elsewhere(r.Context(), w, "/config/replace") {
 		return
 	}
-	err = n.change(r.Context(), &wire.Command{What: &wire.Command_Config{Config: &wire.PutConfig{Base: base, Body: body}}})
+	err = n.change(r.Context(), current.Command(base, config, body))
 	switch {
 	case err == nil:
 		reply(w, http.StatusOK, "taken")
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -8,7 +8,6 @@
 
 	"ivydeck/internal/catalog"
 	"ivydeck/internal/entry"
-	"ivydeck/internal/wire"
 )
 
 // request is what a client wants; it may take several tries.
@@ -113,9 +112,13 @@
 	body, err := s.w.config(s.base + 1)
 	s.must(err)
 	base := s.base
-	cmd := &wire.Command{What: &wire.Command_Config{Config: &wire.PutConfig{Base: base, Body: body}}}
 	asked := s.now
-	s.atLeader(nil, len(body), func(c *core, answer func(error)) { c.propose(cmd, answer) }, func(err error) {
+	s.atLeader(nil, len(body), func(c *core, answer func(error)) {
+		current := c.catalog.Current()
+		config, err := current.Parse(body)
+		s.must(err)
+		c.propose(current.Command(base, config, body), answer)
+	}, func(err error) {
 		switch {
 		case err == nil:
 			s.acked, s.base = max(s.acked, base+1), base+1
