Parse only what differs from the configuration in force, and measure one change in each place

Cause: each quorum member decoded and checked every route and service at every change (1.8 ms at 400 routes, 9.5 ms at 2,000, on a busy machine), twice where the operator's call arrives.

--- a/internal/bytedelta/bytedelta.go
+++ b/internal/bytedelta/bytedelta.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"encoding/binary"
 	"errors"
+	"math/bits"
 )
 
 const (
@@ -103,18 +104,22 @@
 }
 
 func commonPrefix(a, b []byte) int {
-	n := min(len(a), len(b))
-	for i := range n {
-		if a[i] != b[i] {
-			return i
+	n, i := min(len(a), len(b)), 0
+	for i+8 <= n {
+		if differ := binary.LittleEndian.Uint64(a[i:]) ^ binary.LittleEndian.Uint64(b[i:]); differ != 0 {
+			return i + bits.TrailingZeros64(differ)/8
 		}
+		i += 8
 	}
-	return n
+	for i < n && a[i] == b[i] {
+		i++
+	}
+	return i
 }
 
 // Apply returns the target of a delta, which has maxSize bytes at most.
 func Apply(base, delta []byte, maxSize int) ([]byte, error) {
-	var target []byte
+	target := make([]byte, 0, min(len(base)+len(delta), maxSize))
 	copyEnd := 0
 	for len(delta) > 0 {
 		head, used := binary.Uvarint(delta)
--- a/internal/catalog/judge.go
+++ b/internal/catalog/judge.go
@@ -48,9 +48,8 @@
 // judge decides on a configuration. It returns neither a configuration nor an
 // error for one that has been accepted before.
 func (c *Catalog) judge(put *wire.PutConfig) (*Current, error) {
-	body := put.Body
+	body, change := put.Body, acceptedChange{revision: put.Revision}
 	if len(put.Delta) > 0 {
-		change := acceptedChange{revision: put.Revision}
 		copy(change.digest[:], put.Hash)
 		if known, err := c.verdict(change, put.Base); known || err != nil {
 			return nil, err
@@ -59,12 +58,14 @@
 		if body, err = c.rebuild(put); err != nil {
 			return nil, err
 		}
+	} else {
+		change.digest = sha256.Sum256(body)
 	}
 	config, err := meshconfig.ParseNext(body, c.config)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	change := acceptedChange{revision: config.Revision, digest: sha256.Sum256(body)}
+	change.revision = config.Revision
 	if known, err := c.verdict(change, put.Base); known || err != nil {
 		return nil, err
 	}
--- a/internal/catalog/resource.go
+++ b/internal/catalog/resource.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"strings"
 
 	"ivydeck/internal/meshconfig"
@@ -116,6 +117,23 @@
 	if old.Revision != now.Revision || old.Limits != now.Limits {
 		list = append(list, headerResource(index, now))
 	}
+	list = append(list, backendChanges(index, old, now)...)
+	added, removed := meshconfig.Diff(old, now)
+	for _, r := range added {
+		list = append(list, routeResource(index, r))
+	}
+	for _, r := range removed {
+		if at := r.Key(); now.At(at.Host, at.Prefix) == nil {
+			list = append(list, removedRoute(index, r))
+		}
+	}
+	return list
+}
+
+func backendChanges(index uint64, old, now *meshconfig.Config) (list []*wire.Resource) {
+	if slices.Equal(old.Backends, now.Backends) {
+		return nil
+	}
 	backends := make(map[string]meshconfig.Backend, len(old.Backends))
 	for _, b := range old.Backends {
 		backends[b.Name] = b
@@ -131,15 +149,6 @@
 			list = append(list, removedBackend(index, b.Name))
 		}
 	}
-	added, removed := meshconfig.Diff(old, now)
-	for _, r := range added {
-		list = append(list, routeResource(index, r))
-	}
-	for _, r := range removed {
-		if at := r.Key(); now.At(at.Host, at.Prefix) == nil {
-			list = append(list, removedRoute(index, r))
-		}
-	}
 	return list
 }
 
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -364,6 +364,9 @@
 	for i := range w.Operator.Routes {
 		r := w.Routes[i%len(w.Routes)]
 		r.Name = fmt.Sprintf("unused-%d", i)
+		if uint64(i) == revision%uint64(w.Operator.Routes) { // what this revision changes
+			r.TimeoutMs += float64(revision)
+		}
 		add(r)
 	}
 	return msgpack.Marshal(&c)
--- a/internal/meshconfig/meshconfig.go
+++ b/internal/meshconfig/meshconfig.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 
 	"ivydeck/internal/cowmap"
@@ -41,13 +42,17 @@
 	Backends []Backend `msgpack:"backend_table"`
 	Limits   Limits    `msgpack:"request_limits"`
 
+	rawBackends   []byte             // as they were parsed
 	raw           [][]byte           // of each route, as it was parsed; nil: it was not
 	places        cowmap.Map[*Route] // by Key.bytes
 	longestPrefix int                // of any route, or more
 }
 
-// check finds all faults. Routes for which known holds were found good in another configuration.
-func (c *Config) check(known func(r *Route) bool) error {
+// fewRoutes are checked without an index of the services.
+const fewRoutes = 8
+
+// check finds all faults. Of the routes it looks at those at some places alone, and at the services where asked to.
+func (c *Config) check(routes []int, backends bool) error {
 	var faults []error
 	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
 	if c.Revision == 0 {
@@ -56,18 +61,16 @@
 	if len(c.Routes) > mostRoutes || len(c.Backends) > mostRoutes {
 		fault("more than %d routes or services", mostRoutes)
 	}
-	services := make(map[string]bool, len(c.Backends))
-	for i, b := range c.Backends {
-		if b.Name == "" {
-			fault("backend_table[%d] has no name", i)
-		}
-		if services[b.Name] {
-			fault("backend_table[%d]: %q is there twice", i, b.Name)
-		}
-		services[b.Name] = true
+	known := func(service string) bool {
+		return slices.ContainsFunc(c.Backends, func(b Backend) bool { return b.Name == service })
 	}
-	places := make(map[Key]bool, len(c.Routes))
-	for i, r := range c.Routes {
+	if backends || len(routes) > fewRoutes {
+		services := c.checkBackends(fault)
+		known = func(service string) bool { return services[service] }
+	}
+	places := make(map[Key]bool, len(routes))
+	for _, i := range routes {
+		r := c.Routes[i]
 		faultOf := func(format string, args ...any) {
 			fault("route_table[%d] (%s)"+format, append([]any{i, r.Name}, args...)...)
 		}
@@ -75,10 +78,8 @@
 			faultOf(": another route has host %q and prefix %q", r.Host, r.Prefix)
 		}
 		places[r.Key()] = true
-		if !known(r) {
-			r.check(faultOf)
-		}
-		r.checkServices(services, faultOf)
+		r.check(faultOf)
+		r.checkServices(known, faultOf)
 	}
 	if c.Limits.HeaderBytes < 0 || c.Limits.BodyBytes < 0 || c.Limits.HeaderMs < 0 || c.Limits.IdleMs < 0 {
 		fault("request_limits: a negative number")
@@ -86,6 +87,21 @@
 	return errors.Join(faults...)
 }
 
+// checkBackends finds the faults of the services, and returns their names.
+func (c *Config) checkBackends(fault func(format string, args ...any)) (services map[string]bool) {
+	services = make(map[string]bool, len(c.Backends))
+	for i, b := range c.Backends {
+		if b.Name == "" {
+			fault("backend_table[%d] has no name", i)
+		}
+		if services[b.Name] {
+			fault("backend_table[%d]: %q is there twice", i, b.Name)
+		}
+		services[b.Name] = true
+	}
+	return services
+}
+
 // check finds the faults of a route alone.
 func (r *Route) check(fault func(format string, args ...any)) {
 	if r.Host == "" {
@@ -120,15 +136,15 @@
 }
 
 // checkServices finds services that a route names and the configuration lacks.
-func (r *Route) checkServices(services map[string]bool, fault func(format string, args ...any)) {
+func (r *Route) checkServices(known func(service string) bool, fault func(format string, args ...any)) {
 	if r.Backend != "" {
-		if !services[r.Backend] {
+		if !known(r.Backend) {
 			fault(": no service %q", r.Backend)
 		}
 		return
 	}
 	for _, w := range r.Backends {
-		if !services[w.Backend] {
+		if !known(w.Backend) {
 			fault(": no service %q", w.Backend)
 		}
 	}
--- a/internal/meshconfig/parse.go
+++ b/internal/meshconfig/parse.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"hash/maphash"
+	"io"
+	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/vmihailenco/msgpack/v5/msgpcode"
@@ -20,7 +22,10 @@
 	if len(body) > MostBytes {
 		return nil, fmt.Errorf("configuration: %d bytes, at most %d are allowed", len(body), MostBytes)
 	}
-	p := parser{body: body, in: bytes.NewReader(body), base: base, config: &Config{}, reused: map[*Route]bool{}}
+	p := parser{body: body, in: bytes.NewReader(body), base: base, config: &Config{}}
+	if base != nil {
+		p.used = make([]bool, len(base.raw))
+	}
 	p.dec = msgpack.NewDecoder(p.in)
 	if err := p.decode(); err != nil {
 		return nil, fmt.Errorf("configuration: not readable: %w", err)
@@ -29,10 +34,10 @@
 		return nil, errors.New("configuration: more follows behind its end")
 	}
 	c := p.config
-	if err := c.check(func(r *Route) bool { return p.reused[r] }); err != nil {
+	c.index(base)
+	if err := p.check(); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	c.index(base)
 	return c, nil
 }
 
@@ -47,7 +52,8 @@
 	next   int            // route of the base that most likely comes next
 	byHash map[uint64]int // routes of the base by their bytes; made when it is needed
 	seed   maphash.Seed
-	reused map[*Route]bool
+	used   []bool // by place in the base: the route is a part of this configuration too
+	fresh  []int  // places of routes that were decoded
 }
 
 func (p *parser) decode() error {
@@ -104,32 +110,55 @@
 	case "route_table":
 		return p.decodeRoutes()
 	case "backend_table":
-		return p.dec.Decode(&p.config.Backends)
+		return p.decodeBackends()
 	case "request_limits":
 		return p.dec.Decode(&p.config.Limits)
 	}
 	return p.dec.Skip()
 }
 
+// decodeBackends reads the services, which are those of the base where the bytes are.
+func (p *parser) decodeBackends() error {
+	begin := p.offset()
+	if p.base != nil && len(p.base.rawBackends) > 0 && bytes.HasPrefix(p.body[begin:], p.base.rawBackends) {
+		p.config.Backends = p.base.Backends
+		p.config.rawBackends = p.body[begin : begin+len(p.base.rawBackends)]
+		return p.seek(begin + len(p.base.rawBackends))
+	}
+	p.config.Backends = nil
+	err := p.dec.Decode(&p.config.Backends)
+	p.config.rawBackends = p.body[begin:p.offset()]
+	return err
+}
+
+// offset is how far the body has been read.
+func (p *parser) offset() int { return len(p.body) - p.in.Len() }
+
+func (p *parser) seek(offset int) error {
+	_, err := p.in.Seek(int64(offset), io.SeekStart)
+	return err
+}
+
 func (p *parser) decodeRoutes() error {
 	count, err := p.dec.DecodeArrayLen()
 	if err != nil {
 		return err
 	}
-	p.config.Routes, p.config.raw = nil, nil
-	for range count {
-		begin := len(p.body) - p.in.Len()
-		if err := p.dec.Skip(); err != nil {
+	p.config.Routes, p.config.raw, p.fresh = nil, nil, nil
+	clear(p.used)
+	p.next = 0
+	for i := range count {
+		route, raw, err := p.decodeRoute()
+		if err != nil {
 			return err
 		}
-		raw := p.body[begin : len(p.body)-p.in.Len()]
-		route := p.reuse(raw)
 		if route == nil {
 			route = new(Route)
 			if err := msgpack.Unmarshal(raw, route); err != nil {
 				return err
 			}
 			route.addWeights()
+			p.fresh = append(p.fresh, i)
 		}
 		p.config.Routes = append(p.config.Routes, route)
 		p.config.raw = append(p.config.raw, raw)
@@ -137,26 +166,50 @@
 	return nil
 }
 
-// reuse returns the route of the base with these bytes, or nil. Most stand where they stood before.
-func (p *parser) reuse(raw []byte) *Route {
-	if p.base == nil || len(p.base.raw) == 0 {
+// decodeRoute reads one route's bytes. The route is the one of the base that has them; nil: there is none.
+func (p *parser) decodeRoute() (route *Route, raw []byte, err error) {
+	begin := p.offset()
+	// A value's bytes say where it ends: those of a known route are that route.
+	if p.base != nil && p.next < len(p.base.raw) && bytes.HasPrefix(p.body[begin:], p.base.raw[p.next]) {
+		end := begin + len(p.base.raw[p.next])
+		return p.use(p.next), p.body[begin:end], p.seek(end)
+	}
+	if err := p.dec.Skip(); err != nil {
+		return nil, nil, err
+	}
+	raw = p.body[begin:p.offset()]
+	if p.base == nil {
+		return nil, raw, nil
+	}
+	if at, found := p.lookUp(raw); found {
+		return p.use(at), raw, nil
+	}
+	p.next++ // most likely this one was changed where it stands
+	return nil, raw, nil
+}
+
+// use returns a route of the base, unless it has been used before: it is there twice then, which the check will say.
+func (p *parser) use(at int) *Route {
+	p.next = at + 1
+	if p.used[at] {
 		return nil
 	}
-	at := p.next
-	if at >= len(p.base.raw) || !bytes.Equal(p.base.raw[at], raw) {
-		var found bool
-		if at, found = p.lookUp(raw); !found {
-			p.next++ // most likely this one was changed where it stands
-			return nil
-		}
+	p.used[at] = true
+	return p.base.Routes[at]
+}
+
+// check finds all faults. Where the services are those of the base, and no place is taken twice, only what is new can have
+// any.
+func (p *parser) check() error {
+	c := p.config
+	if p.base != nil && slices.Equal(p.base.Backends, c.Backends) && c.places.Len() == len(c.Routes) {
+		return c.check(p.fresh, false)
 	}
-	p.next = at + 1
-	route := p.base.Routes[at]
-	if p.reused[route] {
-		return nil // it is there twice, which the check will say
+	all := make([]int, len(c.Routes))
+	for i := range all {
+		all[i] = i
 	}
-	p.reused[route] = true
-	return route
+	return c.check(all, true)
 }
 
 // lookUp finds a route of the base by its bytes.
