Split the model checker by job, check more in each state, and walk at random beside the searches

Change: searches may begin behind a scenario (directed.go), links may be unordered and messages stay when they are delivered, random walks draw how likely each kind of event is (swarm testing).

--- a/cmd/meshlab/check.go
+++ b/cmd/meshlab/check.go
@@ -13,48 +13,93 @@
 )
 
 type checkCmd struct {
-	Only      []string `placeholder:"NAME" help:"Of the named bounds, these; all where none is given."`
-	Terms     uint64   `help:"Bounds of your own: the newest term (the core begins in term 1)."`
-	Machines  int      `default:"3" help:"Voters at the start."`
-	Link      int      `default:"1" help:"Messages under way from one machine to another, at most."`
-	Proposals int      `help:"Changes put into the log."`
-	Reads     int      `help:"Reads by leaders."`
-	Beats     int      `help:"Rounds of contact without need."`
-	Crashes   int      `help:"Processes that die and start again."`
-	Wipes     int      `help:"Disks that are lost."`
-	Changes   int      `help:"Changes of the members."`
-	Compacts  int      `help:"Snapshots."`
-	Handovers int      `help:"Leads given away."`
-	Batch     int      `help:"Entries in one message, at most; 0: as in service."`
-	Old       bool     `help:"Keep messages of earlier terms on their links."`
-	States    int      `help:"Stop behind so many, in the named bounds as well; 0: look at all, or as many as the name says."`
+	Only       []string      `placeholder:"NAME" help:"Of the named searches, these; all where none is given. walks: the random walks."`
+	Walks      int           `default:"20000" help:"Random walks behind the searches."`
+	Seed       uint64        `default:"1" help:"The first walk's; the walks of several processes need ranges of their own."`
+	Steps      int           `default:"200" help:"Events in one walk, at most."`
+	Limit      time.Duration `help:"No search and no walk is begun after it; 0: no bound."`
+	States     int           `help:"Stop a search behind so many; 0: look at all, or as many as the name says."`
+	Terms      uint64        `help:"A search of your own: the newest term (the members begin in term 1)."`
+	Members    int           `default:"3" help:"Voters at the start."`
+	Link       int           `default:"1" help:"Messages under way from one member to another, at most."`
+	Proposals  int           `help:"Commands put into the log."`
+	Reads      int           `help:"Reads by leaders."`
+	Heartbeats int           `help:"Rounds of contact without need."`
+	Crashes    int           `help:"Processes that die and start again."`
+	Wipes      int           `help:"Disks that are lost."`
+	Changes    int           `help:"Changes of the members."`
+	Snapshots  int           `help:"Snapshots."`
+	Transfers  int           `help:"Leaderships handed over."`
+	Duplicates int           `help:"Messages that arrive and stay on their link."`
+	Batch      int           `help:"Entries in one message, at most; 0: as in service."`
+	Old        bool          `help:"Keep messages of earlier terms on their links."`
+	Unordered  bool          `help:"Let messages of a link overtake each other."`
 }
 
-func (c *checkCmd) Run() error {
-	list := modelcheck.Named
+// sets are the searches that are asked for.
+func (c *checkCmd) sets() []modelcheck.Set {
 	if c.Terms > 0 {
-		b := modelcheck.Bounds{Machines: c.Machines, Terms: c.Terms, Link: c.Link, Proposals: c.Proposals, Reads: c.Reads, Beats: c.Beats,
-			Crashes: c.Crashes, Wipes: c.Wipes, Changes: c.Changes, Compacts: c.Compacts, Handovers: c.Handovers, Batch: c.Batch, Old: c.Old}
-		list = []modelcheck.Set{{Name: "own", Bounds: b}}
+		return []modelcheck.Set{{Name: "own", Bounds: modelcheck.Bounds{
+			Members: c.Members, Terms: c.Terms, Link: c.Link, Proposals: c.Proposals, Reads: c.Reads, Heartbeats: c.Heartbeats,
+			Crashes: c.Crashes, Wipes: c.Wipes, Changes: c.Changes, Snapshots: c.Snapshots, Transfers: c.Transfers,
+			Duplicates: c.Duplicates, Batch: c.Batch, Old: c.Old, Unordered: c.Unordered,
+		}}}
+	}
+	var list []modelcheck.Set
+	for _, set := range modelcheck.Named {
+		if c.wanted(set.Name) {
+			list = append(list, set)
+		}
 	}
-	for _, n := range list {
-		if len(c.Only) > 0 && !slices.Contains(c.Only, n.Name) {
-			continue
+	return list
+}
+
+func (c *checkCmd) wanted(name string) bool { return len(c.Only) == 0 || slices.Contains(c.Only, name) }
+
+func (c *checkCmd) Run() error {
+	began := time.Now()
+	for _, set := range c.sets() {
+		if c.Limit > 0 && time.Since(began) > c.Limit {
+			return fmt.Errorf("%s and what comes after it was not searched within %v", set.Name, c.Limit)
 		}
 		if c.States > 0 {
-			n.Bounds.States = c.States
+			set.States = c.States
 		}
-		r := modelcheck.Search(n.Bounds)
-		all := "all of them"
+		r, err := modelcheck.Search(set)
+		if err != nil {
+			return err
+		}
+		extent := "all of them"
 		if !r.Complete {
-			all = "not all"
+			extent = "not all"
 		}
-		fmt.Printf("%-10s %9d states (%s), %9d steps, %2d deep, %s\n", n.Name, r.States, all, r.Steps, r.Depth, r.Took.Round(time.Millisecond))
+		fmt.Printf("%-18s %9d states (%s), %9d steps, %2d deep, %s\n", set.Name, r.States, extent, r.Steps, r.Depth, r.Took.Round(time.Millisecond))
 		if r.Broken != "" {
 			fmt.Println("  " + strings.Join(r.Trace, "\n  "))
-			return fmt.Errorf("%s: after %d steps %s", n.Name, len(r.Trace), r.Broken)
+			return fmt.Errorf("%s: after %d steps and %d states %s", set.Name, len(r.Trace), r.States, r.Broken)
 		}
 	}
+	if c.Walks == 0 || c.Terms > 0 || !c.wanted("walks") {
+		return nil
+	}
+	return c.walk(began)
+}
+
+// walk goes through the random histories, in what is left of the time.
+func (c *checkCmd) walk(began time.Time) error {
+	opt := modelcheck.WalkOptions{Walks: c.Walks, Seed: c.Seed, Steps: c.Steps}
+	if c.Limit > 0 {
+		opt.Limit = max(time.Nanosecond, c.Limit-time.Since(began))
+	}
+	r := modelcheck.Walks(opt)
+	fmt.Printf("%-18s %9d walks, %9d steps, %s\n", "walks", r.Walks, r.Steps, r.Took.Round(time.Millisecond))
+	if r.Broken != "" {
+		fmt.Println("  " + strings.Join(r.Trace, "\n  "))
+		return fmt.Errorf("walks: after %d steps and %d walks, with seed %d, %s", len(r.Trace), r.Walks, r.Seed, r.Broken)
+	}
+	if !r.Complete {
+		return fmt.Errorf("%d of %d walks were gone through within %v", r.Walks, c.Walks, c.Limit)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/modelcheck/directed.go
@@ -0,0 +1,82 @@
+package modelcheck
+
+// directed are searches behind a scenario. The scenario is a history without a fault in it; what breaks a property, if
+// anything does, the search has to find.
+var directed = []Set{
+	// Figure 8 of the Raft paper: an entry of term 2 on one disk, a later one in its place on another.
+	{"figure-8", `
+		campaign 0
+		deliver 0 1 VOTE@2
+		deliver 1 0 VOTED@2
+		lose all
+		campaign 2
+		deliver 2 1 VOTE@2
+		campaign 2
+		deliver 2 1 VOTE@3
+		deliver 1 2 VOTED@3
+		lose all
+		crash 0
+		start 0
+		campaign 0
+		campaign 0
+		deliver 0 1 VOTE@4
+		deliver 1 0 VOTED@4
+	`, Bounds{Members: 3, Terms: 5, Link: 1, Batch: 1, States: 400_000}},
+
+	// A leader of four members whose entry is committed, with votes still to come for others.
+	{"members-of-four", `
+		campaign 0
+		deliver all
+	`, Bounds{Members: 4, Terms: 4, Link: 1, Changes: 2, States: 200_000}},
+	{"members-after-cut", `
+		campaign 0
+		deliver all
+		change 0 learner 3
+		lose all
+		campaign 2
+		deliver 2 1 VOTE@3
+		deliver 2 3 VOTE@3
+		deliver 1 2 VOTED@3
+		deliver 3 2 VOTED@3
+		lose all
+	`, Bounds{Members: 4, Terms: 4, Link: 1, Changes: 1, States: 200_000}},
+
+	// A leader that all follow, for reads by it or by a later one.
+	{"reads-settled", `
+		campaign 0
+		deliver all
+	`, Bounds{Members: 3, Terms: 3, Link: 1, Proposals: 1, Reads: 1, States: 400_000}},
+
+	// The answers to many rounds of contact are still under way when their leader has restarted and leads again.
+	{"late-answers", `
+		campaign 0
+		deliver all
+		heartbeat 0
+		heartbeat 0
+		deliver 0 1
+		deliver 0 1
+		crash 0
+		start 0
+		campaign 0
+		deliver 0 2 VOTE
+		deliver 2 0 VOTED
+		deliver 0 2 APPEND@3
+		deliver 2 0 APPENDED@3
+	`, Bounds{Members: 3, Terms: 4, Link: 3, Proposals: 1, Reads: 1, Old: true, Unordered: true, States: 400_000}},
+
+	// A snapshot is under way to a member that gets the entries another way meanwhile.
+	{"late-snapshot", `
+		campaign 0
+		deliver all 0 1
+		propose 0
+		deliver all 0 1
+	`, Bounds{Members: 3, Terms: 3, Link: 3, Proposals: 1, Snapshots: 2, Heartbeats: 1, Duplicates: 2, Unordered: true, States: 400_000}},
+
+	// A leadership transfer that was given up, while its message is still under way.
+	{"late-transfer", `
+		campaign 0
+		deliver all
+		transfer 0
+		heartbeat 0
+	`, Bounds{Members: 3, Terms: 3, Link: 2, Proposals: 1, Heartbeats: 1, Unordered: true, States: 400_000}},
+}
--- /dev/null
+++ b/internal/modelcheck/scenario.go
@@ -0,0 +1,91 @@
+package modelcheck
+
+import (
+	"fmt"
+	"strings"
+
+	"ivydeck/internal/wire"
+)
+
+// unlimited is for a scenario, which is not bounded by what may follow it.
+const unlimited = 1 << 20
+
+// play returns the state where a set's search begins: behind its scenario, or at the start.
+//
+// A scenario has an event a line, as traces print them ("deliver 0 1 VOTE@2"); the first that fits is taken, so that the
+// detail may be left out ("deliver 0 1"). "deliver all" delivers what is under way until nothing is, and "deliver all 0 1"
+// what is under way among these members; "lose all" loses what is under way.
+func play(set Set) (*state, error) {
+	free := set.Bounds
+	free.Terms = unlimited
+	for _, budget := range []*int{
+		&free.Proposals, &free.Reads, &free.Heartbeats, &free.Crashes, &free.Wipes, &free.Changes, &free.Snapshots, &free.Transfers, &free.Duplicates,
+	} {
+		*budget = unlimited
+	}
+	s := newState(free)
+	for _, line := range strings.Split(set.Scenario, "\n") {
+		if line = strings.TrimSpace(line); line == "" {
+			continue
+		}
+		next, err := s.playLine(line)
+		if err != nil {
+			return nil, fmt.Errorf("modelcheck: scenario of %s: %w", set.Name, err)
+		}
+		if next.broken != "" {
+			return nil, fmt.Errorf("modelcheck: scenario of %s: %q: %s", set.Name, line, next.broken)
+		}
+		s = next
+	}
+	s.left = set.Bounds
+	return s, nil
+}
+
+func (s *state) playLine(line string) (*state, error) {
+	if rest, ok := strings.CutPrefix(line, "deliver all"); ok {
+		return s.deliverAll(strings.Fields(rest)), nil
+	}
+	if line == "lose all" {
+		next := *s
+		next.links = make([][]*wire.Raft, len(s.links))
+		return &next, nil
+	}
+	var possible []string
+	for _, e := range s.events() {
+		text := e.String()
+		if text == line || strings.HasPrefix(text, line+" ") || strings.HasPrefix(text, line+"@") {
+			return s.apply(e), nil
+		}
+		possible = append(possible, text)
+	}
+	return nil, fmt.Errorf("%q can't happen; these can: %s", line, strings.Join(possible, ", "))
+}
+
+// deliverAll delivers messages among some members, or among all, until none is under way.
+func (s *state) deliverAll(among []string) *state {
+	wanted := func(n int) bool {
+		if len(among) == 0 {
+			return true
+		}
+		for _, name := range among {
+			if name == fmt.Sprint(n) {
+				return true
+			}
+		}
+		return false
+	}
+	for range 1000 {
+		var found *event
+		for _, e := range s.messageEvents(nil) {
+			if e.kind == deliver && wanted(e.from) && wanted(e.member) {
+				found = &e
+				break
+			}
+		}
+		if found == nil || s.broken != "" {
+			break
+		}
+		s = s.apply(*found)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/modelcheck/state.go
@@ -0,0 +1,147 @@
+package modelcheck
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"ivydeck/internal/raft"
+	"ivydeck/internal/wire"
+)
+
+// member is a quorum member: its disk, and while it runs its part in the protocol. It is shared between states until
+// something happens to it.
+type member struct {
+	incarnation uint64 // of its disk: its identity is its number and this
+	hard        *wire.HardState
+	voted       *wire.HardState // what it has told others of its term and vote; hard, unless votes are lost on purpose
+	snapshot    *wire.RaftSnapshot
+	entries     []*wire.Entry
+	node        *raft.Node // nil: down
+	clock       time.Duration
+	applied     uint64
+	digest      uint64            // of all that is applied
+	asked       []uint64          // what each read has to see, by token
+	proposed    map[uint64]uint64 // terms of its own proposals that wait, by index
+}
+
+// history is what has happened that properties speak of.
+type history struct {
+	leaders map[uint64]uint64 // identity of the leader, by term
+	agreed  []appliedEntry    // from index 2 on
+	acked   uint64            // newest index that a client was told of
+}
+
+// appliedEntry is an entry that some member has applied.
+type appliedEntry struct {
+	term   uint64
+	data   string
+	in     uint64 // the term in which it was first applied
+	digest uint64 // of the state machine behind it
+}
+
+// state is one state of all members and of the network between them.
+type state struct {
+	members []*member
+	links   [][]*wire.Raft // by link, from*members+to
+	history *history
+	left    Bounds // what may still happen
+	broken  string
+}
+
+const (
+	maxMembers = 8
+
+	// startClock is far enough from zero that no member seems to have been heard, or been sent a snapshot, just before.
+	startClock = time.Minute
+
+	// silence is the time after which a voter forgets a leader that it has heard.
+	silence = 4 * raft.Heartbeat
+)
+
+// identity is what a member is known by: its number, and the incarnation of its disk.
+func identity(n int, incarnation uint64) uint64 { return uint64(n+1) + maxMembers*incarnation }
+
+// memberOf is the number in an identity.
+func memberOf(id uint64) int { return int((id - 1) % maxMembers) }
+
+func newState(b Bounds) *state {
+	peers := &wire.Peers{}
+	for i := range b.Members {
+		peers.Peers = append(peers.Peers, &wire.Peer{Id: identity(i, 0), Address: strconv.Itoa(i), Voter: true})
+	}
+	s := &state{history: &history{leaders: map[uint64]uint64{}}, left: b, links: make([][]*wire.Raft, b.Members*b.Members)}
+	for i := range b.Members {
+		m := &member{hard: &wire.HardState{Term: 1}, snapshot: &wire.RaftSnapshot{Term: 1, Index: 1, Peers: peers}, clock: startClock}
+		m.start(i, b.Batch)
+		s.members = append(s.members, m)
+	}
+	return s
+}
+
+// start begins the member's process, from what is on its disk.
+func (m *member) start(n, batch int) {
+	m.node = raft.New(identity(n, m.incarnation), m.hard, m.snapshot, slices.Clone(m.entries), 1, m.clock)
+	m.node.Batch(batch)
+	m.voted = m.hard
+	m.applied, m.digest = m.snapshot.GetIndex(), decodeDigest(m.snapshot.GetData())
+	m.asked, m.proposed = nil, map[uint64]uint64{}
+}
+
+// clone copies what an event at the member may change.
+func (m *member) clone() *member {
+	c := *m
+	if c.node != nil {
+		c.node = c.node.Clone()
+	}
+	c.entries, c.asked, c.proposed = slices.Clone(c.entries), slices.Clone(c.asked), maps.Clone(c.proposed)
+	return &c
+}
+
+// holds tells whether the member's disk has the entry of an index and term, or a snapshot past it.
+func (m *member) holds(index, term uint64) bool {
+	if index <= m.snapshot.GetIndex() {
+		return true
+	}
+	at := index - m.snapshot.GetIndex() - 1
+	return at < uint64(len(m.entries)) && m.entries[at].Term == term
+}
+
+// last is the index of the newest entry on the member's disk, and its term.
+func (m *member) last() (index, term uint64) {
+	if n := len(m.entries); n > 0 {
+		return m.entries[n-1].Index, m.entries[n-1].Term
+	}
+	return m.snapshot.GetIndex(), m.snapshot.GetTerm()
+}
+
+// leads tells whether the member runs and believes that it leads.
+func (m *member) leads() bool { return m.node != nil && m.node.Leads() }
+
+// current returns the member that has an identity now; ok is false where its disk is lost.
+func (s *state) current(id uint64) (m *member, ok bool) {
+	n := memberOf(id)
+	if n >= len(s.members) {
+		return nil, false
+	}
+	m = s.members[n]
+	return m, identity(n, m.incarnation) == id
+}
+
+// ownHistory gives the state a history that it shares with no other.
+func (s *state) ownHistory() *history {
+	h := s.history
+	s.history = &history{leaders: maps.Clone(h.leaders), agreed: slices.Clone(h.agreed), acked: h.acked}
+	return s.history
+}
+
+// withinBounds tells whether no member has passed the newest term.
+func (s *state) withinBounds() bool {
+	for _, m := range s.members {
+		if m.node != nil && m.node.Term() > s.left.Terms {
+			return false
+		}
+	}
+	return true
+}
