Let the simulated cut find stamps of an earlier process

Cause: the stamp of the process before a restart was found by a hand-made test alone: with changes all the time, a restarted member's first answer comes before the leader has it match. Change: the world has quiet spans, in which a restarted member matches at once by what its disk has, and changes twice as often in between; restarts come twice as often.

--- a/internal/raft/lease_sim_test.go
+++ b/internal/raft/lease_sim_test.go
@@ -81,6 +81,7 @@
 	slow     map[[2]int]time.Duration // links with more delay
 	isolated []int                    // members that the cut takes away from the majority
 	deaf     bool                     // they hear nobody
+	quiet    time.Duration            // until then nothing is proposed
 	acks     []acknowledgement
 	token    uint64
 	faults   []string
@@ -244,7 +245,7 @@
 		return
 	}
 	now := w.clock(m)
-	if w.rng.IntN(10) == 0 {
+	if w.now >= w.quiet && w.rng.IntN(5) == 0 {
 		if index, term, err := m.node.Propose(now, []byte("x")); err == nil {
 			m.writes[index] = term
 		}
@@ -377,7 +378,7 @@
 func (w *leaseWorld) disturb(restarts bool) {
 	m := w.members[w.rng.IntN(len(w.members))]
 	switch w.rng.IntN(1200) {
-	case 0:
+	case 0, 7:
 		if restarts && m.node != nil {
 			w.crash(m, w.span(100*time.Millisecond, time.Second))
 		}
@@ -388,6 +389,8 @@
 		w.slow[[2]int{from, to}] = w.span(0, 3*time.Second)
 	case 4, 5, 6:
 		clear(w.slow)
+	case 8, 9, 10:
+		w.quiet = w.now + w.span(200*time.Millisecond, 2*time.Second)
 	}
 }
 
