Lose no synced write with a file's name when the power goes

After a loss of power the file's name may be gone, and with it every vote and entry that was synced into it; the store then opened with an older state that is valid by itself. The folder itself and a folder put aside for damage were made without a sync too, and the library falls back on an older name of the manifest.

Change: the database's files go through an interface of a folder (files.go, folder.go). A new file's name is synced with the first sync of its content; the manifest in force is never guessed; a power loss in the very first opening leaves a new folder, not a damaged one. simdisk.Folder models a folder whose names are kept or lost one by one. store.go is split by job.

--- a/internal/backup/backup.go
+++ b/internal/backup/backup.go
@@ -114,7 +114,7 @@
 		return fmt.Errorf("backup: %w", err)
 	}
 	_, err = f.Write(data)
-	err = errors.Join(err, f.Sync(), f.Close())
+	err = errors.Join(err, f.Sync(), f.Close(), syncFolder(filepath.Dir(path)))
 	if err != nil {
 		os.Remove(path)
 		return fmt.Errorf("backup: writing %s: %w", path, err)
@@ -122,6 +122,15 @@
 	return nil
 }
 
+// syncFolder makes the names in a folder stay.
+func syncFolder(path string) error {
+	dir, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(dir.Sync(), dir.Close())
+}
+
 // Load reads a backup's file.
 func Load(path string) (*Backup, error) {
 	data, err := os.ReadFile(path)
--- /dev/null
+++ b/internal/store/snapshot.go
@@ -0,0 +1,208 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"math/rand/v2"
+	"os"
+	"strings"
+
+	"ivydeck/internal/wire"
+)
+
+const (
+	inlineSnapshot = 64 << 10 // a smaller one is kept as a record
+	snapshotPrefix = "snapshot-"
+	incomingPrefix = "incoming-"
+)
+
+// StagedSnapshot is a snapshot whose data is in the folder for good. It counts once a Save names it.
+type StagedSnapshot struct {
+	folder   Folder
+	Snapshot *wire.RaftSnapshot
+	file     *wire.SnapshotFile // nil: small enough for a record
+}
+
+// record is what stands for the snapshot in the database.
+func (s *StagedSnapshot) record() *wire.RaftSnapshot {
+	if s.file == nil {
+		return s.Snapshot
+	}
+	return &wire.RaftSnapshot{Term: s.Snapshot.Term, Index: s.Snapshot.Index, Peers: s.Snapshot.Peers, File: s.file}
+}
+
+// Discard removes what was staged and is not to count.
+func (s *StagedSnapshot) Discard() {
+	if s != nil && s.file != nil {
+		s.folder.Remove(s.file.Name) // what stays is removed at the next opening
+	}
+}
+
+// Stage writes a snapshot's data ahead of the Save that makes it count. Any goroutine may call it.
+func (s *Store) Stage(snapshot *wire.RaftSnapshot) (*StagedSnapshot, error) {
+	staged := &StagedSnapshot{folder: s.folder, Snapshot: snapshot}
+	if len(snapshot.Data) <= inlineSnapshot {
+		return staged, nil
+	}
+	staged.file = &wire.SnapshotFile{
+		Name: snapshotName(snapshot.Index), Size: uint64(len(snapshot.Data)), Checksum: crc32.Checksum(snapshot.Data, castagnoli),
+	}
+	file, err := s.folder.Create(staged.file.Name)
+	if err != nil {
+		return nil, fmt.Errorf("store: staging a snapshot: %w", err)
+	}
+	_, err = file.Write(snapshot.Data)
+	if err = errors.Join(err, file.Sync(), file.Close(), s.folder.Sync()); err != nil {
+		staged.Discard()
+		return nil, fmt.Errorf("store: staging a snapshot: %w", err)
+	}
+	return staged, nil
+}
+
+// snapshotName is a name that no other snapshot of the folder has.
+func snapshotName(index uint64) string {
+	return fmt.Sprintf("%s%d-%016x", snapshotPrefix, index, rand.Uint64())
+}
+
+// loadSnapshot reads the snapshot in force.
+func (s *Store) loadSnapshot() error {
+	snapshot := new(wire.RaftSnapshot)
+	if ok, err := s.get(keySnapshot, snapshot); err != nil || !ok {
+		return err
+	}
+	s.Snapshot = snapshot
+	file := snapshot.File
+	if file == nil {
+		return nil
+	}
+	data, err := readFile(s.folder, file.Name)
+	if errors.Is(err, os.ErrNotExist) {
+		return fmt.Errorf("%w: the snapshot's file %s does not exist", errDamaged, file.Name)
+	}
+	if err != nil {
+		return fmt.Errorf("reading a snapshot: %w", err)
+	}
+	if uint64(len(data)) != file.Size || crc32.Checksum(data, castagnoli) != file.Checksum {
+		return fmt.Errorf("%w: the snapshot's file %s fails its checksum", errDamaged, file.Name)
+	}
+	snapshot.Data, s.snapshotFile = data, file.Name
+	snapshot.File = nil
+	return nil
+}
+
+// replaceSnapshot notes the snapshot in force, and removes the one before.
+func (s *Store) replaceSnapshot(b Batch) {
+	before := s.snapshotFile
+	s.snapshotFile = ""
+	if b.Staged != nil && b.Staged.file != nil {
+		s.snapshotFile = b.Staged.file.Name
+	}
+	if before != "" && before != s.snapshotFile {
+		s.folder.Remove(before) // what stays is removed at the next opening
+	}
+	s.Snapshot = &wire.RaftSnapshot{Term: b.Snapshot.Term, Index: b.Snapshot.Index, Peers: b.Snapshot.Peers}
+}
+
+// removeStrayFiles removes the files of snapshots that do not count.
+func (s *Store) removeStrayFiles() error {
+	names, err := s.folder.List()
+	if err != nil {
+		return fmt.Errorf("listing files: %w", err)
+	}
+	for _, name := range names {
+		if strings.HasPrefix(name, snapshotPrefix) && name != s.snapshotFile {
+			if err := s.folder.Remove(name); err != nil && !errors.Is(err, os.ErrNotExist) {
+				return fmt.Errorf("removing a file: %w", err)
+			}
+		}
+	}
+	return nil
+}
+
+// IncomingSnapshot is a leader's snapshot that comes in pieces. What has come stays in the folder, so that the rest can
+// follow after a broken stream or a restart. It is for one goroutine at a time.
+type IncomingSnapshot struct {
+	store    *Store
+	snapshot *wire.RaftSnapshot // without its data
+	want     *wire.SnapshotFile
+	name     string
+	file     File
+	offset   uint64
+}
+
+// Receive begins or resumes the receipt of a snapshot of the given size and checksum. Only one is kept under way; what has
+// come of others is removed. Any goroutine may call it.
+func (s *Store) Receive(snapshot *wire.RaftSnapshot, size uint64, checksum uint32) (*IncomingSnapshot, error) {
+	name := fmt.Sprintf("%s%d-%d-%d-%08x", incomingPrefix, snapshot.Term, snapshot.Index, size, checksum)
+	names, err := s.folder.List()
+	if err != nil {
+		return nil, fmt.Errorf("store: receiving a snapshot: %w", err)
+	}
+	for _, other := range names {
+		if strings.HasPrefix(other, incomingPrefix) && other != name {
+			s.folder.Remove(other)
+		}
+	}
+	file, err := s.folder.Append(name)
+	if err != nil {
+		return nil, fmt.Errorf("store: receiving a snapshot: %w", err)
+	}
+	end, err := file.Seek(0, io.SeekEnd)
+	if err == nil && uint64(end) > size { // not of this snapshot
+		err = errors.Join(file.Close(), s.folder.Remove(name))
+		if err == nil {
+			return s.Receive(snapshot, size, checksum)
+		}
+	}
+	if err != nil {
+		file.Close()
+		return nil, fmt.Errorf("store: receiving a snapshot: %w", err)
+	}
+	want := &wire.SnapshotFile{Name: snapshotName(snapshot.Index), Size: size, Checksum: checksum}
+	return &IncomingSnapshot{store: s, snapshot: snapshot, want: want, name: name, file: file, offset: uint64(end)}, nil
+}
+
+// Offset is how much of the data has come.
+func (i *IncomingSnapshot) Offset() uint64 { return i.offset }
+
+// Write takes the next piece.
+func (i *IncomingSnapshot) Write(piece []byte) error {
+	if i.offset+uint64(len(piece)) > i.want.Size {
+		return errors.New("store: a snapshot is longer than was said")
+	}
+	n, err := i.file.Write(piece)
+	i.offset += uint64(n)
+	if err != nil {
+		return fmt.Errorf("store: receiving a snapshot: %w", err)
+	}
+	return nil
+}
+
+// Finish checks what has come against its checksum, and stages it. What does not pass is removed.
+func (i *IncomingSnapshot) Finish() (*StagedSnapshot, error) {
+	folder := i.store.folder
+	data, err := readFile(folder, i.name)
+	if err != nil {
+		return nil, fmt.Errorf("store: receiving a snapshot: %w", err)
+	}
+	if uint64(len(data)) != i.want.Size || crc32.Checksum(data, castagnoli) != i.want.Checksum {
+		folder.Remove(i.name)
+		return nil, errors.New("store: a snapshot that has come fails its checksum")
+	}
+	i.snapshot.Data = data
+	staged := &StagedSnapshot{folder: folder, Snapshot: i.snapshot}
+	if len(data) <= inlineSnapshot {
+		folder.Remove(i.name)
+		return staged, nil
+	}
+	staged.file = i.want
+	if err := errors.Join(i.file.Sync(), folder.Rename(i.name, staged.file.Name), folder.Sync()); err != nil {
+		return nil, fmt.Errorf("store: receiving a snapshot: %w", err)
+	}
+	return staged, nil
+}
+
+// Close ends the receipt; what has come stays.
+func (i *IncomingSnapshot) Close() error { return i.file.Close() }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/syndtr/goleveldb/leveldb"
+	"github.com/syndtr/goleveldb/leveldb/util"
 	"google.golang.org/protobuf/proto"
 
 	"ivydeck/internal/wire"
@@ -204,3 +205,96 @@
 		s.Close()
 	}
 }
+
+// TestTheTailIsKept: entries in front of a snapshot stay as far as they are asked for, over a restart; what is older, and
+// what a leader's snapshot has replaced, does not come back, whether it is still on disk or not.
+func TestTheTailIsKept(t *testing.T) {
+	dir := t.TempDir()
+	s := open(t, dir)
+	const many = 3 * removalBatch
+	save(t, s, Batch{Entries: entries(1, 1, many)})
+	save(t, s, Batch{Snapshot: &wire.RaftSnapshot{Term: 1, Index: many - 10}, First: many - 30})
+	reopen := func(first, tail, behind int) {
+		t.Helper()
+		s.Close()
+		s = open(t, dir)
+		if len(s.Tail) != tail || len(s.Entries) != behind || tail > 0 && s.Tail[0].Index != uint64(first) {
+			t.Fatalf("%d entries in the tail and %d behind the snapshot, want %d from %d on and %d", len(s.Tail), len(s.Entries), tail, first, behind)
+		}
+	}
+	stored := func() (n int) {
+		it := s.db.NewIterator(util.BytesPrefix([]byte{entryPrefix}), nil)
+		defer it.Release()
+		for it.Next() {
+			n++
+		}
+		return n
+	}
+	if n := stored(); n != many-removalBatch {
+		t.Errorf("%d entries are left after one Save of %d", n, many)
+	}
+	reopen(removalBatch+1, many-10-removalBatch, 10) // what is not yet removed is as good as ever
+	save(t, s, Batch{Snapshot: &wire.RaftSnapshot{Term: 1, Index: many - 5}, First: many - 30})
+	save(t, s, Batch{Hard: &wire.HardState{Term: 2}})
+	save(t, s, Batch{Hard: &wire.HardState{Term: 3}})
+	if n := stored(); n != 31 {
+		t.Errorf("%d entries are left in the end", n)
+	}
+	reopen(many-30, 26, 5)
+	save(t, s, Batch{Whole: true, Snapshot: &wire.RaftSnapshot{Term: 3, Index: many + 100}})
+	reopen(0, 0, 0)
+	save(t, s, Batch{Entries: entries(3, many+101, many+102)})
+	reopen(0, 0, 2)
+	save(t, s, Batch{Snapshot: &wire.RaftSnapshot{Term: 3, Index: many + 102}, First: many + 101})
+	reopen(many+101, 2, 0)
+	s.Close()
+}
+
+// TestAFolderPutAsideIsRemembered: the power went after a damaged folder was put aside and before the next was there for
+// good. What is found then is not taken for a folder that never held anything.
+func TestAFolderPutAsideIsRemembered(t *testing.T) {
+	dir := t.TempDir()
+	open(t, dir).Close()
+	if err := os.Rename(filepath.Join(dir, "log"), filepath.Join(dir, "log.damaged")); err != nil {
+		t.Fatal(err)
+	}
+	s := open(t, dir)
+	defer s.Close()
+	if s.Damaged == nil || !s.Fresh {
+		t.Errorf("damaged: %v, fresh: %v", s.Damaged, s.Fresh)
+	}
+}
+
+// TestManifestsAreNotGuessed: a folder whose manifest in force is gone, or not named, is damaged; a manifest that an
+// earlier opening has left is no way out.
+func TestManifestsAreNotGuessed(t *testing.T) {
+	for name, damage := range map[string]func(dir string) error{
+		"nothing is named": func(dir string) error { return os.Remove(filepath.Join(dir, currentName)) },
+		"a lost manifest is named": func(dir string) error {
+			return os.WriteFile(filepath.Join(dir, currentName), []byte("MANIFEST-000999\n"), 0o644)
+		},
+		"half a name": func(dir string) error {
+			return os.WriteFile(filepath.Join(dir, currentName), []byte("MANIFEST-0000"), 0o644)
+		},
+	} {
+		dir := t.TempDir()
+		s := open(t, dir)
+		save(t, s, Batch{Entries: entries(1, 1, 9)})
+		s.Close()
+		backup, err := os.ReadFile(filepath.Join(dir, "log", currentName))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(filepath.Join(dir, "log", "CURRENT.bak"), backup, 0o644); err != nil {
+			t.Fatal(err)
+		}
+		if err := damage(filepath.Join(dir, "log")); err != nil {
+			t.Fatal(err)
+		}
+		s = open(t, dir)
+		if s.Damaged == nil || !s.Fresh || len(s.Entries) > 0 {
+			t.Errorf("%s: damaged %v, %d entries", name, s.Damaged, len(s.Entries))
+		}
+		s.Close()
+	}
+}
