--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -176,8 +176,8 @@
 			return err
 		}
 	}
-	n.consensus = raft.New(st.ID, st.Hard, st.Snapshot, st.Entries, seed, 0)
-	st.Entries = nil
+	n.consensus = raft.New(st.ID, st.Hard, st.Snapshot, slices.Concat(st.Tail, st.Entries), seed, 0)
+	st.Tail, st.Entries = nil, nil
 	n.applied = st.Snapshot.GetIndex()
 	n.publish()
 	return nil
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -194,9 +194,9 @@
 		return
 	}
 	// The snapshot has the state of now, so it stands at the applied index; only
-	// members that are further behind than the log need it.
+	// members that are further behind than the tail of entries in front of it need it.
 	if snap := n.consensus.Compact(n.applied, data); snap != nil {
-		if err := n.store.Save(store.Batch{Snapshot: snap}); err != nil {
+		if err := n.store.Save(store.Batch{Snapshot: snap, First: n.consensus.First()}); err != nil {
 			n.log.Error("disk.failed", "err", err)
 			n.store.Reopen()
 		}
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -7,40 +7,28 @@
 	"ivydeck/internal/wire"
 )
 
-// conf is the set of members from an index of the log on.
+// membership is the set of members from an index of the log on.
 type membership struct {
 	index uint64
 	peers []*wire.Peer
 }
 
-// What stands behind a snapshot before the next is due: whichever comes first.
-const (
-	snapshotEntries = 512
-	snapshotBytes   = 16 << 20
-)
-
-// Backlog is the number of entries that stand behind the snapshot.
-func (c *Node) Backlog() int { return len(c.entries) }
-
-// SnapshotDue tells whether a snapshot is due, so that log and disk stay bounded whatever
-// the size of what is proposed.
-func (c *Node) SnapshotDue() bool {
-	bytes := 0
-	for _, e := range c.entries {
-		bytes += len(e.Data)
-	}
-	return len(c.entries) >= snapshotEntries || bytes >= snapshotBytes
+// position names a place in the log.
+type position struct {
+	index, term uint64
 }
 
-func (c *Node) first() uint64 { return c.snap.Index + 1 }
+// first is the index of the oldest entry that the log holds. It is at most one beyond the snapshot's: a tail of
+// older entries is kept, see retention.go.
+func (c *Node) first() uint64 { return c.base.index + 1 }
 
-func (c *Node) last() uint64 { return c.snap.Index + uint64(len(c.entries)) }
+func (c *Node) last() uint64 { return c.base.index + uint64(len(c.entries)) }
 
 // term returns the term of an index; ok is false where it is not in the log.
 func (c *Node) term(index uint64) (term uint64, ok bool) {
 	switch {
-	case index == c.snap.Index:
-		return c.snap.Term, true
+	case index == c.base.index:
+		return c.base.term, true
 	case index < c.first() || index > c.last():
 		return 0, false
 	}
@@ -57,6 +45,7 @@
 	for _, e := range entries {
 		c.entries = append(c.entries, e)
 		c.trackMembership(e)
+		c.backlogBytes += len(e.Data)
 		if c.unsaved == 0 {
 			c.unsaved = e.Index
 		}
@@ -75,6 +64,9 @@
 
 // truncate drops all entries from an index on.
 func (c *Node) truncate(from uint64) {
+	for _, e := range c.entries[from-c.first():] {
+		c.backlogBytes -= len(e.Data)
+	}
 	c.entries = c.entries[:from-c.first()]
 	for len(c.memberships) > 1 && c.memberships[len(c.memberships)-1].index >= from {
 		c.memberships = c.memberships[:len(c.memberships)-1]
@@ -109,23 +101,3 @@
 		c.becomeFollower(c.hard.Term, 0) // it has been taken out
 	}
 }
-
-// Compact puts a snapshot of the applied state in front of the log. The entries
-// after keep stay for those that lag.
-func (c *Node) Compact(index uint64, data []byte) *wire.RaftSnapshot {
-	if index > c.applied || index <= c.snap.Index {
-		return nil
-	}
-	term, _ := c.term(index)
-	peers := c.memberships[0].peers
-	n := 0
-	for i, f := range c.memberships {
-		if f.index <= index {
-			peers, n = f.peers, i
-		}
-	}
-	c.entries = append([]*wire.Entry(nil), c.entries[index-c.snap.Index:]...)
-	c.snap = &wire.RaftSnapshot{Term: term, Index: index, Peers: &wire.Peers{Peers: peers}, Data: data}
-	c.memberships = append([]membership{{index, peers}}, c.memberships[n+1:]...)
-	return c.snap
-}
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -83,9 +83,12 @@
 
 	snap            *wire.RaftSnapshot // what stands in front of the log
 	pendingSnapshot *wire.RaftSnapshot // to be handed out
-	entries         []*wire.Entry      // entries[0] follows the snapshot
-	stable          uint64             // last index that is on disk
-	unsaved         uint64             // first index that has to be written; 0: none
+	base            position           // precedes entries[0]; at most the snapshot's
+	entries         []*wire.Entry
+	backlogBytes    int    // of the entries behind the snapshot
+	tailEntries     int    // kept in front of the snapshot, at most
+	stable          uint64 // last index that is on disk
+	unsaved         uint64 // first index that has to be written; 0: none
 	commit          uint64
 	applied         uint64
 	memberships     []membership // ascending by index; the first stands for the snapshot
@@ -113,14 +116,15 @@
 	out Output
 }
 
-// New returns a member as its disk has it. A nil snapshot is an empty one. The seed has to differ between the processes
-// that have the same disk one after another.
+// New returns a member as its disk has it. A nil snapshot is an empty one. Entries may begin in front of the snapshot's
+// index, with the tail that was kept. The seed has to differ between the processes that have the same disk one after
+// another.
 func New(id uint64, hard *wire.HardState, snap *wire.RaftSnapshot, entries []*wire.Entry, seed uint64, now time.Duration) *Node {
 	if snap == nil {
 		snap = &wire.RaftSnapshot{}
 	}
 	c := &Node{
-		id: id, rng: rand.New(rand.NewPCG(seed, id)), now: now, snap: snap, entries: entries,
+		id: id, rng: rand.New(rand.NewPCG(seed, id)), now: now, snap: snap, tailEntries: tailEntries,
 		commit: snap.Index, applied: snap.Index, progress: map[uint64]*progress{},
 		memberships: []membership{{snap.Index, snap.GetPeers().GetPeers()}}, roundStartedAt: map[uint64]time.Duration{},
 		leaderContactAt: -electionMax, contactAt: now - MaxContactAge, process: seed, startedAt: now, batch: maxEntries,
@@ -129,10 +133,7 @@
 		c.hard.Term, c.hard.Vote = hard.Term, hard.Vote
 		c.saved.Term, c.saved.Vote = hard.Term, hard.Vote
 	}
-	for _, e := range entries {
-		c.trackMembership(e)
-	}
-	c.stable = c.last()
+	c.load(entries)
 	c.resetTimer()
 	return c
 }
@@ -228,7 +229,7 @@
 		c.unsaved = 0
 	}
 	if c.commit > c.applied {
-		o.Committed = slices.Clone(c.entries[c.applied-c.snap.Index : c.commit-c.snap.Index])
+		o.Committed = slices.Clone(c.entries[c.applied-c.base.index : c.commit-c.base.index])
 		c.applied = c.commit
 	}
 	return o
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -13,10 +13,12 @@
 	match, next uint64
 	round       uint64 // newest round that it has answered
 	lastContact time.Duration
-	snapshot    time.Duration // when a snapshot was last sent
 	syncTime    time.Duration // that a synced write takes there; 0: not known
 	stamp       *wire.Stamp   // the newest of its clock
 	stampAt     time.Duration // when that was received
+
+	transfer        *wire.RaftSnapshot // under way to it; nil: none
+	transferRetryAt time.Duration      // a transfer is not begun before
 }
 
 // Lag returns how many entries a member lacks, as far as it has said what it
@@ -54,26 +56,22 @@
 	c.heartbeatAt = c.now + Heartbeat
 	for _, p := range c.Peers() { // in the log's order, so that runs repeat
 		if p.Id != c.id {
+			c.endTransfer(c.progress[p.Id])
 			c.replicate(p.Id, true)
 		}
 	}
 	c.confirmContact() // alone, it is its own majority
 }
 
-// replicate sends a member what it lacks, or with beat a sign of life at least.
-func (c *Node) replicate(id uint64, beat bool) {
+// replicate sends a member what it lacks, or with heartbeat a sign of life at least.
+func (c *Node) replicate(id uint64, heartbeat bool) {
 	p := c.progress[id]
 	if p == nil {
 		return
 	}
 	prev, ok := c.term(p.next - 1)
 	if !ok {
-		if c.now-p.snapshot >= time.Second {
-			p.snapshot = c.now
-			c.send(&wire.Raft{Kind: wire.Raft_SNAPSHOT, To: id, Snapshot: c.snap, Round: c.round, Commit: c.commit})
-		} else if beat { // nothing that could be matched, only the proof of contact
-			c.send(&wire.Raft{Kind: wire.Raft_APPEND, To: id, Index: c.snap.Index, LogTerm: c.snap.Term, Round: c.round, Commit: c.commit})
-		}
+		c.transfer(id, p, heartbeat)
 		return
 	}
 	m := &wire.Raft{Kind: wire.Raft_APPEND, To: id, Index: p.next - 1, LogTerm: prev, Commit: c.commit, Round: c.round}
@@ -83,7 +81,7 @@
 		m.Entries = append(m.Entries, e)
 		bytes += len(e.Data)
 	}
-	if len(m.Entries) == 0 && !beat {
+	if len(m.Entries) == 0 && !heartbeat {
 		return
 	}
 	p.next += uint64(len(m.Entries)) // what gets lost shows in the next round
--- /dev/null
+++ b/internal/raft/retention_test.go
@@ -0,0 +1,212 @@
+package raft
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"ivydeck/internal/wire"
+)
+
+// acknowledge has a member say that it has the leader's log up to an index.
+func acknowledge(c *Node, from, index uint64) Output {
+	c.Step(c.now, &wire.Raft{Kind: wire.Raft_APPENDED, From: from, To: c.id, Term: c.hard.Term, Index: index, Round: c.round})
+	return settle(c)
+}
+
+// proposeMany puts so many entries into a leader's log, which one other member acknowledges.
+func proposeMany(t *testing.T, c *Node, count, bytes int) {
+	t.Helper()
+	for range count {
+		if _, _, err := c.Propose(c.now, make([]byte, bytes)); err != nil {
+			t.Fatal(err)
+		}
+		settle(c)
+		acknowledge(c, 2, c.last())
+	}
+}
+
+// sentTo returns what is sent to a member of one kind.
+func sentTo(o Output, to uint64, kind wire.Raft_Kind) (list []*wire.Raft) {
+	for _, m := range o.Messages {
+		if m.To == to && m.Kind == kind {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// TestAMemberThatLagsGetsEntries: one that lags at the moment of a snapshot goes on by entries, from a leader that has
+// been up and from one that has just started from its disk.
+func TestAMemberThatLagsGetsEntries(t *testing.T) {
+	c := leading(t)
+	proposeMany(t, c, 20, 10)
+	snapshot := c.Compact(c.applied, []byte("state"))
+	if snapshot == nil || c.Backlog() != 0 {
+		t.Fatalf("%v, %d behind it", snapshot, c.Backlog())
+	}
+	lagging := snapshot.Index - 3
+	c.Step(c.now, &wire.Raft{Kind: wire.Raft_APPENDED, From: 3, To: 1, Term: 4, Reject: true, Index: lagging})
+	if o := settle(c); len(sentTo(o, 3, wire.Raft_SNAPSHOT)) > 0 || len(sentTo(o, 3, wire.Raft_APPEND)) != 1 || len(sentTo(o, 3, wire.Raft_APPEND)[0].Entries) != 3 {
+		t.Errorf("a member that lacks three entries gets %v", o.Messages)
+	}
+	kept := slices.Clone(c.entries)
+	again := New(1, &wire.HardState{Term: 4, Vote: 1}, snapshot, kept, 1, c.now)
+	if again.first() != kept[0].Index+1 || again.last() != c.last() || again.Backlog() != 0 || again.Commit() != snapshot.Index {
+		t.Errorf("after a restart the log is from %d to %d, with %d behind the snapshot", again.first(), again.last(), again.Backlog())
+	}
+	older, err := proto.Marshal(voters(5))
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept[5] = &wire.Entry{Term: kept[5].Term, Index: kept[5].Index, Kind: wire.Entry_PEERS, Data: older}
+	if again = New(1, nil, snapshot, kept, 1, c.now); len(again.Peers()) != 3 {
+		t.Errorf("members of before the snapshot are in force: %v", again.Peers())
+	}
+	if term, ok := again.term(lagging); !ok || term != 4 {
+		t.Errorf("after a restart the term of entry %d is %d, %v", lagging, term, ok)
+	}
+}
+
+// TestTheTailIsBounded by the number of entries and by their bytes; a disk is told what may go.
+func TestTheTailIsBounded(t *testing.T) {
+	c := leading(t)
+	c.Retain(8)
+	proposeMany(t, c, 50, 10)
+	c.Compact(c.applied, nil)
+	if c.last()-c.base.index != 8 || c.First() != c.last()-8 {
+		t.Errorf("%d entries are kept, from %d on", c.last()-c.base.index, c.First())
+	}
+	c.Retain(tailEntries)
+	proposeMany(t, c, 20, tailBytes/10)
+	c.Compact(c.applied, nil)
+	if n := c.last() - c.base.index; n != 10 {
+		t.Errorf("%d entries of a tenth of the bound are kept", n)
+	}
+}
+
+// TestLargeStatesAreWrittenLessOften: a snapshot that is as large as many entries waits for as many.
+func TestLargeStatesAreWrittenLessOften(t *testing.T) {
+	c := leading(t)
+	proposeMany(t, c, snapshotEntries, 100)
+	c.Compact(c.applied, make([]byte, 8<<20))
+	proposeMany(t, c, 2*snapshotEntries, 100)
+	if c.SnapshotDue() {
+		t.Errorf("%d entries of 100 bytes make a snapshot of 8 MB due", c.Backlog())
+	}
+	proposeMany(t, c, maxSnapshotEntries-2*snapshotEntries, 10)
+	if !c.SnapshotDue() {
+		t.Errorf("%d entries make none due", c.Backlog())
+	}
+}
+
+// needsSnapshot is a leader of a log that begins far behind what its third member has.
+func needsSnapshot(t *testing.T) *Node {
+	t.Helper()
+	c := leading(t)
+	c.Retain(4)
+	proposeMany(t, c, 40, 10)
+	c.Compact(c.applied, []byte("first"))
+	c.Step(c.now, &wire.Raft{Kind: wire.Raft_APPENDED, From: 3, To: 1, Term: 4, Reject: true, Index: 1})
+	return c
+}
+
+// TestOneTransferAtATime: while a snapshot is under way to a member, it gets heartbeats and no other snapshot; the same one
+// goes on after a failure, although newer ones were taken, since the log leads on from it; and it ends with what the
+// member says to have.
+func TestOneTransferAtATime(t *testing.T) {
+	c := needsSnapshot(t)
+	begun := sentTo(settle(c), 3, wire.Raft_SNAPSHOT)
+	if len(begun) != 1 || c.Transferring(3) != begun[0].Snapshot.Index {
+		t.Fatalf("%d transfers are begun", len(begun))
+	}
+	first := begun[0].Snapshot
+	later := func(d time.Duration) Output {
+		c.Tick(c.now + d)
+		o := settle(c)
+		for _, id := range []uint64{2, 3} { // both are there
+			c.Step(c.now, &wire.Raft{Kind: wire.Raft_APPENDED, From: id, To: 1, Term: 4, Index: 1, Round: c.round})
+		}
+		o.Messages = append(o.Messages, settle(c).Messages...)
+		return o
+	}
+	for range 40 { // three seconds of heartbeats, with progress
+		o := later(Heartbeat)
+		c.Transfer(c.now, 3, first.Index, TransferProgress)
+		if len(sentTo(o, 3, wire.Raft_SNAPSHOT)) > 0 || len(sentTo(o, 3, wire.Raft_APPEND)) == 0 {
+			t.Fatalf("under a transfer a member gets %v", o.Messages)
+		}
+		proposeMany(t, c, 10, 10)
+		c.Compact(c.applied, []byte("newer"))
+	}
+	c.Transfer(c.now, 3, first.Index, TransferFailed)
+	if o := later(Heartbeat); len(sentTo(o, 3, wire.Raft_SNAPSHOT)) > 0 {
+		t.Error("a transfer that has failed is begun again at once")
+	}
+	var resumed []*wire.Raft
+	for range 4 {
+		resumed = append(resumed, sentTo(later(Heartbeat), 3, wire.Raft_SNAPSHOT)...)
+	}
+	if len(resumed) != 1 || resumed[0].Snapshot != first {
+		t.Fatalf("%d transfers are resumed after a failure, with another snapshot", len(resumed))
+	}
+	c.Transfer(c.now, 3, first.Index, TransferFinished)
+	next := sentTo(settle(c), 3, wire.Raft_APPEND)
+	if len(next) == 0 || next[0].Index != first.Index || len(next[0].Entries) == 0 || c.Transferring(3) != 0 {
+		t.Errorf("the log does not go on from the snapshot at %d: %v", first.Index, next)
+	}
+	c.Compact(c.applied, nil)
+	acknowledge(c, 3, c.last())
+	proposeMany(t, c, 1, 10)
+	c.Compact(c.applied, nil)
+	if n := c.last() - c.base.index; n != 4 {
+		t.Errorf("%d entries are kept with no transfer under way", n)
+	}
+}
+
+// TestATransferThatTakesTooLongIsSuperseded: where the log can't lead on from a snapshot within its bound, and for a member
+// that has gone, nothing is kept for it.
+func TestATransferThatTakesTooLongIsSuperseded(t *testing.T) {
+	c := needsSnapshot(t)
+	first := sentTo(settle(c), 3, wire.Raft_SNAPSHOT)[0].Snapshot
+	proposeMany(t, c, 20, tailBytes/4)
+	c.Compact(c.applied, []byte("newer"))
+	if bytes := tailBytes / 4 * int(c.last()-c.base.index); bytes > transferTailBytes || c.base.index <= first.Index {
+		t.Errorf("%d bytes are kept for a transfer", bytes)
+	}
+	heartbeats := func(d time.Duration, thirdAnswers bool) (begun []*wire.Raft) {
+		for until := c.now + d; c.now < until; {
+			c.Tick(c.now + Heartbeat)
+			o := settle(c)
+			acknowledge(c, 2, c.last())
+			if thirdAnswers {
+				c.Step(c.now, &wire.Raft{Kind: wire.Raft_APPENDED, From: 3, To: 1, Term: 4, Reject: true, Index: 1, Round: c.round})
+				o.Messages = append(o.Messages, settle(c).Messages...)
+			}
+			begun = append(begun, sentTo(o, 3, wire.Raft_SNAPSHOT)...)
+		}
+		return begun
+	}
+	if again := heartbeats(transferSilence+Heartbeat, true); len(again) != 1 || again[0].Snapshot == first {
+		t.Errorf("%d transfers are begun, or one that leads nowhere", len(again))
+	}
+	heartbeats(transferSilence, false)
+	if begun := heartbeats(2*transferGone, false); len(begun) > 0 || c.Transferring(3) != 0 {
+		t.Errorf("%d transfers are begun to a member that is gone, and one is kept: %d", len(begun), c.Transferring(3))
+	}
+}
+
+// TestAMemberWithASnapshotOfAnotherGoesOn: one that got to where the log leads on, by a transfer that nobody told the
+// leader of, is not sent another.
+func TestAMemberWithASnapshotOfAnotherGoesOn(t *testing.T) {
+	c := needsSnapshot(t)
+	first := sentTo(settle(c), 3, wire.Raft_SNAPSHOT)[0].Snapshot
+	proposeMany(t, c, 10, 10)
+	c.Compact(c.applied, []byte("newer"))
+	c.Step(c.now, &wire.Raft{Kind: wire.Raft_APPENDED, From: 3, To: 1, Term: 4, Reject: true, Index: first.Index})
+	if next := sentTo(settle(c), 3, wire.Raft_APPEND); len(next) == 0 || next[0].Index != first.Index {
+		t.Errorf("it gets %v", next)
+	}
+}
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -90,6 +90,7 @@
 	}
 	m.core = New(m.disk.ID, m.disk.Hard, m.disk.Snap, slices.Clone(m.disk.Entries), w.rng.Uint64(), w.now+m.skew)
 	m.core.batch = w.batch
+	m.core.Retain(m.disk.Tail)
 	m.restore(m.disk.Snap)
 	m.led = false
 	m.reads, m.writes, m.heard, m.inbox = map[uint64]*op{}, map[uint64]*op{}, map[uint64]int{}, nil
@@ -469,10 +470,11 @@
 	}
 	for i := range count {
 		m := &machine{n: i}
+		m.disk.Tail = []int{0, 8, tailEntries}[seed%3]
 		w.machines = append(w.machines, m)
 		if i == 0 {
 			w.nextID = 1
-			m.disk = simdisk.Disk{ID: 1, Hard: &wire.HardState{Term: 1}, Snap: &wire.RaftSnapshot{
+			m.disk = simdisk.Disk{Tail: m.disk.Tail, ID: 1, Hard: &wire.HardState{Term: 1}, Snap: &wire.RaftSnapshot{
 				Term: 1, Index: 1, Peers: &wire.Peers{Peers: []*wire.Peer{{Id: 1, Address: "0", Voter: true}}}}}
 		}
 		w.start(m)
--- a/internal/raft/state.go
+++ b/internal/raft/state.go
@@ -18,7 +18,7 @@
 func (c *Node) Clone() *Node {
 	d := &Node{
 		id: c.id, rng: rand.New(rand.NewPCG(c.id, c.hard.Term)), now: c.now, role: c.role, leaderID: c.leaderID,
-		snap: c.snap, entries: slices.Clone(c.entries), stable: c.stable, unsaved: c.unsaved, commit: c.commit, applied: c.applied,
+		snap: c.snap, base: c.base, entries: slices.Clone(c.entries), backlogBytes: c.backlogBytes, tailEntries: c.tailEntries, stable: c.stable, unsaved: c.unsaved, commit: c.commit, applied: c.applied,
 		memberships: slices.Clone(c.memberships), startedAt: c.startedAt, batch: c.batch, deadline: c.deadline, leaderContactAt: c.leaderContactAt,
 		process: c.process, contactAt: c.contactAt, campaignAt: c.campaignAt,
 		votes: maps.Clone(c.votes), progress: make(map[uint64]*progress, len(c.progress)), heartbeatAt: c.heartbeatAt, round: c.round,
@@ -75,6 +75,8 @@
 	u(c.snap.Index)
 	u(c.snap.Term)
 	b = appendPeers(b, c.snap.GetPeers().GetPeers(), rename)
+	u(c.base.index)
+	u(c.base.term)
 	u(uint64(len(c.entries)))
 	for _, e := range c.entries {
 		b = AppendEntry(b, e, rename)
@@ -100,7 +102,9 @@
 		u(p.next)
 		u(p.round)
 		flag(c.now-p.lastContact > freshLag)
-		flag(c.now-p.snapshot >= time.Second)
+		u(p.transfer.GetIndex())
+		flag(c.now >= p.transferRetryAt)
+		flag(c.now-p.lastContact >= transferSilence)
 	}
 	u(uint64(len(c.reads)))
 	for _, r := range c.reads {
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -142,7 +142,8 @@
 		c.commit = max(c.commit, s.GetIndex())
 		reply.Index = c.commit
 	} else if s.GetIndex() > c.commit {
-		c.snap, c.entries, c.unsaved = s, nil, 0
+		c.snap, c.entries, c.unsaved, c.backlogBytes = s, nil, 0, 0
+		c.base = position{s.Index, s.Term}
 		c.commit, c.applied, c.stable = s.Index, s.Index, s.Index
 		c.memberships = []membership{{s.Index, s.GetPeers().GetPeers()}}
 		c.pendingSnapshot = s
@@ -165,7 +166,10 @@
 		c.confirmContact()
 	}
 	if m.Reject {
-		if m.Index < p.next-1 {
+		if p.next <= c.base.index && m.Index >= c.base.index { // it has come by a snapshot to where the log leads on
+			p.next = m.Index + 1
+			c.replicate(m.From, false)
+		} else if m.Index < p.next-1 {
 			p.next = max(m.Index, p.match) + 1
 			c.replicate(m.From, false)
 		}
@@ -176,6 +180,7 @@
 		p.next = max(p.next, p.match+1)
 		c.advance()
 	}
+	c.endTransfer(p)
 	c.replicate(m.From, false)
 	c.handOver(m.From)
 }
--- a/internal/simdisk/simdisk.go
+++ b/internal/simdisk/simdisk.go
@@ -14,7 +14,8 @@
 	ID      uint64 // the identity, drawn when the disk was empty; 0: empty
 	Hard    *wire.HardState
 	Snap    *wire.RaftSnapshot
-	Entries []*wire.Entry // behind the snapshot
+	Entries []*wire.Entry // behind the snapshot, and in front of it so many as are kept
+	Tail    int           // entries kept in front of a snapshot
 
 	cache []write // not synced
 }
@@ -41,10 +42,18 @@
 
 // Compact puts a machine's own snapshot in front of its log.
 func (d *Disk) Compact(s *wire.RaftSnapshot) {
-	d.Entries = d.Entries[s.Index-d.Snap.GetIndex():]
+	d.Entries = d.Entries[max(0, int(s.Index-d.before())-d.Tail):]
 	d.Snap = s
 }
 
+// before is the index in front of the entries.
+func (d *Disk) before() uint64 {
+	if len(d.Entries) > 0 {
+		return d.Entries[0].Index - 1
+	}
+	return d.Snap.GetIndex()
+}
+
 // Crash takes the power away: some of what was not synced is there, in the order
 // of the writes. A write that is there in part fails its checksum, and the store
 // drops it with all behind it.
@@ -56,7 +65,7 @@
 }
 
 // Wipe empties the disk.
-func (d *Disk) Wipe() { *d = Disk{} }
+func (d *Disk) Wipe() { *d = Disk{Tail: d.Tail} }
 
 // Bytes is the size of what is kept.
 func (d *Disk) Bytes() int {
@@ -75,6 +84,6 @@
 		d.Hard = w.hard
 	}
 	for _, e := range w.entries {
-		d.Entries = append(d.Entries[:e.Index-d.Snap.GetIndex()-1], e)
+		d.Entries = append(d.Entries[:e.Index-d.before()-1], e)
 	}
 }
