--- /dev/null
+++ b/internal/catalog/image.go
@@ -0,0 +1,39 @@
+package catalog
+
+import (
+	"slices"
+
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/wire"
+)
+
+// Image is the state at one moment. It shares with the catalog what is never changed in place: resources, and the
+// configuration. Any goroutine may encode it while the catalog goes on.
+type Image struct {
+	whole    *wire.Changes // nil: before the first update
+	body     []byte
+	config   *meshconfig.Config
+	accepted acceptedChanges
+}
+
+// Image returns the present state. It costs a pointer for each resource and a copy of the accepted changes.
+func (c *Catalog) Image() *Image {
+	accepted := acceptedChanges{newest: slices.Clone(c.accepted.newest), forgotten: c.accepted.forgotten}
+	return &Image{whole: c.Whole(), body: c.body, config: c.config, accepted: accepted}
+}
+
+// Encode returns the state as bytes, as Catalog.Snapshot does.
+func (i *Image) Encode() ([]byte, error) {
+	view := NewView()
+	if i.whole != nil {
+		view.Apply(i.whole)
+	}
+	c := &Catalog{view: view, body: i.body, config: i.config, accepted: i.accepted}
+	return c.Snapshot()
+}
+
+// Decode returns the state that a snapshot holds.
+func Decode(data []byte) (*Catalog, error) {
+	c := New()
+	return c, c.Restore(data)
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -66,6 +66,14 @@
 	ledSince  time.Duration
 	heard     map[uint64]string // addresses of those who sent messages
 
+	compacting bool                 // a snapshot of the state is being written
+	transfers  map[uint64]*transfer // of snapshots, by receiver
+	installing *received            // is being put in force
+
+	transferPool *rpc.Pool                  // the connections that snapshots go over
+	receiving    atomic.Pointer[rpc.Stream] // over which a snapshot comes
+	receipt      sync.Mutex                 // held by the goroutine that takes one in
+
 	workers   sync.WaitGroup
 	contactAt atomic.Int64 // ns since the begin, when a quorum last confirmed the state here
 }
@@ -90,9 +98,10 @@
 	n := &Node{
 		log: log, began: time.Now(), events: make(chan func(), 1024), ctx: ctx, store: st, catalog: catalog.New(),
 		changes: map[uint64]*change{}, reads: map[uint64]chan error{}, senders: map[uint64]*sender{},
-		heard: map[uint64]string{}, pool: rpc.NewPool(ctx),
+		heard: map[uint64]string{}, pool: rpc.NewPool(ctx), transferPool: rpc.NewPool(ctx),
+		transfers: map[uint64]*transfer{},
 	}
-	n.pool.Identity = source
+	n.pool.Identity, n.transferPool.Identity = source, source
 	n.set.Store(set)
 	n.contactAt.Store(-int64(raft.MaxContactAge))
 	n.hub = relay.NewHub(func() time.Duration { return n.now() - time.Duration(n.contactAt.Load()) })
@@ -119,6 +128,7 @@
 	server.Identity, server.Refused = n.pool.Identity, &n.refused
 	n.gossip.Register(server)
 	server.Handle("raft", n.raftStream, identity.Core)
+	server.Handle("snapshot", n.snapshotStream, identity.Core)
 	server.Handle("join", rpc.Unary(n.join), identity.Core)
 	server.Handle("propose", rpc.Unary(n.propose))
 	server.Handle("latest", rpc.Unary(n.latest))
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -98,7 +98,7 @@
 	if out.Snapshot == nil && out.Hard == nil && len(out.Entries) == 0 {
 		return
 	}
-	b := store.Batch{Snapshot: out.Snapshot, Whole: out.Snapshot != nil, Hard: out.Hard, Entries: out.Entries}
+	b := store.Batch{Snapshot: out.Snapshot, Staged: n.staged(out.Snapshot), Whole: out.Snapshot != nil, Hard: out.Hard, Entries: out.Entries}
 	began := time.Now()
 	for failed := false; ; failed = true {
 		err := n.store.Save(b)
@@ -122,7 +122,7 @@
 		n.log.Warn("disk.slow", "took", took)
 	}
 	if s := out.Snapshot; s != nil {
-		if err := n.catalog.Restore(s.Data); err != nil {
+		if err := n.restoreState(s); err != nil {
 			// It passed on the leader, which runs the same code or a newer one.
 			n.log.Error("snapshot.unreadable", "err", err)
 			panic(err)
@@ -183,22 +183,3 @@
 	current := n.catalog.Current()
 	n.current.Store(&current)
 }
-
-func (n *Node) compact() {
-	if !n.consensus.SnapshotDue() {
-		return
-	}
-	data, err := n.catalog.Snapshot()
-	if err != nil {
-		n.log.Error("snapshot.failed", "err", err)
-		return
-	}
-	// The snapshot has the state of now, so it stands at the applied index; only
-	// members that are further behind than the tail of entries in front of it need it.
-	if snap := n.consensus.Compact(n.applied, data); snap != nil {
-		if err := n.store.Save(store.Batch{Snapshot: snap, First: n.consensus.First()}); err != nil {
-			n.log.Error("disk.failed", "err", err)
-			n.store.Reopen()
-		}
-	}
-}
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -24,6 +24,10 @@
 	if address == "" {
 		return
 	}
+	if m.Kind == wire.Raft_SNAPSHOT {
+		n.startTransfer(m, address)
+		return
+	}
 	m.Address = n.set.Load().Internal()
 	s := n.senders[m.To]
 	if s != nil && s.address != address {
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -134,13 +134,17 @@
 
 // installFrom replaces the log by a snapshot that is ahead of it.
 func (c *Node) installFrom(m *wire.Raft) {
-	s := m.Snapshot
-	reply := &wire.Raft{Kind: wire.Raft_APPENDED, To: m.From, Round: m.Round, Index: c.commit}
+	reply := &wire.Raft{Kind: wire.Raft_APPENDED, To: m.From, Round: m.Round}
+	reply.Index = c.install(m.Snapshot)
+	c.send(reply)
+}
+
+// install replaces the log by a snapshot that is ahead of it, and returns up to where the log is the leader's.
+func (c *Node) install(s *wire.RaftSnapshot) (index uint64) {
 	if t, ok := c.term(s.GetIndex()); ok && t == s.GetTerm() {
 		// The log leads up to the snapshot. What stands behind it may have been
 		// acknowledged, and must stay.
 		c.commit = max(c.commit, s.GetIndex())
-		reply.Index = c.commit
 	} else if s.GetIndex() > c.commit {
 		c.snap, c.entries, c.unsaved, c.backlogBytes = s, nil, 0, 0
 		c.base = position{s.Index, s.Term}
@@ -148,9 +152,8 @@
 		c.memberships = []membership{{s.Index, s.GetPeers().GetPeers()}}
 		c.pendingSnapshot = s
 		c.out.Committed = nil
-		reply.Index = s.Index
 	}
-	c.send(reply)
+	return c.commit
 }
 
 // appended takes a member's answer.
--- a/internal/raft/transfer.go
+++ b/internal/raft/transfer.go
@@ -44,6 +44,13 @@
 	}
 }
 
+// Install takes a snapshot that has come in full by a transfer. What it holds was committed, whoever leads by now, so that
+// no term is needed with it.
+func (c *Node) Install(now time.Duration, s *wire.RaftSnapshot) {
+	c.now = now
+	c.install(s)
+}
+
 // Transferring tells which snapshot is under way to a member; 0: none.
 func (c *Node) Transferring(id uint64) (index uint64) {
 	if p := c.progress[id]; p != nil {
--- a/internal/store/powerloss_test.go
+++ b/internal/store/powerloss_test.go
@@ -78,12 +78,13 @@
 	case kind == 0 && len(c.entries) > 0: // an own snapshot, with a tail in front of it
 		e := c.entries[rng.IntN(len(c.entries))]
 		snapshot := &wire.RaftSnapshot{Term: e.Term, Index: e.Index, Data: someBytes(rng, 200<<10)}
-		staged, err := s.Stage(snapshot)
+		staged, err := s.Stage(snapshot.Index, snapshot.Data)
 		first := e.Index - min(e.Index-1, uint64(rng.IntN(20)))
 		return store.Batch{Snapshot: snapshot, Staged: staged, First: first}, err
 	case kind == 1: // a leader's snapshot, in pieces
 		snapshot := &wire.RaftSnapshot{Term: term, Index: c.snapshot.GetIndex() + 1 + uint64(rng.IntN(30))}
-		staged, err := receive(s, snapshot, someBytes(rng, 200<<10))
+		snapshot.Data = someBytes(rng, 200<<10)
+		staged, err := receive(s, snapshot.Index, snapshot.Data)
 		return store.Batch{Snapshot: snapshot, Staged: staged, Whole: true, Hard: &wire.HardState{Term: term}}, err
 	default:
 		from := c.last() + 1
@@ -98,8 +99,8 @@
 	}
 }
 
-func receive(s *store.Store, snapshot *wire.RaftSnapshot, data []byte) (*store.StagedSnapshot, error) {
-	incoming, err := s.Receive(snapshot, uint64(len(data)), store.Checksum(data))
+func receive(s *store.Store, index uint64, data []byte) (*store.StagedSnapshot, error) {
+	incoming, err := s.Receive(index, uint64(len(data)), store.Checksum(data))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/store/save.go
+++ b/internal/store/save.go
@@ -97,11 +97,7 @@
 // saveSnapshot puts a snapshot in front of the log. What a leader's replaces at its index and behind it goes at once: it
 // may be of another history. All else goes bit by bit, as a gap, or its place, tells that it does not count.
 func (s *Store) saveSnapshot(c *change, b Batch) error {
-	record := b.Snapshot
-	if b.Staged != nil {
-		record = b.Staged.record()
-	}
-	if err := c.put(keySnapshot, record); err != nil {
+	if err := c.put(keySnapshot, b.Staged.record(b.Snapshot)); err != nil {
 		return err
 	}
 	index := b.Snapshot.Index
--- a/internal/store/snapshot.go
+++ b/internal/store/snapshot.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"io"
 	"math/rand/v2"
 	"os"
@@ -18,19 +17,19 @@
 	incomingPrefix = "incoming-"
 )
 
-// StagedSnapshot is a snapshot whose data is in the folder for good. It counts once a Save names it.
+// StagedSnapshot is a snapshot's data that is in the folder for good. It counts once a Save names it.
 type StagedSnapshot struct {
-	folder   Folder
-	Snapshot *wire.RaftSnapshot
-	file     *wire.SnapshotFile // nil: small enough for a record
+	Data   []byte
+	folder Folder
+	file   *wire.SnapshotFile // nil: small enough for a record
 }
 
-// record is what stands for the snapshot in the database.
-func (s *StagedSnapshot) record() *wire.RaftSnapshot {
-	if s.file == nil {
-		return s.Snapshot
+// record is what stands for a snapshot with this data in the database.
+func (s *StagedSnapshot) record(snapshot *wire.RaftSnapshot) *wire.RaftSnapshot {
+	if s == nil || s.file == nil {
+		return snapshot
 	}
-	return &wire.RaftSnapshot{Term: s.Snapshot.Term, Index: s.Snapshot.Index, Peers: s.Snapshot.Peers, File: s.file}
+	return &wire.RaftSnapshot{Term: snapshot.Term, Index: snapshot.Index, Peers: snapshot.Peers, File: s.file}
 }
 
 // Discard removes what was staged and is not to count.
@@ -41,19 +40,17 @@
 }
 
 // Stage writes a snapshot's data ahead of the Save that makes it count. Any goroutine may call it.
-func (s *Store) Stage(snapshot *wire.RaftSnapshot) (*StagedSnapshot, error) {
-	staged := &StagedSnapshot{folder: s.folder, Snapshot: snapshot}
-	if len(snapshot.Data) <= inlineSnapshot {
+func (s *Store) Stage(index uint64, data []byte) (*StagedSnapshot, error) {
+	staged := &StagedSnapshot{Data: data, folder: s.folder}
+	if len(data) <= inlineSnapshot {
 		return staged, nil
 	}
-	staged.file = &wire.SnapshotFile{
-		Name: snapshotName(snapshot.Index), Size: uint64(len(snapshot.Data)), Checksum: crc32.Checksum(snapshot.Data, castagnoli),
-	}
+	staged.file = &wire.SnapshotFile{Name: snapshotName(index), Size: uint64(len(data)), Checksum: Checksum(data)}
 	file, err := s.folder.Create(staged.file.Name)
 	if err != nil {
 		return nil, fmt.Errorf("store: staging a snapshot: %w", err)
 	}
-	_, err = file.Write(snapshot.Data)
+	_, err = file.Write(data)
 	if err = errors.Join(err, file.Sync(), file.Close(), s.folder.Sync()); err != nil {
 		staged.Discard()
 		return nil, fmt.Errorf("store: staging a snapshot: %w", err)
@@ -84,7 +81,7 @@
 	if err != nil {
 		return fmt.Errorf("reading a snapshot: %w", err)
 	}
-	if uint64(len(data)) != file.Size || crc32.Checksum(data, castagnoli) != file.Checksum {
+	if uint64(len(data)) != file.Size || Checksum(data) != file.Checksum {
 		return fmt.Errorf("%w: the snapshot's file %s fails its checksum", errDamaged, file.Name)
 	}
 	snapshot.Data, s.snapshotFile = data, file.Name
@@ -124,18 +121,17 @@
 // IncomingSnapshot is a leader's snapshot that comes in pieces. What has come stays in the folder, so that the rest can
 // follow after a broken stream or a restart. It is for one goroutine at a time.
 type IncomingSnapshot struct {
-	store    *Store
-	snapshot *wire.RaftSnapshot // without its data
-	want     *wire.SnapshotFile
-	name     string
-	file     File
-	offset   uint64
+	folder Folder
+	want   *wire.SnapshotFile
+	name   string
+	file   File
+	offset uint64
 }
 
 // Receive begins or resumes the receipt of a snapshot of the given size and checksum. Only one is kept under way; what has
 // come of others is removed. Any goroutine may call it.
-func (s *Store) Receive(snapshot *wire.RaftSnapshot, size uint64, checksum uint32) (*IncomingSnapshot, error) {
-	name := fmt.Sprintf("%s%d-%d-%d-%08x", incomingPrefix, snapshot.Term, snapshot.Index, size, checksum)
+func (s *Store) Receive(index, size uint64, checksum uint32) (*IncomingSnapshot, error) {
+	name := fmt.Sprintf("%s%d-%d-%08x", incomingPrefix, index, size, checksum)
 	names, err := s.folder.List()
 	if err != nil {
 		return nil, fmt.Errorf("store: receiving a snapshot: %w", err)
@@ -153,15 +149,15 @@
 	if err == nil && uint64(end) > size { // not of this snapshot
 		err = errors.Join(file.Close(), s.folder.Remove(name))
 		if err == nil {
-			return s.Receive(snapshot, size, checksum)
+			return s.Receive(index, size, checksum)
 		}
 	}
 	if err != nil {
 		file.Close()
 		return nil, fmt.Errorf("store: receiving a snapshot: %w", err)
 	}
-	want := &wire.SnapshotFile{Name: snapshotName(snapshot.Index), Size: size, Checksum: checksum}
-	return &IncomingSnapshot{store: s, snapshot: snapshot, want: want, name: name, file: file, offset: uint64(end)}, nil
+	want := &wire.SnapshotFile{Name: snapshotName(index), Size: size, Checksum: checksum}
+	return &IncomingSnapshot{folder: s.folder, want: want, name: name, file: file, offset: uint64(end)}, nil
 }
 
 // Offset is how much of the data has come.
@@ -182,17 +178,16 @@
 
 // Finish checks what has come against its checksum, and stages it. What does not pass is removed.
 func (i *IncomingSnapshot) Finish() (*StagedSnapshot, error) {
-	folder := i.store.folder
+	folder := i.folder
 	data, err := readFile(folder, i.name)
 	if err != nil {
 		return nil, fmt.Errorf("store: receiving a snapshot: %w", err)
 	}
-	if uint64(len(data)) != i.want.Size || crc32.Checksum(data, castagnoli) != i.want.Checksum {
+	if uint64(len(data)) != i.want.Size || Checksum(data) != i.want.Checksum {
 		folder.Remove(i.name)
 		return nil, errors.New("store: a snapshot that has come fails its checksum")
 	}
-	i.snapshot.Data = data
-	staged := &StagedSnapshot{folder: folder, Snapshot: i.snapshot}
+	staged := &StagedSnapshot{Data: data, folder: folder}
 	if len(data) <= inlineSnapshot {
 		folder.Remove(i.name)
 		return staged, nil
