--- a/cmd/ivydeckctl/top.go
+++ b/cmd/ivydeckctl/top.go
@@ -141,9 +141,9 @@
 	slices.SortStableFunc(nodes, func(a, b rates) int {
 		return cmp.Or(cmp.Compare(b.failed, a.failed), cmp.Compare(b.refused, a.refused), cmp.Compare(b.Pending, a.Pending))
 	})
-	fmt.Fprintln(w, "node\tzone\tserved/s\trefused/s\tfailed/s\tpending\tnews\tnews age ms")
+	fmt.Fprintln(w, "node\tzone\tserved/s\trefused/s\tfailed/s\tpending\tupdate\tupdate age ms")
 	for _, r := range nodes[:min(len(nodes), c.Rows)] {
-		fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%.1f\t%d\t%d\t%d\n", r.Node, r.Zone, r.served, r.refused, r.failed, r.Pending, r.News, r.NewsAgeMs)
+		fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%.1f\t%d\t%d\t%d\n", r.Node, r.Zone, r.served, r.refused, r.failed, r.Pending, r.UpdateIndex, r.UpdateAgeMs)
 	}
 	w.Flush()
 	servers = slices.DeleteFunc(servers, func(s ill) bool { return len(s.Out) == 0 && s.Waiting == 0 && !s.Draining })
--- a/internal/catalog/view_test.go
+++ b/internal/catalog/view_test.go
@@ -260,6 +260,30 @@
 	}
 }
 
+// TestSnapshotsKeepWhatIsForgotten: a member that begins by a snapshot sends a difference to nobody to whom the others
+// would not.
+func TestSnapshotsKeepWhatIsForgotten(t *testing.T) {
+	c := New()
+	c.Apply(&wire.Command{What: &wire.Command_Server{Server: &wire.Server{Member: "i"}}})
+	c.Apply(put(0, config(t, 3, nil)))
+	c.Apply(&wire.Command{What: &wire.Command_Remove{Remove: &wire.RemoveServers{Members: []string{"i"}}}})
+	c.Advance(10)
+	c.Apply(&wire.Command{What: &wire.Command_Server{Server: &wire.Server{Member: "j"}}})
+	d := New()
+	data, err := c.Snapshot()
+	if err = joinRestore(d, data, err); err != nil {
+		t.Fatal(err)
+	}
+	for since := range c.Index() + 1 {
+		if got, want := d.view.Changes(since), c.view.Changes(since); !proto.Equal(got, want) {
+			t.Errorf("since %d: %v, want %v", since, got, want)
+		}
+	}
+	if c.view.Changes(12).GetWhole() != true || c.view.Changes(13).GetWhole() {
+		t.Errorf("a new history begins with %v", c.view.Changes(13))
+	}
+}
+
 // TestSnapshotsOfTheVersionBefore have no indexes.
 func TestSnapshotsOfTheVersionBefore(t *testing.T) {
 	body := config(t, 3, nil)
--- a/internal/control/look.go
+++ b/internal/control/look.go
@@ -18,17 +18,17 @@
 
 // NodeLook is one node. Counts are since its start.
 type NodeLook struct {
-	Node      string        `json:"node"`
-	Zone      string        `json:"zone"`
-	Served    uint64        `json:"served"`  // answers of servers
-	Refused   uint64        `json:"refused"` // promises that a request has not run
-	Failed    uint64        `json:"failed"`  // other answers of the mesh's own
-	Pending   uint32        `json:"pending"`
-	News      uint64        `json:"news"`
-	NewsAgeMs uint32        `json:"news_age_ms"`
-	UpMs      uint32        `json:"up_ms"`
-	Services  []ServiceLook `json:"services"`
-	Servers   []ServerLook  `json:"servers"`
+	Node        string        `json:"node"`
+	Zone        string        `json:"zone"`
+	Served      uint64        `json:"served"`  // answers of servers
+	Refused     uint64        `json:"refused"` // promises that a request has not run
+	Failed      uint64        `json:"failed"`  // other answers of the mesh's own
+	Pending     uint32        `json:"pending"`
+	UpdateIndex uint64        `json:"update_index"`
+	UpdateAgeMs uint32        `json:"update_age_ms"`
+	UpMs        uint32        `json:"up_ms"`
+	Services    []ServiceLook `json:"services"`
+	Servers     []ServerLook  `json:"servers"`
 }
 
 // ServiceLook is how a node sees a service.
@@ -55,7 +55,7 @@
 	var all Look
 	all.Asked, all.Silent = askAll(r.Context(), n, "look", &wire.Ask{}, func(l *wire.Looked) {
 		node := NodeLook{Node: l.Node, Zone: l.Zone, Served: l.Served, Refused: l.Refused, Failed: l.Failed, Pending: l.Pending,
-			News: l.News, NewsAgeMs: l.NewsAgeMs, UpMs: l.UpMs}
+			UpdateIndex: l.UpdateIndex, UpdateAgeMs: l.UpdateAgeMs, UpMs: l.UpMs}
 		for _, s := range l.Services {
 			node.Services = append(node.Services, ServiceLook{s.Service, s.R, s.Chances, s.Left})
 		}
--- a/internal/data/look.go
+++ b/internal/data/look.go
@@ -13,7 +13,7 @@
 	served, refused, failed := n.outbound.Counts()
 	l := &wire.Looked{
 		Node: set.Node, Zone: set.Zone, Served: served, Refused: refused, Failed: failed, Pending: uint32(n.front.Pending()),
-		News: n.hub.Index(), NewsAgeMs: uint32(min(n.follower.Age(), time.Hour).Milliseconds()), UpMs: uint32(time.Since(n.began).Milliseconds()),
+		UpdateIndex: n.hub.Index(), UpdateAgeMs: uint32(min(n.follower.Age(), time.Hour).Milliseconds()), UpMs: uint32(time.Since(n.began).Milliseconds()),
 	}
 	for _, r := range n.outbound.Readings(n.outbound.Priorities()) {
 		l.Services = append(l.Services, &wire.LookedService{Service: r.Service, R: r.R, Chances: r.Chances, Left: r.Left})
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -50,7 +50,7 @@
 			t.Errorf("seed %d: refused in the burst, by priority: %v", r.Seed, refused)
 		}
 		if r.Elections < 2 || r.Acks < 4 || r.LagMaxMs <= 0 {
-			t.Errorf("seed %d: %d elections, %d changes, news within %v ms", r.Seed, r.Elections, r.Acks, r.LagMaxMs)
+			t.Errorf("seed %d: %d elections, %d changes, updates within %v ms", r.Seed, r.Elections, r.Acks, r.LagMaxMs)
 		}
 	}
 	var page bytes.Buffer
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -131,7 +131,7 @@
 		{"Latency, 99th percentile", "ms", []any{"p99", g.series(func(s *Second) float64 { return s.P99Ms })}},
 		{"Slots taken, by service", "", busy},
 		{"Part of the retry budget used", "", []any{"used", g.series(func(s *Second) float64 { return s.Budget })}},
-		{"News: the slowest of a second", "ms", []any{"lag", g.series(func(s *Second) float64 { return s.LagMs })}},
+		{"Updates: the slowest of a second", "ms", []any{"lag", g.series(func(s *Second) float64 { return s.LagMs })}},
 		{"Without a leader", "part of the second", []any{"leaderless", g.series(func(s *Second) float64 { return s.Leaderless })}},
 	} {
 		if len(d.series) == 0 {
