Give a node's part in the control plane a package of its own

Change: package agent has what knows the other nodes, follows and feeds updates, finds the leader, waits for the fence and keeps the list of servers in line; package data uses it. Nothing but places and names is changed: word, led, askNext, mostAsked became reply, setLeader, nextAfter, maxAsked. mesh_test.go waits by a select of its own, as wait has moved. Ruled out: hollow nodes by a copy of that code, which would measure the copy.

--- a/cmd/meshlab/main.go
+++ b/cmd/meshlab/main.go
@@ -25,6 +25,10 @@
 	Mutate   mutateCmd        `cmd:"" aliases:"planted" help:"Mutation testing: put bugs into the sources, one at a time, and see which check finds each (needs the Go tools)."`
 	Timeline timelineCmd      `cmd:"" help:"Say how the last start of many machines went, step by step, out of their logs."`
 	Demo     demoCmd          `cmd:"" help:"Start a small mesh of real processes on loopback, and send it traffic."`
+	Scale    scaleCmd         `cmd:"" help:"Measure what a mesh of real and hollow nodes on loopback costs as it grows."`
+	ScaleFit scaleFitCmd      `cmd:"" help:"Fit how figures of scale's reports grow, and carry that on to the target."`
+	Hops     hopsCmd          `cmd:"" help:"Measure what nodes add to a call, by pairs of chains with and without them."`
+	Hollow   hollowCmd        `cmd:"" hidden:"" help:"Run hollow nodes for the command scale."`
 }
 
 type runCmd struct {
--- /dev/null
+++ b/internal/agent/leader.go
@@ -0,0 +1,152 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"ivydeck/internal/wire"
+)
+
+const (
+	callWait   = time.Second
+	nextAfter  = 120 * time.Millisecond // without an answer from one quorum member the next is asked as well
+	roundPause = 100 * time.Millisecond // after a round of questions that has found no leader
+	maxAsked   = 6
+	fenceWait  = 6 * time.Second // after which a node starts by what a relay told it
+)
+
+// quorum returns the addresses of quorum members, the leader's first, and those last to which there is no connection.
+func (a *Agent) quorum() []string {
+	var list, others []string
+	a.leaderMu.Lock()
+	if a.leader != "" {
+		list = append(list, a.leader)
+	}
+	a.leaderMu.Unlock()
+	for _, m := range a.Gossip.Members() {
+		if m.Core {
+			others = append(others, m.Address)
+		}
+	}
+	others = append(others, a.seeds()...)
+	var away []string
+	for _, address := range others {
+		if a.Pool.Up(address) {
+			list = append(list, address)
+		} else {
+			away = append(away, address)
+		}
+	}
+	return append(list, away...)
+}
+
+func (a *Agent) setLeader(address string) {
+	a.leaderMu.Lock()
+	a.leader = address
+	a.leaderMu.Unlock()
+}
+
+// atLeader makes a call to the leader, looking for it where it has moved. f returns whether it is done, and otherwise
+// whom it was told to ask. One who says nothing for a while is not waited for before the next is asked: after a loss of
+// all power some machines are there long before others.
+func atLeader[T any](ctx context.Context, a *Agent, f func(ctx context.Context, address string) (answer T, done bool, leader string)) (answer T, ok bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type reply struct {
+		address, leader string
+		answer          T
+		done            bool
+	}
+	todo, asked, open := a.quorum(), map[string]bool{}, 0
+	replies := make(chan reply, maxAsked)
+	next := func() {
+		for len(todo) > 0 && len(asked) < maxAsked {
+			address := todo[0]
+			if todo = todo[1:]; asked[address] {
+				continue
+			}
+			asked[address] = true
+			open++
+			a.workers.Go(func() {
+				call, cancel := context.WithTimeout(ctx, callWait)
+				defer cancel()
+				r := reply{address: address}
+				r.answer, r.done, r.leader = f(call, address)
+				replies <- r
+			})
+			return
+		}
+	}
+	next()
+	for open > 0 {
+		timer := time.NewTimer(nextAfter)
+		select {
+		case r := <-replies:
+			open--
+			if r.done {
+				timer.Stop()
+				a.setLeader(r.address)
+				return r.answer, true
+			}
+			if r.leader != "" && !asked[r.leader] {
+				todo = slices.Insert(todo, 0, r.leader)
+			}
+			next()
+		case <-timer.C:
+			next()
+		case <-ctx.Done():
+			timer.Stop()
+			return answer, false
+		}
+		timer.Stop()
+	}
+	a.setLeader("")
+	return answer, false
+}
+
+// LatestIndex asks the leader how far the updates have come.
+func (a *Agent) LatestIndex(ctx context.Context) (index uint64, ok bool) {
+	return atLeader(ctx, a, func(ctx context.Context, address string) (uint64, bool, string) {
+		answer := new(wire.Latest)
+		if err := a.Pool.Call(ctx, address, "latest", &wire.Ask{}, answer); err != nil {
+			return 0, false, ""
+		}
+		return answer.Index, answer.Known, answer.Leader
+	})
+}
+
+// fence waits until what is known here is as new as what had been acknowledged when the process started: a node never
+// begins with an older configuration.
+func (a *Agent) fence(ctx context.Context) {
+	var latest uint64
+	known := false
+	for ctx.Err() == nil && !known && time.Since(a.began) < fenceWait {
+		round, cancel := context.WithCancel(ctx)
+		if first := a.Hub.Changed(); a.Hub.Index() == 0 {
+			// The first updates show that there is a leader by now. What is still being asked may be a machine without
+			// power, whose dial goes on for long.
+			a.workers.Go(func() {
+				select {
+				case <-first:
+					cancel()
+				case <-round.Done():
+				}
+			})
+		}
+		latest, known = a.LatestIndex(round)
+		if !known {
+			pause(round, roundPause)
+		}
+		cancel()
+	}
+	for ctx.Err() == nil && a.Hub.Index() < latest {
+		select {
+		case <-a.Hub.Changed():
+		case <-time.After(100 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+	a.fenced.Store(true)
+	a.log.Info("data.fenced", "index", latest, "confirmed", known)
+}
--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -13,11 +13,11 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"ivydeck/internal/agent"
 	"ivydeck/internal/budget"
 	"ivydeck/internal/entry"
 	"ivydeck/internal/gossip"
@@ -25,32 +25,26 @@
 	"ivydeck/internal/proxy"
 	"ivydeck/internal/relay"
 	"ivydeck/internal/rpc"
-	"ivydeck/internal/wire"
 )
 
 const (
 	upkeepEvery = 500 * time.Millisecond
-	fenceWait   = 6 * time.Second // after which a node starts by what a relay told it
 	clientsGo   = 2500 * time.Millisecond
 	stopMargin  = 1600 * time.Millisecond // before the platform kills the process: no further request is begun
 	leaveMargin = 600 * time.Millisecond  // the same: the process ends
 	serverGoes  = 1500 * time.Millisecond // after SIGTERM, until then the server beside the node has work as ever
-	callWait    = time.Second
-	askAgain    = 100 * time.Millisecond // after a round of questions that has found no leader
-	askNext     = 120 * time.Millisecond // without a word from one core machine the next is asked as well
-	mostAsked   = 6
-	cutFor      = 200 * time.Millisecond // before the end requests are called off, so that they have an answer
+	cutFor      = 200 * time.Millisecond  // before the end requests are called off, so that they have an answer
 )
 
 // Node is a sidecar machine's process.
 type Node struct {
 	set      atomic.Pointer[nodefile.Settings]
 	log      *slog.Logger
-	pool     *rpc.Pool
+	agent    *agent.Agent
+	pool     *rpc.Pool // this one and the next three are the agent's
 	gossip   *gossip.Gossip
 	hub      *relay.Hub
 	follower *relay.Follower
-	place    relay.Place // the follower's own
 	front    *proxy.Front
 	outbound *proxy.Outbound
 	inbound  *proxy.Inbound
@@ -59,15 +53,12 @@
 
 	leaving  atomic.Bool
 	emptying atomic.Bool   // the server beside the node takes nothing more: the node is about to end
-	fenced   atomic.Bool   // the state is as new as what was acknowledged before the start
 	traces   *trace.Ring   // nil: none are kept
 	refused  atomic.Int64  // connections and calls of others, for their identity
 	served   atomic.Bool   // there is a configuration and a server
 	shares   budget.Shares // the upkeep's own
 
-	world    entry.WorldBuilder // watch's own
-	leaderMu sync.Mutex
-	leader   string // internal address of the leader, as last told
+	world entry.WorldBuilder // watch's own
 }
 
 // Run is the whole life of a sidecar's process. It returns some time after the
@@ -83,13 +74,12 @@
 	}
 	n.set.Store(set)
 	n.shares.Known = set.Bootstrap
-	n.gossip = gossip.New(&wire.Member{
-		Name: set.Node, Address: set.Internal(), Zone: set.Zone, Generation: uint64(time.Now().UnixMilli()),
-	}, rng.Uint64(), n.pool, func() []string { return n.set.Load().SeedNodes() }, log)
-	n.place = relay.Place{Self: set.Node, Zone: set.Zone}
-	n.hub = relay.NewHub(func() time.Duration { return n.follower.Age() })
-	n.follower = &relay.Follower{Node: set.Node, Hub: n.hub, Pool: n.pool, Parents: n.parents, Log: log}
 	n.inbound = proxy.NewInbound(set.Bounds.Drain, set.Heartbeat, log)
+	n.agent = agent.New(agent.Options{
+		Settings: n.set.Load, Pool: n.pool, Seed: rng.Uint64(), Log: log,
+		Servers: n.inbound.Servers, ServersChanged: n.inbound.Changed(), Leaving: n.emptying.Load,
+	})
+	n.gossip, n.hub, n.follower = n.agent.Gossip, n.agent.Hub, n.agent.Follower
 	n.outbound = &proxy.Outbound{
 		Node: set.Node, Zone: set.Zone, Backend: set.Backend, Ratio: set.Bounds.RetryRatio, Window: set.Bounds.RetryWindow,
 		Pool: n.pool, Log: log, Graph: n.inbound.Graph, CallFailed: n.inbound.CallFailed,
@@ -128,9 +118,8 @@
 
 	server := rpc.NewServer(log)
 	server.Identity, server.Refused = n.pool.Identity, &n.refused
-	n.gossip.Register(server)
+	n.agent.Register(server)
 	server.Handle("forward", rpc.Unary(n.inbound.Forward))
-	server.Handle("subscribe", n.hub.Serve)
 	server.Handle("trace", rpc.Unary(n.trace), identity.Core)
 	server.Handle("look", rpc.Unary(n.look), identity.Core)
 	beats := n.web(http.HandlerFunc(n.beat))
@@ -143,11 +132,8 @@
 	})
 	n.workers.Go(func() { beats.Serve(listeners[2]) })
 	n.workers.Go(func() { ready.Serve(listeners[3]) })
-	n.workers.Go(func() { n.gossip.Run(life) })
-	n.workers.Go(func() { n.follower.Run(life) })
-	n.workers.Go(func() { n.fence(life) })
+	n.workers.Go(func() { n.agent.Run(life) })
 	n.workers.Go(func() { n.watch(life) })
-	n.workers.Go(func() { n.register(life) })
 	n.workers.Go(func() {
 		for life.Err() == nil {
 			if s := reload(); s != nil {
@@ -181,163 +167,13 @@
 	switch {
 	case n.leaving.Load():
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
-	case !n.fenced.Load() || !n.served.Load():
+	case !n.agent.Fenced() || !n.served.Load():
 		http.Error(w, "no configuration or servers yet", http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
 	}
 }
 
-// parents are whom the node may follow: its place in the tree, the core, and at
-// the start the seeds.
-func (n *Node) parents() []string {
-	set := n.set.Load()
-	list := n.place.Parents(n.gossip.Version(), n.gossip.Members)
-	if len(list) == 0 {
-		return set.SeedNodes()
-	}
-	return list
-}
-
-// core returns the addresses of core machines, the leader's first, and those last to which there is no connection.
-func (n *Node) core() []string {
-	var list, others []string
-	n.leaderMu.Lock()
-	if n.leader != "" {
-		list = append(list, n.leader)
-	}
-	n.leaderMu.Unlock()
-	for _, m := range n.gossip.Members() {
-		if m.Core {
-			others = append(others, m.Address)
-		}
-	}
-	others = append(others, n.set.Load().SeedNodes()...)
-	var away []string
-	for _, address := range others {
-		if n.pool.Up(address) {
-			list = append(list, address)
-		} else {
-			away = append(away, address)
-		}
-	}
-	return append(list, away...)
-}
-
-func (n *Node) led(address string) {
-	n.leaderMu.Lock()
-	n.leader = address
-	n.leaderMu.Unlock()
-}
-
-// atLeader makes a call to the leader, looking for it where it has moved. f returns whether it is done, and otherwise
-// whom it was told to ask. One who says nothing for a while is not waited for before the next is asked: after a loss of
-// all power some machines are there long before others.
-func atLeader[T any](ctx context.Context, n *Node, f func(ctx context.Context, address string) (answer T, done bool, leader string)) (answer T, ok bool) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	type word struct {
-		address, leader string
-		answer          T
-		done            bool
-	}
-	todo, asked, open := n.core(), map[string]bool{}, 0
-	words := make(chan word, mostAsked)
-	next := func() {
-		for len(todo) > 0 && len(asked) < mostAsked {
-			address := todo[0]
-			if todo = todo[1:]; asked[address] {
-				continue
-			}
-			asked[address] = true
-			open++
-			n.workers.Go(func() {
-				call, cancel := context.WithTimeout(ctx, callWait)
-				defer cancel()
-				w := word{address: address}
-				w.answer, w.done, w.leader = f(call, address)
-				words <- w
-			})
-			return
-		}
-	}
-	next()
-	for open > 0 {
-		timer := time.NewTimer(askNext)
-		select {
-		case w := <-words:
-			open--
-			if w.done {
-				timer.Stop()
-				n.led(w.address)
-				return w.answer, true
-			}
-			if w.leader != "" && !asked[w.leader] {
-				todo = slices.Insert(todo, 0, w.leader)
-			}
-			next()
-		case <-timer.C:
-			next()
-		case <-ctx.Done():
-			timer.Stop()
-			return answer, false
-		}
-		timer.Stop()
-	}
-	n.led("")
-	return answer, false
-}
-
-// fence waits until the state here is as new as what had been acknowledged when
-// the process started: a node never begins with an older configuration.
-func (n *Node) fence(ctx context.Context) {
-	var latest uint64
-	known := false
-	for ctx.Err() == nil && !known && time.Since(n.began) < fenceWait {
-		round, cancel := context.WithCancel(ctx)
-		if first := n.hub.Changed(); n.hub.Index() == 0 {
-			// The first updates show that there is a leader by now. What is still being asked may be a machine without
-			// power, whose dial goes on for long.
-			n.workers.Go(func() {
-				select {
-				case <-first:
-					cancel()
-				case <-round.Done():
-				}
-			})
-		}
-		latest, known = atLeader(round, n, func(ctx context.Context, address string) (uint64, bool, string) {
-			answer := new(wire.Latest)
-			if err := n.pool.Call(ctx, address, "latest", &wire.Ask{}, answer); err != nil {
-				return 0, false, ""
-			}
-			return answer.Index, answer.Known, answer.Leader
-		})
-		if !known {
-			wait(round, askAgain)
-		}
-		cancel()
-	}
-	for ctx.Err() == nil && n.hub.Index() < latest {
-		select {
-		case <-n.hub.Changed():
-		case <-time.After(100 * time.Millisecond):
-		case <-ctx.Done():
-		}
-	}
-	n.fenced.Store(true)
-	n.log.Info("data.fenced", "index", latest, "confirmed", known)
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // share sets this node's part of the retry slack.
 func (n *Node) share() {
 	nodes := 0
--- a/internal/data/mesh_test.go
+++ b/internal/data/mesh_test.go
@@ -218,7 +218,10 @@
 			if resp, err := http.Post("http://"+side.Control+"/members/i-1/heartbeat", "application/msgpack", bytes.NewReader(beat)); err == nil {
 				resp.Body.Close()
 			}
-			wait(beats, 50*time.Millisecond)
+			select {
+			case <-time.After(50 * time.Millisecond):
+			case <-beats.Done():
+			}
 		}
 	})
 	m.until("a ready node", func() bool {
--- a/internal/data/servers.go
+++ b/internal/data/servers.go
@@ -10,18 +10,13 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"ivydeck/internal/catalog"
 	"ivydeck/internal/proxy"
-	"ivydeck/internal/station"
-	"ivydeck/internal/wire"
 )
 
 const (
-	mostBeat     = 4 << 10
-	mostWarmMs   = 600_000                // a server that says it is slow for longer is taken to be so for this
-	registerWait = 300 * time.Millisecond // for an accepted change to come back as an update
-	registerTick = time.Second
-	markWait     = 800 * time.Millisecond // for a drain mark to come back as an update; a heartbeat waits for a second
+	mostBeat   = 4 << 10
+	mostWarmMs = 600_000                // a server that says it is slow for longer is taken to be so for this
+	markWait   = 800 * time.Millisecond // for a drain mark to come back as an update; a heartbeat waits for a second
 )
 
 // beatBody is a server's beat as it is sent.
@@ -119,50 +114,3 @@
 		Warm: time.Duration(max(0, min(b.WarmupMs, mostWarmMs)) * float64(time.Millisecond)),
 	}, nil
 }
-
-// register keeps the core's list in line with the servers of this machine: it
-// compares what is listed with what stands here, and proposes the difference
-// until both agree.
-func (n *Node) register(ctx context.Context) {
-	listed := catalog.Local{Node: n.set.Load().Node}
-	for ctx.Err() == nil {
-		timer := time.NewTimer(registerTick)
-		changed := n.hub.Changed()
-		changes, _ := n.hub.State(listed.Index())
-		listed.Apply(changes)
-		if todo := n.difference(listed.Servers()); len(todo) > 0 {
-			for _, cmd := range todo {
-				if !n.proposeCommand(ctx, cmd) {
-					wait(ctx, 100*time.Millisecond)
-				}
-			}
-			wait(ctx, registerWait)
-		} else {
-			select {
-			case <-n.inbound.Changed():
-			case <-changed:
-			case <-timer.C:
-			case <-ctx.Done():
-			}
-		}
-		timer.Stop()
-	}
-}
-
-// difference is what has to change in the list.
-func (n *Node) difference(listed []*wire.Server) []*wire.Command {
-	set := n.set.Load()
-	m := station.Machine{Node: set.Node, Address: set.Internal(), Zone: set.Zone, Leaving: n.emptying.Load()}
-	return station.Difference(m, n.inbound.Servers(), listed, time.Since(n.began) < 2*set.Heartbeat)
-}
-
-func (n *Node) proposeCommand(ctx context.Context, cmd *wire.Command) bool {
-	_, ok := atLeader(ctx, n, func(ctx context.Context, address string) (struct{}, bool, string) {
-		answer := new(wire.Proposed)
-		if err := n.pool.Call(ctx, address, "propose", &wire.Propose{Command: cmd}, answer); err != nil {
-			return struct{}{}, false, ""
-		}
-		return struct{}{}, answer.Done, answer.Leader
-	})
-	return ok
-}
