Measure what a mesh costs as it grows: meshlab scale, scale-fit and hops

Change: package scale starts three ivydeck-control processes, some ivydeck-data processes, and hollow nodes that share processes and run package agent over loopback sockets of their own; plays twelve events; reads what all processes use; writes a JSON report and a plot. A region is cut off in the hollow nodes' dialers and listeners, in silence. scale-fit fits the reports by a power and by a line, with intervals. hops compares chains of calls through nodes with the same chains without them, in pairs. Bounds: 16 GB and 300 processes, checked before the start by an estimate and in the run by /proc; addresses of one network in 127.0.0.0/8; its own time; children are killed by their ids. Bad input gets one line. Seen to fail by a change of one line each: TestSmallestRun without the watch for arrivals (7 missing) and with one missing too many, TestCut with a Write or a Read that passes on what is lost, without the loss on open connections, and with dials across (it hangs to its time limit), TestRefusals without the checks of processes and of descriptors, TestLayout with real nodes in the last region, TestFits with n-1 in place of n-2. Not seen to fail: the refusals of memory (the run of 10,000 nodes began instead and was stopped; they are now planned only), of a port and of the other options; TestHops.

--- /dev/null
+++ b/internal/scale/hollow.go
@@ -0,0 +1,272 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ivydeck/internal/agent"
+	"ivydeck/internal/nodefile"
+	"ivydeck/internal/rpc"
+	"ivydeck/internal/station"
+)
+
+// HollowCommand is the argument with which the program itself runs hollow nodes, see RunHollow.
+const HollowCommand = "hollow"
+
+const (
+	heartbeat  = 500 * time.Millisecond
+	maxArrival = 1024 // arrivals of updates that a node remembers
+	slots      = 16   // of a hollow node's server
+
+	leaveWait = 2 * time.Second // for a server that goes to be off the list
+	leavePoll = 50 * time.Millisecond
+	lastWords = 300 * time.Millisecond
+)
+
+// hollowNode is a node that carries no requests.
+type hollowNode struct {
+	machine int
+	agent   *agent.Agent
+	server  station.Beat
+	gone    atomic.Bool   // the server has left
+	changed chan struct{} // tells of that
+	end     context.CancelFunc
+	ended   chan struct{}
+
+	mu       sync.Mutex
+	arrivals []arrival // oldest first
+}
+
+// arrival is when a node first knew of all updates up to one.
+type arrival struct {
+	index uint64
+	at    time.Time
+}
+
+// hollowProcess is all hollow nodes of this process.
+type hollowProcess struct {
+	job     job
+	network *network
+	nodes   map[int]*hollowNode
+}
+
+// RunHollow runs hollow nodes by the commands on standard input, until that ends.
+func RunHollow(in io.Reader, out io.Writer) error {
+	decoder, encoder := json.NewDecoder(in), json.NewEncoder(out)
+	p := &hollowProcess{nodes: map[int]*hollowNode{}}
+	defer func() {
+		for machine := range p.nodes {
+			p.stop(machine)
+		}
+	}()
+	if err := decoder.Decode(&p.job); err != nil {
+		return fmt.Errorf("no job: %w", err)
+	}
+	p.network = newNetwork(&p.job)
+	for {
+		var c command
+		if err := decoder.Decode(&c); err != nil {
+			return nil // whoever has started this process is gone
+		}
+		if err := encoder.Encode(p.do(&c)); err != nil {
+			return nil
+		}
+	}
+}
+
+// do carries a command out.
+func (p *hollowProcess) do(c *command) (a answer) {
+	for _, machine := range c.Stop {
+		p.stop(machine)
+	}
+	p.leave(c.Leave)
+	for _, machine := range c.Start {
+		if err := p.start(machine); err != nil {
+			a.Fault = err.Error()
+			return a
+		}
+	}
+	if c.Cut != nil {
+		p.network.setCut(*c.Cut)
+	}
+	if c.State {
+		a.State = p.state()
+	}
+	if c.Index > 0 {
+		a.Arrivals = p.arrivals(c.Index)
+	}
+	if c.Usage {
+		a.Usage = &usage{Traffic: rpc.ReadTraffic(), Goroutines: runtime.NumGoroutine()}
+	}
+	return a
+}
+
+// settings are those of a hollow node's machine.
+func (j *job) settings(machine int) *nodefile.Settings {
+	set := &nodefile.Settings{
+		Node: nodeName(machine), Class: nodefile.Sidecar, IP: address(j.Network, machine), Zone: zoneName(j.zoneOf(machine), j.Zones, j.Regions),
+		Ports: [2]int{j.Ports.Nodes, j.Ports.Nodes}, Heartbeat: heartbeat, Backend: serviceName(machine % j.Services), Bootstrap: true,
+	}
+	for member := range quorumSize {
+		set.Seeds = append(set.Seeds, fmt.Sprintf("%s:%d", address(j.Network, member), j.Ports.Control))
+	}
+	return set
+}
+
+func nodeName(machine int) string    { return fmt.Sprintf("node-%05d", machine) }
+func serverName(machine int) string  { return fmt.Sprintf("server-%05d", machine) }
+func serviceName(service int) string { return fmt.Sprintf("service-%04d", service) }
+
+// start runs a hollow node.
+func (p *hollowProcess) start(machine int) error {
+	set := p.job.settings(machine)
+	listener, err := net.Listen("tcp", set.Internal())
+	if err != nil {
+		return fmt.Errorf("node %d: %w", machine, err)
+	}
+	ctx, end := context.WithCancel(context.Background())
+	log := slog.New(slog.DiscardHandler)
+	pool := rpc.NewPool(ctx)
+	pool.Dial = p.network.dialer(machine)
+	beat := station.Beat{ID: serverName(machine), Service: set.Backend, Address: fmt.Sprintf("%s:%d", set.IP, p.job.Ports.Server), Zone: set.Zone, Slots: slots}
+	n := &hollowNode{machine: machine, server: beat, changed: make(chan struct{}, 1), end: end, ended: make(chan struct{})}
+	n.agent = agent.New(agent.Options{
+		Settings: func() *nodefile.Settings { return set }, Pool: pool, Seed: rand.Uint64(), Log: log,
+		Servers: n.servers, ServersChanged: n.changed, Leaving: func() bool { return false },
+	})
+	server := rpc.NewServer(log)
+	n.agent.Register(server)
+	var running sync.WaitGroup
+	running.Go(func() { server.Serve(ctx, p.network.listener(machine, listener)) })
+	running.Go(func() { n.agent.Run(ctx) })
+	running.Go(func() { n.watch(ctx) })
+	go func() { // ends with the node, for which stop waits
+		running.Wait()
+		close(n.ended)
+	}()
+	p.nodes[machine] = n
+	return nil
+}
+
+// servers are what stands on the node's machine.
+func (n *hollowNode) servers() []station.Beat {
+	if n.gone.Load() {
+		return nil
+	}
+	return []station.Beat{n.server}
+}
+
+// leave ends nodes as planned: the server goes off the list, and others are told.
+func (p *hollowProcess) leave(machines []int) {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveWait)
+	defer cancel()
+	var leaving sync.WaitGroup
+	for _, machine := range machines {
+		if n := p.nodes[machine]; n != nil {
+			leaving.Go(func() { n.leave(ctx) })
+		}
+	}
+	leaving.Wait()
+	for _, machine := range machines {
+		p.stop(machine)
+	}
+}
+
+func (n *hollowNode) leave(ctx context.Context) {
+	n.gone.Store(true)
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
+	for ctx.Err() == nil && n.agent.Hub.Server(n.server.ID) != nil {
+		select {
+		case <-n.agent.Hub.Changed():
+		case <-time.After(leavePoll):
+		case <-ctx.Done():
+		}
+	}
+	last, cancel := context.WithTimeout(context.Background(), lastWords)
+	defer cancel()
+	n.agent.Gossip.Leave(last)
+}
+
+// stop ends a node without a word to others, as a machine's loss does.
+func (p *hollowProcess) stop(machine int) {
+	n := p.nodes[machine]
+	if n == nil {
+		return
+	}
+	delete(p.nodes, machine)
+	n.end()
+	<-n.ended
+}
+
+// watch remembers when updates came.
+func (n *hollowNode) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := n.agent.Hub.Changed()
+		n.arrived(n.agent.Hub.Index(), time.Now())
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (n *hollowNode) arrived(index uint64, at time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.arrivals) > 0 && n.arrivals[len(n.arrivals)-1].index >= index {
+		return
+	}
+	if len(n.arrivals) == maxArrival {
+		n.arrivals = append(n.arrivals[:0], n.arrivals[1:]...)
+	}
+	n.arrivals = append(n.arrivals, arrival{index, at})
+}
+
+// arrivals says when each node knew of an update; those that do not yet are left out.
+func (p *hollowProcess) arrivals(index uint64) (list []int64) {
+	for _, n := range p.nodes {
+		n.mu.Lock()
+		for _, a := range n.arrivals {
+			if a.index >= index {
+				list = append(list, a.at.UnixMicro())
+				break
+			}
+		}
+		n.mu.Unlock()
+	}
+	return list
+}
+
+// state says how far the nodes agree.
+func (p *hollowProcess) state() *state {
+	s := &state{Nodes: len(p.nodes)}
+	first := true
+	for _, n := range p.nodes {
+		index, members := n.agent.Hub.Index(), len(n.agent.Gossip.Members())
+		if first || index < s.MinIndex {
+			s.MinIndex = index
+		}
+		if first || members < s.MinMembers {
+			s.MinMembers = members
+		}
+		s.MaxIndex, s.MaxMembers = max(s.MaxIndex, index), max(s.MaxMembers, members)
+		if n.agent.Fenced() {
+			s.Fenced++
+		}
+		s.MaxAgeMs = max(s.MaxAgeMs, n.agent.Follower.Age().Milliseconds())
+		first = false
+	}
+	return s
+}
--- /dev/null
+++ b/internal/scale/messages.go
@@ -0,0 +1,43 @@
+package scale
+
+import "ivydeck/internal/rpc"
+
+// job is what a process of hollow nodes is told first.
+type job struct {
+	Network, Real, Zones, Regions, Services int
+	Ports                                   ports
+}
+
+func (j *job) zoneOf(machine int) int { return zoneOf(machine, j.Real, j.Zones, j.Regions) }
+
+// command is for a process of hollow nodes, which answers each.
+type command struct {
+	Stop  []int  `json:",omitempty"` // machines
+	Leave []int  `json:",omitempty"` // the same as a planned end: servers go off the list, and others are told
+	Start []int  `json:",omitempty"`
+	Cut   *int   `json:",omitempty"` // region to be cut off; -1: none
+	State bool   `json:",omitempty"`
+	Index uint64 `json:",omitempty"` // of an update, whose arrivals are asked for
+	Usage bool   `json:",omitempty"`
+}
+
+type answer struct {
+	Fault    string  `json:",omitempty"`
+	State    *state  `json:",omitempty"`
+	Arrivals []int64 `json:",omitempty"` // unix microseconds
+	Usage    *usage  `json:",omitempty"`
+}
+
+// state is how far some nodes agree.
+type state struct {
+	Nodes, Fenced          int
+	MinIndex, MaxIndex     uint64
+	MinMembers, MaxMembers int
+	MaxAgeMs               int64
+}
+
+// usage is what a process says of itself.
+type usage struct {
+	Traffic    rpc.Traffic
+	Goroutines int
+}
--- /dev/null
+++ b/internal/scale/run.go
@@ -0,0 +1,264 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/operator"
+	"ivydeck/internal/rpc"
+	"ivydeck/internal/standin"
+)
+
+const (
+	quorumWait  = 20 * time.Second
+	pollEvery   = 100 * time.Millisecond
+	memoryEvery = time.Second
+	routeHost   = "scale.example"
+)
+
+// errMemory ends a run that takes more than it may.
+var errMemory = errors.New("the run's processes take more memory than they may")
+
+// run is a run under way.
+type run struct {
+	*layout
+	report *Report
+	dir    string
+	core   *operator.Core
+	pool   *rpc.Pool
+	client http.Client
+	began  time.Time
+
+	mu       sync.Mutex
+	children []*child
+	servers  []*standin.Server
+
+	config  *meshconfig.Config
+	running map[int]bool // machines of nodes
+}
+
+// Run plays a run and ends all that it has started.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	l, err := plan(o)
+	if err != nil {
+		return nil, fmt.Errorf("scale: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.Bound)
+	defer cancel()
+	ctx, fail := context.WithCancelCause(ctx)
+	defer fail(nil)
+	dir, err := os.MkdirTemp("", "ivydeck-scale-")
+	if err != nil {
+		return nil, fmt.Errorf("scale: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	r := &run{layout: l, dir: dir, core: &operator.Core{}, pool: rpc.NewPool(ctx), began: time.Now(), running: map[int]bool{}}
+	r.report = &Report{
+		Command: o.Command, Began: r.began.UTC().Truncate(time.Second), Cores: runtime.NumCPU(), Nodes: o.Nodes, Real: o.Real,
+		Processes: l.processes(), Routes: o.Routes, Services: o.Services, Zones: o.Zones, Regions: o.Regions,
+	}
+	var guard sync.WaitGroup
+	guard.Go(func() { r.guardMemory(ctx, fail) })
+	err = r.play(ctx)
+	fail(nil)
+	guard.Wait()
+	r.end()
+	return r.report, r.finish(ctx, err)
+}
+
+// finish keeps what was measured, also of a run that has ended early.
+func (r *run) finish(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); err != nil && cause != nil && !errors.Is(cause, context.Canceled) {
+		err = cause
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		r.report.Fault, err = fmt.Sprintf("the bound of %v was reached", r.Bound), nil
+	}
+	if err != nil {
+		r.report.Fault = err.Error()
+	}
+	r.report.Seconds = time.Since(r.began).Seconds()
+	if r.report.Fault != "" {
+		r.say("ended early: %s", r.report.Fault)
+	}
+	if r.Report != "" {
+		if e := r.report.write(r.Report); e != nil {
+			return e
+		}
+	}
+	if r.Plot != "" {
+		if e := r.report.plot(r.Plot); e != nil {
+			return e
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("scale: %w", err)
+	}
+	return nil
+}
+
+func (r *run) say(format string, arguments ...any) {
+	fmt.Fprintf(r.Progress, "%6.1f s  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, arguments...))
+}
+
+// guardMemory ends the run where it takes too much.
+func (r *run) guardMemory(ctx context.Context, fail context.CancelCauseFunc) {
+	tick := time.NewTicker(memoryEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		var sum int64
+		for _, c := range r.list() {
+			if resident, err := residentBytes(fmt.Sprintf("/proc/%d", c.command.Process.Pid)); err == nil {
+				sum += resident
+			}
+		}
+		if sum > maxMemory {
+			fail(fmt.Errorf("%w: %.1f GB, of %.0f", errMemory, gigabytes(sum), gigabytes(maxMemory)))
+			return
+		}
+	}
+}
+
+// samples reads what processes use.
+func (r *run) samples(ctx context.Context, roles ...role) (map[*child]sample, error) {
+	var mu sync.Mutex
+	all := map[*child]sample{}
+	var faults []error
+	var reading sync.WaitGroup
+	for _, c := range r.list(roles...) {
+		reading.Go(func() {
+			s, err := c.sample(ctx)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				faults = append(faults, err)
+				return
+			}
+			all[c] = s
+		})
+	}
+	reading.Wait()
+	return all, errors.Join(faults...)
+}
+
+// firstConfig is the configuration that a run begins with.
+func (r *run) firstConfig() *meshconfig.Config {
+	c := &meshconfig.Config{Revision: 1}
+	for i := range r.Services {
+		c.Backends = append(c.Backends, meshconfig.Backend{Name: serviceName(i)})
+	}
+	for i := range r.Routes {
+		c.Routes = append(c.Routes, &meshconfig.Route{
+			Name: fmt.Sprintf("route-%05d", i), Host: routeHost, Prefix: fmt.Sprintf("/route-%05d/", i), Kind: meshconfig.Repeatable,
+			TimeoutMs: 2000, AimMs: 200, Priority: i % 3, Backend: serviceName(i % r.Services), MaxAttempts: 3,
+		})
+	}
+	return c
+}
+
+// apply sends the configuration to the quorum.
+func (r *run) apply(ctx context.Context, base uint64) error {
+	body, err := msgpack.Marshal(r.config)
+	if err != nil {
+		return err
+	}
+	r.report.ConfigBytes = len(body)
+	return r.core.Apply(ctx, base, body)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// play starts the mesh and plays the events.
+func (r *run) play(ctx context.Context) error {
+	r.say("%d nodes: %d real, %d hollow in %d processes, %d quorum members, on 127.%d.0.0/16", r.Nodes, r.Real, r.hollow(), r.processes(), quorumSize, r.network)
+	for member := range quorumSize {
+		r.core.Addresses = append(r.core.Addresses, fmt.Sprintf("%s:%d", r.ip(member), r.ports.Control))
+	}
+	if err := r.startQuorum(); err != nil {
+		return err
+	}
+	if err := r.startHollow(ctx); err != nil {
+		return err
+	}
+	r.config = r.firstConfig()
+	if err := r.firstApply(ctx); err != nil {
+		return err
+	}
+	r.say("the quorum has a leader and a configuration of %d routes, %d bytes", r.Routes, r.report.ConfigBytes)
+	if err := r.startServers(); err != nil {
+		return err
+	}
+	for _, e := range events {
+		if e.name != startEvent && len(r.Events) > 0 && !slices.Contains(r.Events, e.name) {
+			continue
+		}
+		if ctx.Err() != nil {
+			r.report.Events = append(r.report.Events, EventReport{Name: e.name, NotRun: "the run's time was over"})
+			continue
+		}
+		if err := r.event(ctx, e); err != nil && ctx.Err() == nil {
+			return fmt.Errorf("%s: %w", e.name, err)
+		}
+	}
+	return ctx.Err()
+}
+
+// firstApply puts the first configuration in force, once there is a quorum.
+func (r *run) firstApply(ctx context.Context) error {
+	patience, cancel := context.WithTimeout(ctx, quorumWait)
+	defer cancel()
+	for {
+		err := r.apply(patience, 0)
+		if err == nil {
+			return nil
+		}
+		for _, c := range r.list(quorumRole) {
+			if err := c.died(); err != nil {
+				return err
+			}
+		}
+		if patience.Err() != nil {
+			return fmt.Errorf("no configuration in force within %v: %w", quorumWait, err)
+		}
+		pause(patience, pollEvery)
+	}
+}
+
+// fetch makes a call of the operator's interface at the leader.
+func (r *run) fetch(ctx context.Context, member int, path string) (Call, error) {
+	began := time.Now()
+	req, err := http.NewRequestWithContext(ctx, "GET", fmt.Sprintf("http://%s:%d%s", r.ip(member), r.ports.Control, path), nil)
+	if err != nil {
+		return Call{}, err
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return Call{}, err
+	}
+	defer resp.Body.Close()
+	bytes, err := io.Copy(io.Discard, resp.Body)
+	return Call{Path: path, Ms: milliseconds(time.Since(began)), Bytes: int(bytes)}, err
+}
--- /dev/null
+++ b/internal/scale/scale_test.go
@@ -0,0 +1,253 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"ivydeck/internal/control"
+	"ivydeck/internal/data"
+	"ivydeck/internal/nodefile"
+	"ivydeck/internal/program"
+)
+
+// TestMain lets this program stand for the programs of a run, by the name that it is started with.
+func TestMain(m *testing.M) {
+	switch filepath.Base(os.Args[0]) {
+	case "ivydeck-control":
+		program.Main("ivydeck-control", "", nodefile.Core, control.Run)
+	case "ivydeck-data":
+		program.Main("ivydeck-data", "", nodefile.Sidecar, data.Run)
+	case "meshlab":
+		if err := RunHollow(os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// smallest is a run of the smallest size.
+func smallest(t *testing.T) Options {
+	t.Helper()
+	dir := t.TempDir()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"ivydeck-control", "ivydeck-data", "meshlab"} {
+		if err := os.Symlink(self, filepath.Join(dir, name)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return Options{
+		Programs: dir, Self: filepath.Join(dir, "meshlab"), Nodes: 9, Real: 2, PerProcess: 4, Services: 5, Routes: 10, Zones: 4, Regions: 2,
+		Quiet: time.Millisecond, Stream: time.Millisecond, Cut: time.Millisecond, Settle: time.Minute, Bound: 2 * time.Minute,
+		Report: filepath.Join(dir, "report.json"), Plot: filepath.Join(dir, "plot.png"), Progress: t.Output(),
+	}
+}
+
+// TestSmallestRun plays some events with real and hollow nodes, and reads the report.
+func TestSmallestRun(t *testing.T) {
+	o := smallest(t)
+	o.Events = []string{"change", "restart"}
+	if _, err := Run(context.Background(), o); err != nil {
+		t.Fatal(err)
+	}
+	report, err := ReadReport(o.Report)
+	if err != nil || len(report.Events) != 3 || report.Processes != 2 || report.Fault != "" {
+		t.Fatalf("the report is %+v, %v", report, err)
+	}
+	for _, e := range report.Events {
+		for _, name := range []string{"leader", "follower", "real", "hollow"} {
+			if u := e.Roles[name]; u.Nodes == 0 || u.BytesOut <= 0 || u.MessagesIn <= 0 || u.Sockets < 1 || u.Goroutines <= 0 {
+				t.Errorf("%s, %s: %+v", e.Name, name, u)
+			}
+		}
+	}
+	start, change, restart := report.Events[0], report.Events[1], report.Events[2]
+	if start.AgreeS == nil || restart.AgreeS == nil || restart.Nodes != o.Nodes {
+		t.Errorf("no agreement: %+v, %+v", start, restart)
+	}
+	if s := change.Spread; s == nil || s.Changes != 1 || s.Missing != 0 || s.MaxMs < s.P50Ms || s.MaxMs <= 0 {
+		t.Errorf("a change: %+v", s)
+	}
+	if plot, err := os.ReadFile(o.Plot); err != nil || !strings.HasPrefix(string(plot), "\x89PNG") {
+		t.Errorf("no plot: %v", err)
+	}
+	text, err := os.ReadFile(o.Report)
+	if err != nil || strings.Contains(string(text), o.Programs) {
+		t.Errorf("a folder of this machine stands in the report, %v", err)
+	}
+}
+
+// TestRefusals: what can't be run is said in one line, when it is planned and nothing has been started.
+func TestRefusals(t *testing.T) {
+	taken, err := net.Listen("tcp", "0.0.0.0:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	port := taken.Addr().(*net.TCPAddr).Port
+	for want, change := range map[string]func(o *Options){
+		"at most 16 GB are used":         func(o *Options) { o.Nodes, o.PerProcess = 10_000, 0 },
+		"2 to 60000 can be had":          func(o *Options) { o.Nodes = 1 },
+		"fewer than the 9 nodes":         func(o *Options) { o.Real = 9 },
+		"3 zones in 2 regions":           func(o *Options) { o.Zones = 3 },
+		"no event \"noise\"":             func(o *Options) { o.Events = []string{"noise"} },
+		"is not beside this program":     func(o *Options) { o.Programs = t.TempDir() },
+		"this machine's limit is":        func(o *Options) { o.Nodes, o.PerProcess = 50_000, 40_000 },
+		"at most 300 are started":        func(o *Options) { o.Nodes, o.PerProcess = 1000, 1 },
+		fmt.Sprint("port ", port, " is"): func(o *Options) { o.Port = port },
+		"a bound of 1h0m0s":              func(o *Options) { o.Bound = time.Hour },
+	} {
+		o := smallest(t)
+		change(&o)
+		if _, err := plan(o); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q was expected: %v", want, err)
+		}
+	}
+}
+
+// hear returns what the other side of a connection reads of a word, up to its end.
+func hear(t *testing.T, l net.Listener, nc net.Conn, word string) string {
+	t.Helper()
+	other, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	nc.Write([]byte(word))
+	nc.Close()
+	all, _ := io.ReadAll(other)
+	return string(all)
+}
+
+// TestCut: what crosses the border of a region that is cut off is lost in silence, whichever side knows of the cut, and
+// new connections are to be had once it is healed.
+func TestCut(t *testing.T) {
+	j := &job{Network: 99, Real: 0, Zones: 4, Regions: 2}
+	n := newNetwork(j)
+	inside, outside := quorumSize, quorumSize
+	for n.region(inside) != 1 {
+		inside++
+	}
+	for n.region(outside) != 0 {
+		outside++
+	}
+	plain, err := net.Listen("tcp", address(j.Network, outside)+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer plain.Close()
+	wrapped, to := n.listener(outside, plain), plain.Addr().String()
+	dial := func() net.Conn {
+		t.Helper()
+		nc, err := n.dialer(inside)(t.Context(), to)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return nc
+	}
+	before := dial()
+	n.setCut(1)
+	if got := hear(t, plain, before, "lost"); got != "" {
+		t.Errorf("%q was sent across the border", got)
+	}
+	if _, err := n.dialer(inside)(t.Context(), to); !os.IsTimeout(err) {
+		t.Errorf("a dial across the border: %v", err)
+	}
+	own := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(address(j.Network, inside))}} // of a process that knows of no cut
+	foreign, err := own.DialContext(t.Context(), "tcp", to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := hear(t, wrapped, foreign, "lost"); got != "" {
+		t.Errorf("%q was heard across the border", got)
+	}
+	n.setCut(-1)
+	if got := hear(t, wrapped, dial(), "heard"); got != "heard" {
+		t.Errorf("after healing %q is heard", got)
+	}
+}
+
+// TestLayout: addresses lead back to their machines, and the last region has neither quorum members nor real nodes.
+func TestLayout(t *testing.T) {
+	const real, zones, regions = 40, 12, 4
+	seen := map[int]bool{}
+	for machine := range 3000 {
+		if back, ok := machineAt(77, address(77, machine)); !ok || back != machine {
+			t.Fatalf("%s leads to %d, not %d", address(77, machine), back, machine)
+		}
+		region := zoneOf(machine, real, zones, regions) / (zones / regions)
+		if machine < quorumSize+real && region == regions-1 {
+			t.Errorf("machine %d stands in the region that is cut off", machine)
+		}
+		if machine < quorumSize {
+			seen[region] = true
+		}
+	}
+	if len(seen) != quorumSize {
+		t.Errorf("the quorum stands in %d regions", len(seen))
+	}
+	if _, ok := machineAt(77, "127.0.0.1"); ok {
+		t.Error("an address of another network is taken for a machine")
+	}
+}
+
+// TestFits: slopes of figures that are known, and no interval from two sizes.
+func TestFits(t *testing.T) {
+	s := &Series{Measure: "x", Budget: 10}
+	for _, n := range []float64{100, 300, 1000, 3000} {
+		s.Nodes, s.Values = append(s.Nodes, n), append(s.Values, 0.02*n*n)
+	}
+	l, ok := s.power()
+	if y, half := l.At(math.Log(10_000)); !ok || math.Abs(l.Slope-2) > 1e-9 || math.Abs(math.Exp(y)/2e6-1) > 1e-9 || half > 1e-6 {
+		t.Errorf("a square: %+v, %v", l, ok)
+	}
+	// y = 1 + 2 x, with residuals of 1, -1, -1, 1: standard error of a point sqrt(4/2), of the slope that over sqrt(5).
+	l, ok = fitLine([]float64{0, 1, 2, 3}, []float64{2, 2, 4, 8})
+	if want := 4.303 * math.Sqrt(2) / math.Sqrt(5); !ok || math.Abs(l.Slope-2) > 1e-9 || math.Abs(l.Intercept-1) > 1e-9 || math.Abs(l.SlopeError()-want) > 0.01 {
+		t.Errorf("a line: %+v, ± %g", l, l.SlopeError())
+	}
+	if l, ok = fitLine([]float64{1, 2}, []float64{1, 2}); !ok || !math.IsInf(l.SlopeError(), 1) {
+		t.Errorf("two sizes leave an interval of %g", l.SlopeError())
+	}
+	if _, ok = fitLine([]float64{5, 5}, []float64{1, 2}); ok {
+		t.Error("one size has a slope")
+	}
+	for want, bounds := range map[string][2]float64{"fits, by a factor of 2.00": {1, 5}, "does not fit, by a factor of 2.00": {20, 90}, "open": {5, 50}} {
+		if got := judge(bounds[0], bounds[1], 10); !strings.HasPrefix(got, want) {
+			t.Errorf("%v of 10: %s", bounds, got)
+		}
+	}
+}
+
+// TestHops plays chains of one and two calls through real nodes and without them.
+func TestHops(t *testing.T) {
+	o := HopOptions{Programs: smallest(t).Programs, Depth: 2, Requests: 20, Workers: 2, Load: 200 * time.Millisecond, Bound: 2 * time.Minute, Progress: t.Output()}
+	report, err := Hops(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(report.Depths) != 2 || report.Load == nil || report.Load.Calls == 0 {
+		t.Fatalf("%+v", report)
+	}
+	for i, d := range report.Depths {
+		if d.Hops != i+1 || d.Requests != 20 || d.Failed != 0 || d.MeshP50Ms <= 0 || d.PlainP50Ms <= 0 || d.MeshP99Ms < d.MeshP50Ms {
+			t.Errorf("%+v", d)
+		}
+	}
+	o.Depth = maxDepth + 1
+	if _, err := Hops(context.Background(), o); err == nil || !strings.Contains(err.Error(), "chains of 21 calls") {
+		t.Errorf("too deep a chain: %v", err)
+	}
+}
