Give the operator's interface and its queue of requests their own types, and simulate them

Cause: what an operator is told was decided inside net/http handlers and by closures in the loop, where no simulation reached it. Change: requestQueue (proposals.go) holds what waits for a leader, for the log or for a quorum; operatorAPI (operator_api.go) turns outcomes into typed answers; both are pure. operator_http.go speaks HTTP. A change that waits when the lead is lost is sent to the next leader by 307, which is safe as the log knows changes that are sent again; what data nodes propose is never proposed twice. A member without a leader for longer than an election takes says so at once.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"ivydeck/internal/backup"
 	"ivydeck/internal/catalog"
 	"ivydeck/internal/gossip"
 	"ivydeck/internal/identity"
@@ -31,7 +32,6 @@
 const (
 	manageEvery  = 250 * time.Millisecond
 	answerWithin = 900 * time.Millisecond // operators move on after a second of silence
-	mostWaiting  = 4096
 	mostHeard    = 64
 	diskPause    = 200 * time.Millisecond
 	handoverWait = 400 * time.Millisecond // for another to take the lead, when this process ends
@@ -53,18 +53,17 @@
 	ctx     context.Context
 
 	// What follows belongs to the goroutine in loop.
-	store     *store.Store
-	consensus *raft.Node
-	catalog   *catalog.Catalog
-	applied   uint64
-	changes   map[uint64]*change // by index
-	reads     map[uint64]chan error
-	token     uint64
-	senders   map[uint64]*sender
-	managed   time.Duration
-	wasLead   bool
-	ledSince  time.Duration
-	heard     map[uint64]string // addresses of those who sent messages
+	store       *store.Store
+	consensus   *raft.Node
+	catalog     *catalog.Catalog
+	applied     uint64
+	requests    *requestQueue
+	operatorAPI operatorAPI
+	senders     map[uint64]*sender
+	managed     time.Duration
+	wasLead     bool
+	ledSince    time.Duration
+	heard       map[uint64]string // addresses of those who sent messages
 
 	compacting bool                 // a snapshot of the state is being written
 	transfers  map[uint64]*transfer // of snapshots, by receiver
@@ -97,8 +96,7 @@
 	}
 	n := &Node{
 		log: log, began: time.Now(), events: make(chan func(), 1024), ctx: ctx, store: st, catalog: catalog.New(),
-		changes: map[uint64]*change{}, reads: map[uint64]chan error{}, senders: map[uint64]*sender{},
-		heard: map[uint64]string{}, pool: rpc.NewPool(ctx), transferPool: rpc.NewPool(ctx),
+		senders: map[uint64]*sender{}, heard: map[uint64]string{}, pool: rpc.NewPool(ctx), transferPool: rpc.NewPool(ctx),
 		transfers: map[uint64]*transfer{},
 	}
 	n.pool.Identity, n.transferPool.Identity = source, source
@@ -188,6 +186,10 @@
 	}
 	n.consensus = raft.New(st.ID, st.Hard, st.Snapshot, slices.Concat(st.Tail, st.Entries), seed, 0)
 	st.Tail, st.Entries = nil, nil
+	n.requests = newRequestQueue(n.consensus, n.fewest, 0)
+	n.operatorAPI = operatorAPI{requests: n.requests, state: func() backup.Backup {
+		return backup.Backup{Term: n.consensus.Term(), Index: n.applied, State: n.catalog}
+	}}
 	n.applied = st.Snapshot.GetIndex()
 	n.publish()
 	return nil
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -1,9 +1,11 @@
 package control
 
 import (
+	"context"
 	"time"
 
 	"google.golang.org/protobuf/proto"
+	"ivydeck/internal/catalog"
 	"ivydeck/internal/raft"
 	"ivydeck/internal/store"
 	"ivydeck/internal/wire"
@@ -19,6 +21,18 @@
 	}
 }
 
+// doUntil is do for a caller that waits no longer than its context or a timer.
+func (n *Node) doUntil(ctx context.Context, late <-chan time.Time, f func()) bool {
+	select {
+	case n.events <- f:
+		return true
+	case <-ctx.Done():
+	case <-late:
+	case <-n.ctx.Done():
+	}
+	return false
+}
+
 // loop owns the consensus: events in, disk, messages, state. Once stop is closed it returns as soon as this machine
 // does not lead.
 func (n *Node) loop(stop <-chan struct{}) {
@@ -49,6 +63,7 @@
 		case <-timer.C:
 		}
 		n.consensus.Tick(n.now())
+		n.requests.tick(n.now())
 		if now := n.now(); now-n.managed >= manageEvery || n.consensus.Leads() != n.wasLead {
 			n.managed = now
 			n.manage()
@@ -60,7 +75,11 @@
 		}
 		now := n.now()
 		n.contactAt.Store(int64(now - n.consensus.QuorumContactAge(now)))
-		timer.Reset(max(time.Millisecond, min(n.consensus.Next()-n.now(), manageEvery)))
+		wait := min(n.consensus.Next()-n.now(), manageEvery)
+		if at, ok := n.requests.next(); ok {
+			wait = min(wait, at-n.now())
+		}
+		timer.Reset(max(time.Millisecond, wait))
 	}
 }
 
@@ -79,14 +98,7 @@
 			n.apply(e)
 		}
 		for _, r := range out.Reads {
-			if c := n.reads[r.Token]; c != nil {
-				delete(n.reads, r.Token)
-				if r.OK {
-					c <- nil
-				} else {
-					c <- raft.ErrNotLeader
-				}
-			}
+			n.requests.confirmed(r)
 		}
 		n.compact()
 	}
@@ -147,29 +159,27 @@
 // apply takes a committed entry into the state.
 func (n *Node) apply(e *wire.Entry) {
 	n.applied = e.Index
-	var verdict error
-	if e.Kind == wire.Entry_COMMAND {
-		cmd := new(wire.Command)
-		if err := proto.Unmarshal(e.Data, cmd); err != nil {
-			verdict = err // all replicas pass over it alike
-		} else {
-			var changes *wire.Changes
-			if changes, verdict = n.catalog.Apply(cmd); changes != nil {
-				n.hub.Apply(changes)
-				if cmd.GetConfig() != nil {
-					n.setCurrent()
-					n.log.Info("config.accepted", "revision", n.catalog.Revision(), "index", changes.To, "resources", len(changes.Resources))
-				}
-			}
+	changes, verdict := applyEntry(n.catalog, e)
+	if changes != nil {
+		n.hub.Apply(changes)
+		if current := n.catalog.Current(); n.current.Load().Revision() != current.Revision() {
+			n.setCurrent()
+			n.log.Info("config.accepted", "revision", current.Revision(), "index", changes.To, "resources", len(changes.Resources))
 		}
 	}
-	if c := n.changes[e.Index]; c != nil {
-		delete(n.changes, e.Index)
-		if c.term != e.Term {
-			verdict = errLost
-		}
-		c.result <- verdict
+	n.requests.applied(e, changes != nil, verdict)
+}
+
+// applyEntry applies an entry to the state. All replicas pass over one that can't be read alike.
+func applyEntry(state *catalog.Catalog, e *wire.Entry) (*wire.Changes, error) {
+	if e.Kind != wire.Entry_COMMAND {
+		return nil, nil
+	}
+	cmd := new(wire.Command)
+	if err := proto.Unmarshal(e.Data, cmd); err != nil {
+		return nil, err
 	}
+	return state.Apply(cmd)
 }
 
 // publish hands a state on that was restored.
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -161,7 +161,7 @@
 // manageServers takes servers off the list whose machines are gone.
 func (n *Node) manageServers() {
 	gone := n.catalog.On(func(node string) bool { return n.gossip.Lost(node, n.now()-n.ledSince) })
-	if len(gone) == 0 || len(n.changes) > 0 {
+	if len(gone) == 0 || len(n.requests.proposed) > 0 {
 		return
 	}
 	data, err := proto.Marshal(&wire.Command{What: &wire.Command_Remove{Remove: &wire.RemoveServers{Members: gone}}})
--- /dev/null
+++ b/internal/control/node_api.go
@@ -0,0 +1,93 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"ivydeck/internal/wire"
+)
+
+// change proposes a command and waits for its verdict.
+func (n *Node) change(ctx context.Context, cmd *wire.Command) error {
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		return err
+	}
+	return n.await(ctx, &request{command: data})
+}
+
+// read waits until all that was acknowledged before the call is in the state here, and looks at the state in the loop.
+func (n *Node) read(ctx context.Context, look func()) error {
+	return n.await(ctx, &request{done: func(o outcome) {
+		if o.err == nil {
+			look()
+		}
+	}})
+}
+
+// await submits a request and waits for its outcome.
+func (n *Node) await(ctx context.Context, r *request) error {
+	outcomes := make(chan outcome, 1)
+	look := r.done
+	r.done = func(o outcome) {
+		if look != nil {
+			look(o)
+		}
+		outcomes <- o
+	}
+	r.deadline = n.now() + answerWithin
+	late := time.NewTimer(answerWithin)
+	defer late.Stop()
+	if !n.doUntil(ctx, late.C, func() { n.requests.submit(n.now(), r) }) {
+		return errLateRequest
+	}
+	select {
+	case o := <-outcomes:
+		return o.err
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-n.ctx.Done():
+		return n.ctx.Err()
+	case <-late.C:
+		return errTimeout // it may still be applied
+	}
+}
+
+// fewest is the number of voters below which nothing is acknowledged: with
+// fewer, the losses that are to be borne could take a change away.
+func (n *Node) fewest() int {
+	set := n.set.Load()
+	return min(2*set.Tolerated+1, len(set.Seeds))
+}
+
+// propose takes a data node's change of the list of servers.
+func (n *Node) propose(ctx context.Context, p *wire.Propose) (*wire.Proposed, error) {
+	if p.GetCommand().GetConfig() != nil {
+		return nil, errors.New("configurations are taken from operators only")
+	}
+	leader, self := n.ask(ctx)
+	if !self {
+		return &wire.Proposed{Leader: leader.GetAddress()}, nil
+	}
+	if err := n.change(ctx, p.Command); err != nil {
+		n.log.Debug("change.refused", "err", err)
+		return &wire.Proposed{}, nil
+	}
+	return &wire.Proposed{Done: true}, nil
+}
+
+// latest tells how far the updates have come.
+func (n *Node) latest(ctx context.Context, _ *wire.Ask) (*wire.Latest, error) {
+	leader, self := n.ask(ctx)
+	if !self {
+		return &wire.Latest{Leader: leader.GetAddress()}, nil
+	}
+	answer := &wire.Latest{Known: true}
+	if err := n.read(ctx, func() { answer.Index = n.catalog.Index() }); err != nil {
+		return &wire.Latest{}, nil
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/control/operator_sim_test.go
@@ -0,0 +1,583 @@
+package control
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/vmihailenco/msgpack/v5"
+	"google.golang.org/protobuf/proto"
+
+	"ivydeck/internal/backup"
+	"ivydeck/internal/catalog"
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/raft"
+	"ivydeck/internal/simdisk"
+	"ivydeck/internal/wire"
+)
+
+var (
+	simSeeds = flag.Int("seeds", 40, "simulated runs of the operators' interface")
+	simFirst = flag.Uint64("seed", 1, "the first of them")
+)
+
+const (
+	simStep     = 2 * time.Millisecond
+	simSilence  = time.Second // after which an operator goes on to another member
+	simFollows  = 2           // redirects that an operator follows
+	simSnapshot = 12          // entries after which the log is compacted
+)
+
+// simMember is a quorum member: its disk, and while it runs the consensus, the state, and the operator's interface as in
+// service.
+type simMember struct {
+	number   int
+	disk     simdisk.Disk
+	node     *raft.Node // nil: down
+	state    *catalog.Catalog
+	requests *requestQueue
+	api      operatorAPI
+	applied  uint64
+	startAt  time.Duration // while it is down
+	dark     bool          // while it is down its address is silent; else connections are refused
+	frozen   time.Duration // until then
+	inbox    []simMessage
+}
+
+type simMessage struct {
+	arrives time.Duration
+	from    int // a member, or operatorSide
+	raft    *wire.Raft
+	deliver func() // what an operator sends
+}
+
+// operatorSide is where operators stand, for links that are cut.
+const operatorSide = -1
+
+// operation is what an operator wants done: a read or a change, with all its sends.
+type operation struct {
+	operator int
+	base     uint64
+	revision uint64 // 0: a read
+	body     []byte
+	identity string // of the configuration: two may have one revision
+	again    bool   // it was acknowledged before
+	call     time.Duration
+	finish   time.Duration // -1: there was no clear answer
+	result   Result
+	read     string // the identity of what was read
+
+	send      int           // number of the send that is under way
+	member    int           // that it was sent to
+	silentAt  time.Duration // when that one is given up
+	nextAt    time.Duration // when the next one begins; 0: one is under way
+	pause     time.Duration
+	redirects int
+	resent    bool
+}
+
+// simWorld is a quorum with its operators.
+type simWorld struct {
+	rng         *rand.Rand
+	now         time.Duration
+	members     []*simMember
+	cut         map[[2]int]bool
+	operations  []*operation
+	open        []*operation
+	known       []uint64 // by operator: the newest revision that it has seen
+	newest      uint64   // of all that was acknowledged
+	ids         int
+	ackLoss     float64
+	perOperator int
+	calm        bool
+	quiet       bool   // no new changes, until a restore
+	backup      []byte // to be restored at the end of this turn
+	backupTerm  uint64
+	restored    int
+	counts      map[Result]int
+	resends     int
+}
+
+func newSimWorld(seed uint64, members, operators int) *simWorld {
+	w := &simWorld{rng: rand.New(rand.NewPCG(seed, 17)), cut: map[[2]int]bool{}, known: make([]uint64, operators), counts: map[Result]int{}, perOperator: 3}
+	empty, err := catalog.New().Snapshot()
+	if err != nil {
+		panic(err)
+	}
+	for i := range members {
+		w.members = append(w.members, &simMember{number: i})
+	}
+	w.install(empty, 1)
+	return w
+}
+
+// install starts all members as a new quorum with one state.
+func (w *simWorld) install(data []byte, term uint64) {
+	peers := &wire.Peers{}
+	for i := range w.members {
+		w.ids++
+		peers.Peers = append(peers.Peers, &wire.Peer{Id: uint64(w.ids), Address: fmt.Sprint(i), Control: fmt.Sprint(i), Voter: true})
+	}
+	for i, m := range w.members {
+		m.disk = simdisk.Disk{Tail: 6 * (i % 2), ID: peers.Peers[i].Id, Hard: &wire.HardState{Term: term}, Snap: &wire.RaftSnapshot{Term: term, Index: 1, Peers: peers, Data: data}}
+		w.start(m)
+	}
+}
+
+func (w *simWorld) start(m *simMember) {
+	m.node = raft.New(m.disk.ID, m.disk.Hard, m.disk.Snap, slices.Clone(m.disk.Entries), w.rng.Uint64(), w.now)
+	m.node.Retain(m.disk.Tail)
+	m.restore(m.disk.Snap)
+	m.requests = newRequestQueue(m.node, func() int { return min(3, len(w.members)) }, w.now)
+	m.api = operatorAPI{requests: m.requests, state: func() backup.Backup {
+		return backup.Backup{Term: m.node.Term(), Index: m.applied, State: m.state}
+	}}
+	m.inbox = nil
+}
+
+func (m *simMember) restore(s *wire.RaftSnapshot) {
+	m.state, m.applied = catalog.New(), s.Index
+	if err := m.state.Restore(s.Data); err != nil {
+		panic(err)
+	}
+}
+
+func (w *simWorld) crash(m *simMember, down time.Duration, dark bool) {
+	m.disk.Crash(w.rng)
+	m.node, m.startAt, m.dark = nil, w.now+down, dark
+}
+
+func (w *simWorld) span(low, high int) time.Duration {
+	return time.Duration(low+w.rng.IntN(high-low)) * time.Millisecond
+}
+
+// flush carries out a member's output, as the loop in service does. It may lose power before or after a sync.
+func (w *simWorld) flush(m *simMember) {
+	for m.node != nil {
+		out := m.node.Take()
+		if out.Empty() {
+			return
+		}
+		m.disk.Write(out.Snapshot, out.Hard, out.Entries)
+		if !w.calm && w.rng.IntN(4000) == 0 {
+			w.crash(m, w.span(300, 3000), w.rng.IntN(2) == 0)
+			return
+		}
+		m.disk.Sync()
+		if !w.calm && w.rng.IntN(4000) == 0 {
+			w.crash(m, w.span(300, 3000), w.rng.IntN(2) == 0)
+			return
+		}
+		if out.Snapshot != nil {
+			m.restore(out.Snapshot)
+		}
+		if len(out.Entries) > 0 {
+			m.node.Stable(out.Entries[len(out.Entries)-1].Index)
+		}
+		for _, message := range out.Messages {
+			w.post(m, message)
+		}
+		for _, e := range out.Committed {
+			m.applied = e.Index
+			update, verdict := applyEntry(m.state, e)
+			m.requests.applied(e, update != nil, verdict)
+		}
+		for _, r := range out.Reads {
+			m.requests.confirmed(r)
+		}
+		if m.node.Backlog() > simSnapshot {
+			w.compact(m)
+		}
+	}
+}
+
+func (w *simWorld) compact(m *simMember) {
+	data, err := m.state.Snapshot()
+	if err != nil {
+		panic(err)
+	}
+	if s := m.node.Compact(m.applied, data); s != nil {
+		m.disk.Compact(s)
+	}
+}
+
+func (w *simWorld) post(from *simMember, message *wire.Raft) {
+	for _, to := range w.members {
+		if to.disk.ID == message.To && !w.cut[[2]int{from.number, to.number}] && (w.calm || w.rng.IntN(60) > 0) {
+			to.inbox = append(to.inbox, simMessage{arrives: w.now + w.span(1, 8), from: from.number, raft: proto.CloneOf(message)})
+		}
+	}
+}
+
+// run lets a member do what it has to do now.
+func (w *simWorld) run(m *simMember) {
+	if m.node == nil {
+		if w.now >= m.startAt {
+			w.start(m)
+		}
+		return
+	}
+	if m.frozen > w.now {
+		return
+	}
+	inbox := m.inbox
+	m.inbox = nil
+	for _, message := range inbox {
+		switch {
+		case message.arrives > w.now:
+			m.inbox = append(m.inbox, message)
+		case message.raft != nil:
+			m.node.Step(w.now, message.raft)
+		default:
+			message.deliver()
+		}
+	}
+	m.node.Tick(w.now)
+	m.requests.tick(w.now)
+	w.flush(m)
+}
+
+// step is one turn of the world.
+func (w *simWorld) step() {
+	w.now += simStep
+	for _, m := range w.members {
+		w.run(m)
+	}
+	for _, o := range slices.Clone(w.open) {
+		w.drive(o)
+	}
+	if w.backup != nil {
+		w.install(w.backup, w.backupTerm)
+		w.backup = nil
+	}
+}
+
+// drive sends an operation, and gives a send up after a silence.
+func (w *simWorld) drive(o *operation) {
+	switch {
+	case o.nextAt > 0 && w.now >= o.nextAt:
+		o.redirects = 0
+		w.sendTo(o, w.rng.IntN(len(w.members)))
+	case o.nextAt == 0 && w.now >= o.silentAt:
+		w.retry(o)
+	}
+}
+
+// retry sends an operation again after a pause that grows.
+func (w *simWorld) retry(o *operation) {
+	o.pause = min(2*o.pause, time.Second)
+	o.send++ // an answer to the send before is not read any more
+	o.nextAt = w.now + o.pause
+	if !o.resent && o.revision > 0 {
+		o.resent = true
+		w.resends++
+	}
+	if !w.calm && w.rng.IntN(25) == 0 {
+		w.close(o) // the operator gives up
+	}
+}
+
+func (w *simWorld) close(o *operation) {
+	w.open = slices.DeleteFunc(w.open, func(p *operation) bool { return p == o })
+}
+
+// sendTo sends an operation to a member. It is read there when it gets there, however late.
+func (w *simWorld) sendTo(o *operation, number int) {
+	o.send++
+	o.nextAt, o.silentAt, o.member = 0, w.now+simSilence, number
+	send, m := o.send, w.members[number]
+	if w.cut[[2]int{operatorSide, number}] {
+		return
+	}
+	arrives := w.now + w.span(1, 12)
+	if m.node == nil {
+		if !m.dark {
+			o.silentAt = arrives // refused
+		}
+		return
+	}
+	answer := func(a Answer) { w.answer(o, send, number, a) }
+	m.inbox = append(m.inbox, simMessage{arrives: arrives, from: operatorSide, deliver: func() {
+		deadline := w.now + answerWithin
+		if o.revision == 0 {
+			m.api.read(w.now, deadline, answer)
+		} else {
+			command, _, err := replacement(m.state.Current(), o.base, o.body)
+			if err != nil {
+				answer(Answer{Result: Invalid})
+				return
+			}
+			m.api.replace(w.now, deadline, command, answer)
+		}
+	}})
+}
+
+// answer brings an answer to the operator, unless it is lost or comes too late.
+func (w *simWorld) answer(o *operation, send, member int, a Answer) {
+	if o.send != send || w.cut[[2]int{member, operatorSide}] {
+		return
+	}
+	w.counts[a.Result]++
+	switch a.Result {
+	case Unavailable:
+		w.retry(o)
+	case Redirected:
+		if o.redirects++; o.redirects > simFollows {
+			w.retry(o)
+			return
+		}
+		number := 0
+		fmt.Sscan(a.Leader.Control, &number)
+		w.sendTo(o, number)
+	default:
+		if w.rng.Float64() < w.ackLoss {
+			return
+		}
+		w.finish(o, a)
+	}
+}
+
+func (w *simWorld) finish(o *operation, a Answer) {
+	o.finish, o.result = w.now, a.Result
+	w.close(o)
+	switch a.Result {
+	case AlreadyAccepted:
+		o.result = Accepted
+		fallthrough
+	case Accepted:
+		w.known[o.operator] = max(w.known[o.operator], o.revision)
+		w.newest = max(w.newest, o.revision)
+	case Found:
+		config, err := meshconfig.Parse(a.Body)
+		if err != nil {
+			panic(err)
+		}
+		o.read = config.Backends[0].Name
+		w.known[o.operator] = config.Revision
+	}
+}
+
+// begin starts an operation of an operator.
+func (w *simWorld) begin(operator int) *operation {
+	o := &operation{operator: operator, call: w.now, finish: -1, nextAt: w.now, pause: 50 * time.Millisecond, base: w.known[operator]}
+	switch odds := w.rng.IntN(20); {
+	case odds < 6:
+	case odds < 8 && len(w.operations) > 0: // one that was acknowledged, again
+		old := w.operations[w.rng.IntN(len(w.operations))]
+		if old.revision == 0 || old.finish < 0 || old.result != Accepted {
+			return nil
+		}
+		o.base, o.revision, o.body, o.identity, o.again = old.base, old.revision, old.body, old.identity, true
+	case odds < 9 && o.base > 0: // an old version
+		w.describe(o, o.base-uint64(w.rng.IntN(2))*(o.base-1))
+	default: // others may pick the same number
+		w.describe(o, o.base+1+uint64(w.rng.IntN(2)))
+	}
+	w.operations = append(w.operations, o)
+	w.open = append(w.open, o)
+	return o
+}
+
+// describe makes an operation a change with a configuration of its own.
+func (w *simWorld) describe(o *operation, revision uint64) {
+	w.ids++
+	o.revision, o.identity = revision, fmt.Sprintf("%d/%d", revision, w.ids)
+	body, err := msgpack.Marshal(&meshconfig.Config{Revision: revision, Backends: []meshconfig.Backend{{Name: o.identity}}})
+	if err != nil {
+		panic(err)
+	}
+	o.body = body
+}
+
+// trouble lets something fail now and then; mostly it is the leader that is hit.
+func (w *simWorld) trouble() {
+	m := w.members[w.rng.IntN(len(w.members))]
+	for _, other := range w.members {
+		if other.node != nil && other.node.Leads() && w.rng.IntN(2) == 0 {
+			m = other
+		}
+	}
+	switch w.rng.IntN(3000) {
+	case 0, 1, 2:
+		if m.node != nil {
+			w.crash(m, w.span(100, 3000), w.rng.IntN(2) == 0)
+		}
+	case 3:
+		for _, m := range w.members {
+			w.crash(m, w.span(300, 1500), true)
+		}
+	case 4, 5, 6: // from the others, on both sides or on one
+		back := w.rng.IntN(3) > 0
+		for other := range w.members {
+			w.cut[[2]int{m.number, other}], w.cut[[2]int{other, m.number}] = true, back
+		}
+	case 7, 8: // from the operators, with what they send or with the answers
+		w.cut[[2]int{m.number, operatorSide}] = true
+		w.cut[[2]int{operatorSide, m.number}] = w.rng.IntN(2) == 0
+	case 9, 10:
+		m.frozen = w.now + w.span(200, 2500)
+	case 11, 12, 13, 14, 15:
+		clear(w.cut)
+	}
+}
+
+// restore makes a new quorum out of a backup, once nothing has been accepted since it was taken.
+func (w *simWorld) restore() {
+	for _, m := range w.members {
+		if m.node == nil || !m.node.Leads() {
+			continue
+		}
+		m.api.backup(w.now, w.now+answerWithin, func(a Answer) {
+			if a.Result != Found || len(w.open) > 0 {
+				return
+			}
+			b, err := backup.Decode(a.Body)
+			if err != nil {
+				panic(err)
+			}
+			data, err := b.State.Snapshot()
+			if err != nil {
+				panic(err)
+			}
+			w.restored, w.quiet = w.restored+1, false
+			w.backup, w.backupTerm = data, b.Term+5
+		})
+		return
+	}
+}
+
+// playOperators lets operators work on a troubled quorum. The last seconds are calm, so that everything that was
+// acknowledged is read.
+func playOperators(seed uint64, length time.Duration) *simWorld {
+	rng := rand.New(rand.NewPCG(seed, 5))
+	w := newSimWorld(seed, 3+2*rng.IntN(2), 2+rng.IntN(3))
+	w.ackLoss = []float64{0, 0.2, 0.7}[rng.IntN(3)]
+	restoreAt := length * time.Duration(1+rng.IntN(4)) / 4 // a quarter of the runs have none
+	for w.now < length {
+		w.calm = w.now > length-6*time.Second
+		if w.calm {
+			clear(w.cut)
+			w.ackLoss, w.quiet = 0, false
+		} else {
+			w.trouble()
+		}
+		if w.restored == 0 && w.now >= restoreAt && !w.calm {
+			w.quiet = true
+			if len(w.open) == 0 && w.rng.IntN(20) == 0 {
+				w.restore()
+			}
+		}
+		for operator := range w.known {
+			underWay := 0
+			for _, o := range w.open {
+				if o.operator == operator {
+					underWay++
+				}
+			}
+			if underWay < w.perOperator && w.rng.IntN(60) == 0 && !w.quiet {
+				w.begin(operator)
+			}
+		}
+		w.step()
+	}
+	return w
+}
+
+// held is the state of the history's model: what is in force.
+type held struct {
+	identity string
+	revision uint64
+}
+
+// orders is the model: a configuration with compare and set. All sends of a change are one operation, so none has its
+// effect more than once.
+var orders = porcupine.Model{
+	Init: func() any { return held{} },
+	Step: func(state, input, output any) (bool, any) {
+		h, o, result := state.(held), input.(*operation), output.(Result)
+		fits := o.base == h.revision && o.revision > h.revision
+		after := held{o.identity, o.revision}
+		switch {
+		case o.revision == 0:
+			return result == NotFound && h.revision == 0 || result == Found && o.read == h.identity, h
+		case result == Accepted:
+			return fits, after
+		case result == Stale:
+			return o.base != h.revision, h
+		case result == Invalid:
+			return o.revision <= h.revision, h
+		case fits:
+			return true, after // there was no clear answer: if it never had its effect, it comes last
+		}
+		return true, h
+	},
+}
+
+// history is what the operators saw, for the checker. A change that was acknowledged and is sent again is no operation:
+// it has no effect, and must not be refused.
+func (w *simWorld) history(t *testing.T) (history []porcupine.Operation) {
+	t.Helper()
+	for i, o := range w.operations {
+		switch {
+		case o.again && o.finish >= 0 && o.result != Accepted:
+			t.Errorf("%s was acknowledged, sent again at %v, and %v", o.identity, o.call, o.result)
+			continue
+		case o.again, o.revision == 0 && o.finish < 0:
+			continue
+		}
+		last := o.finish
+		if last < 0 {
+			last = time.Hour
+		}
+		history = append(history, porcupine.Operation{ClientId: i, Input: o, Call: int64(o.call), Output: o.result, Return: int64(last)})
+	}
+	return history
+}
+
+// TestOperatorsSeeOneConfiguration plays the operators' interface of several members with lost answers, resends that
+// overtake each other, changes of the leader, cuts, frozen and restarted members, snapshots and a restore from a backup,
+// and checks what operators were told. A resend is a part of its operation.
+func TestOperatorsSeeOneConfiguration(t *testing.T) {
+	counts, resends, restored, unknown, again := map[Result]int{}, 0, 0, 0, 0
+	for i := range *simSeeds {
+		seed := *simFirst + uint64(i)
+		w := playOperators(seed, 30*time.Second)
+		late := false
+		for _, o := range w.operations {
+			late = late || o.finish > 26*time.Second && o.result == Accepted
+			if o.again && o.finish >= 0 {
+				again++
+			}
+		}
+		if !late {
+			t.Errorf("seed %d: nothing was accepted after the troubles had ended", seed)
+		}
+		switch porcupine.CheckOperationsTimeout(orders, w.history(t), 20*time.Second) {
+		case porcupine.Illegal:
+			t.Errorf("seed %d: the history is not linearizable (go test ./internal/control -run OneConfiguration -seed %d -seeds 1)", seed, seed)
+		case porcupine.Unknown:
+			unknown++
+		}
+		for result, n := range w.counts {
+			counts[result] += n
+		}
+		resends += w.resends
+		restored += w.restored
+	}
+	t.Logf("%v, %d changes sent again, %d that had been acknowledged, %d restores, %d not decided", counts, resends, again, restored, unknown)
+	if *simSeeds < 10 {
+		return
+	}
+	for _, result := range []Result{Unavailable, Redirected, Accepted, AlreadyAccepted, Stale, Invalid, Found} {
+		if counts[result] < *simSeeds {
+			t.Errorf("%v: %d in %d runs: hardly a test", result, counts[result], *simSeeds)
+		}
+	}
+	if resends < *simSeeds || again < *simSeeds || restored == 0 || unknown > *simSeeds/10 {
+		t.Errorf("%d sent again, %d again after their acknowledgement, %d restores, %d not decided: hardly a test", resends, again, restored, unknown)
+	}
+}
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -1,130 +1,255 @@
 package control
 
 import (
-	"context"
+	"cmp"
 	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
 
-	"google.golang.org/protobuf/proto"
 	"ivydeck/internal/raft"
 	"ivydeck/internal/wire"
 )
 
-// Errors of a change or a read.
+// Errors of a request to the log. None of them says that a command was not applied, but for those that wrap errNotRun.
 var (
-	errLost    = errors.New("another entry took its place")
-	errTimeout = errors.New("no majority in time")
-	errYoung   = errors.New("the core has too few members yet")
+	errNotRun       = errors.New("not run")
+	errEntryReplaced     = fmt.Errorf("%w: another entry took its place in the log", errNotRun)
+	errTooFewVoters = fmt.Errorf("%w: the quorum has too few voters yet", errNotRun)
+	errNoLeader     = fmt.Errorf("%w: no leader", errNotRun)
+	errLateRequest  = fmt.Errorf("%w: it waited too long for its turn", errNotRun)
+	errTooMany      = fmt.Errorf("%w: too many requests wait", errNotRun)
+	errTimeout      = errors.New("no quorum in time")
+	errLostLead     = errors.New("the lead was lost before the outcome was known")
 )
 
-// change is a proposal that waits to be applied.
-type change struct {
-	term   uint64
-	result chan error
+// notLeaderError says who leads instead.
+type notLeaderError struct{ leader *wire.Peer }
+
+func (e *notLeaderError) Error() string { return "the leader is at " + e.leader.GetControl() }
+func (e *notLeaderError) Unwrap() error { return errNotRun }
+
+const (
+	maxRequests = 4096
+	// leaderFresh is the silence after which a follower sends nobody to its leader any more: two heartbeats, and a half
+	// for the way. A request that comes then waits for the next heartbeat, or for the next leader.
+	leaderFresh = 5 * raft.Heartbeat / 2
+	// electionWait is how long a member is without a leader before it answers that there is none. An election takes
+	// less, so who has been without one for longer is likely cut off, and its callers do better elsewhere.
+	electionWait = 1500 * time.Millisecond
+)
+
+// request is a command or a read that waits for the log.
+type request struct {
+	command  []byte        // nil: a read
+	deadline time.Duration // of the member's clock
+	// patient: it waits for a leader to be known where there is none, and a command may be proposed more than once. Only
+	// for commands that the state recognises when they are applied a second time.
+	patient bool
+	done    func(outcome) // called once, by the owner of the queue
+
+	sequence uint64
+	index    uint64 // of its entry, while proposed
+	term     uint64
 }
 
-// change proposes a command and waits for its verdict.
-func (n *Node) change(ctx context.Context, cmd *wire.Command) error {
-	data, err := proto.Marshal(cmd)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, answerWithin)
-	defer cancel()
-	c := &change{result: make(chan error, 1)}
-	n.do(func() {
-		if n.consensus.Leads() && raft.Voters(n.consensus.Peers()) < n.fewest() {
-			c.result <- errYoung
-			return
-		}
-		if len(n.changes) >= mostWaiting {
-			c.result <- raft.ErrBusy
-			return
-		}
-		index, term, err := n.consensus.Propose(n.now(), data)
-		if err != nil {
-			c.result <- err
-			return
-		}
-		c.term = term
-		n.changes[index] = c
-	})
-	select {
-	case err := <-c.result:
-		return err
-	case <-ctx.Done():
-		return errTimeout // it may still be taken
+// outcome is what came of a request. With no error, a command was committed and applied without objection, and a read
+// may look at the state now.
+type outcome struct {
+	err       error
+	unchanged bool // the command had been applied before, or said nothing new
+}
+
+// requestQueue holds the requests that wait for a leader, for the log, or for a quorum to confirm the lead. It is a pure
+// state machine: its owner, who also owns the consensus, calls tick with the time, and passes on what is applied and
+// which reads are confirmed.
+type requestQueue struct {
+	consensus *raft.Node
+	minVoters func() int // voters below which nothing is acknowledged
+
+	waiting      []*request          // by sequence
+	proposed     map[uint64]*request // by index
+	reads        map[uint64]*request // by sequence, which is the read's token
+	sequence     uint64
+	leaderSeenAt time.Duration
+	nextDeadline time.Duration // no deadline is before; 0: nothing waits
+}
+
+func newRequestQueue(consensus *raft.Node, minVoters func() int, now time.Duration) *requestQueue {
+	return &requestQueue{consensus: consensus, minVoters: minVoters, proposed: map[uint64]*request{}, reads: map[uint64]*request{}, leaderSeenAt: now}
+}
+
+// len is the number of requests that have no outcome yet.
+func (q *requestQueue) len() int { return len(q.waiting) + len(q.proposed) + len(q.reads) }
+
+// submit takes a request in.
+func (q *requestQueue) submit(now time.Duration, r *request) {
+	q.sequence++
+	r.sequence = q.sequence
+	switch {
+	case now >= r.deadline:
+		r.done(outcome{err: errLateRequest})
+		return
+	case q.len() >= maxRequests:
+		r.done(outcome{err: errTooMany})
+		return
+	}
+	if q.nextDeadline == 0 || r.deadline < q.nextDeadline {
+		q.nextDeadline = r.deadline
 	}
+	q.observeLeader(now)
+	q.place(now, r)
 }
 
-// fewest is the number of voters below which nothing is acknowledged: with
-// fewer, the losses that are to be borne could take a change away.
-func (n *Node) fewest() int {
-	set := n.set.Load()
-	return min(2*set.Tolerated+1, len(set.Seeds))
+// place gives a request to the log, answers it, or lets it wait.
+func (q *requestQueue) place(now time.Duration, r *request) {
+	err := q.propose(now, r)
+	var elsewhere *notLeaderError
+	switch {
+	case err == nil:
+	case r.patient && !errors.As(err, &elsewhere) && now-q.leaderSeenAt < electionWait:
+		q.waiting = append(q.waiting, r)
+	default:
+		r.done(outcome{err: err})
+	}
 }
 
-// read waits until all that was acknowledged before the call is in the state
-// here, and then looks at the state in the loop.
-func (n *Node) read(ctx context.Context, look func()) error {
-	ctx, cancel := context.WithTimeout(ctx, answerWithin)
-	defer cancel()
-	result := make(chan error, 1)
-	n.do(func() {
-		if len(n.reads) >= mostWaiting {
-			result <- raft.ErrBusy
-			return
-		}
-		n.token++
-		n.reads[n.token] = result
-		n.consensus.Read(n.now(), n.token)
-	})
-	select {
-	case err := <-result:
-		if err != nil {
-			return err
+// propose gives a request to the log, if this member leads.
+func (q *requestQueue) propose(now time.Duration, r *request) error {
+	if !q.consensus.Leads() {
+		if leader := q.knownLeader(now); leader != nil {
+			return &notLeaderError{leader}
 		}
-	case <-ctx.Done():
-		return errTimeout
+		return errNoLeader
+	}
+	if r.command == nil {
+		q.reads[r.sequence] = r
+		q.consensus.Read(now, r.sequence)
+		return nil
+	}
+	if raft.Voters(q.consensus.Peers()) < q.minVoters() {
+		return errTooFewVoters
 	}
-	// A confirmed read has the commit index of its time, and the loop applies
-	// what is committed before it answers.
-	done := make(chan struct{})
-	if !n.do(func() { look(); close(done) }) {
-		return n.ctx.Err()
+	index, term, err := q.consensus.Propose(now, r.command)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errNotRun, err)
 	}
-	select {
-	case <-done:
+	r.index, r.term = index, term
+	q.proposed[index] = r
+	return nil
+}
+
+// knownLeader is the leader that was heard lately; nil: none was.
+func (q *requestQueue) knownLeader(now time.Duration) *wire.Peer {
+	id := q.consensus.LeaderHeardWithin(now, leaderFresh)
+	i := slices.IndexFunc(q.consensus.Peers(), func(p *wire.Peer) bool { return p.Id == id })
+	if id == 0 || i < 0 {
 		return nil
-	case <-ctx.Done():
-		return errTimeout
 	}
+	return q.consensus.Peers()[i]
+}
+
+func (q *requestQueue) observeLeader(now time.Duration) {
+	if q.consensus.Leads() || q.knownLeader(now) != nil {
+		q.leaderSeenAt = now
+	}
+}
+
+// tick takes the time, and whatever the consensus has learnt since the last call.
+func (q *requestQueue) tick(now time.Duration) {
+	q.observeLeader(now)
+	if q.len() == 0 {
+		return
+	}
+	if !q.consensus.Leads() {
+		q.loseLead()
+	}
+	if now >= q.nextDeadline {
+		q.expire(now)
+	}
+	waiting := q.waiting
+	q.waiting = nil
+	for _, r := range waiting {
+		q.place(now, r)
+	}
+}
+
+// loseLead takes back what waits for the log. What has been proposed may still be committed, also by another leader: a
+// patient request is sent there, or proposed again here.
+func (q *requestQueue) loseLead() {
+	for _, index := range slices.Sorted(maps.Keys(q.proposed)) {
+		r := q.proposed[index]
+		delete(q.proposed, index)
+		q.takeBack(r, errLostLead)
+	}
+	for _, token := range slices.Sorted(maps.Keys(q.reads)) {
+		r := q.reads[token]
+		delete(q.reads, token)
+		q.takeBack(r, errLostLead)
+	}
+}
+
+func (q *requestQueue) takeBack(r *request, err error) {
+	if !r.patient {
+		r.done(outcome{err: err})
+		return
+	}
+	q.waiting = append(q.waiting, r)
 }
 
-// propose takes a data node's change of the list of servers.
-func (n *Node) propose(ctx context.Context, p *wire.Propose) (*wire.Proposed, error) {
-	if p.GetCommand().GetConfig() != nil {
-		return nil, errors.New("configurations are taken from operators only")
+// expire answers the requests whose deadline has passed.
+func (q *requestQueue) expire(now time.Duration) {
+	var late []*request
+	q.nextDeadline = 0
+	keep := func(r *request) bool {
+		if now >= r.deadline {
+			late = append(late, r)
+			return false
+		}
+		if q.nextDeadline == 0 || r.deadline < q.nextDeadline {
+			q.nextDeadline = r.deadline
+		}
+		return true
+	}
+	q.waiting = slices.DeleteFunc(q.waiting, func(r *request) bool { return !keep(r) })
+	maps.DeleteFunc(q.proposed, func(_ uint64, r *request) bool { return !keep(r) })
+	maps.DeleteFunc(q.reads, func(_ uint64, r *request) bool { return !keep(r) })
+	slices.SortFunc(late, func(a, b *request) int { return cmp.Compare(a.sequence, b.sequence) })
+	for _, r := range late {
+		r.done(outcome{err: errTimeout})
 	}
-	leader, self := n.ask(ctx)
-	if !self {
-		return &wire.Proposed{Leader: leader.GetAddress()}, nil
+}
+
+// applied passes on the verdict on an entry that has been applied.
+func (q *requestQueue) applied(e *wire.Entry, changed bool, verdict error) {
+	r := q.proposed[e.Index]
+	if r == nil {
+		return
 	}
-	if err := n.change(ctx, p.Command); err != nil {
-		n.log.Debug("change.refused", "err", err)
-		return &wire.Proposed{}, nil
+	delete(q.proposed, e.Index)
+	switch {
+	case r.term != e.Term:
+		q.takeBack(r, errEntryReplaced)
+	default:
+		r.done(outcome{err: verdict, unchanged: !changed})
 	}
-	return &wire.Proposed{Done: true}, nil
 }
 
-// latest tells how far the updates have come.
-func (n *Node) latest(ctx context.Context, _ *wire.Ask) (*wire.Latest, error) {
-	leader, self := n.ask(ctx)
-	if !self {
-		return &wire.Latest{Leader: leader.GetAddress()}, nil
+// confirmed passes on what came of a read. One that was refused while this member leads came before the leader's first
+// entry was committed, and is asked again.
+func (q *requestQueue) confirmed(read raft.Read) {
+	r := q.reads[read.Token]
+	if r == nil {
+		return
 	}
-	answer := &wire.Latest{Known: true}
-	if err := n.read(ctx, func() { answer.Index = n.catalog.Index() }); err != nil {
-		return &wire.Latest{}, nil
+	delete(q.reads, read.Token)
+	if read.OK {
+		r.done(outcome{})
+		return
 	}
-	return answer, nil
+	q.takeBack(r, errLostLead)
 }
+
+// next is when the queue wants a tick; ok is false where nothing waits.
+func (q *requestQueue) next() (at time.Duration, ok bool) { return q.nextDeadline, q.len() > 0 }
--- a/internal/control/web.go
+++ b/internal/control/web.go
@@ -3,26 +3,21 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
-	"ivydeck/internal/backup"
-	"ivydeck/internal/catalog"
 	"ivydeck/internal/identity"
-	"ivydeck/internal/meshconfig"
 	"ivydeck/internal/metrics"
 )
 
 // routes is what the operator calls.
 func (n *Node) routes() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /config/replace", n.operators(n.replace))
-	mux.HandleFunc("GET /config/read", n.readConfig)
-	mux.HandleFunc("GET /backup", n.operators(n.backup))
+	mux.HandleFunc("POST "+replacePath, n.operators(n.replace))
+	mux.HandleFunc("GET "+readPath, n.readConfig)
+	mux.HandleFunc("GET "+backupPath, n.operators(n.backup))
 	mux.HandleFunc("GET /status", n.status)
 	mux.HandleFunc("GET /trace/{attempt}", n.operators(n.trace))
 	mux.HandleFunc("GET /look", n.look)
@@ -143,109 +138,8 @@
 func reply(w http.ResponseWriter, status int, text string) {
 	w.Header().Set("Content-Type", "text/plain")
 	if status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", "0.3")
+		w.Header().Set("Retry-After", retryAfter)
 	}
 	w.WriteHeader(status)
 	io.WriteString(w, text+"\n")
 }
-
-// elsewhere sends a caller to the leader, unless this node is it.
-func (n *Node) elsewhere(ctx context.Context, w http.ResponseWriter, path string) bool {
-	leader, self := n.ask(ctx)
-	switch {
-	case self:
-		return false
-	case leader == nil || leader.Control == "":
-		reply(w, http.StatusServiceUnavailable, "no leader")
-	default:
-		scheme := "http://"
-		if n.set.Load().SecureOperator {
-			scheme = "https://"
-		}
-		w.Header().Set("Location", scheme+leader.Control+path)
-		reply(w, http.StatusTemporaryRedirect, "the leader is at "+leader.Control)
-	}
-	return true
-}
-
-// replace takes a whole configuration.
-func (n *Node) replace(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, meshconfig.MostBytes))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		reply(w, http.StatusRequestEntityTooLarge, "the configuration is too large")
-		return
-	}
-	if err != nil {
-		reply(w, http.StatusBadRequest, "the configuration did not come whole")
-		return
-	}
-	base, err := strconv.ParseUint(r.Header.Get("Base-Revision"), 10, 64)
-	if err != nil {
-		reply(w, http.StatusBadRequest, "Base-Revision is no number")
-		return
-	}
-	current := n.current.Load()
-	config, err := current.Parse(body)
-	if err != nil {
-		reply(w, http.StatusBadRequest, err.Error())
-		return
-	}
-	if n.elsewhere(r.Context(), w, "/config/replace") {
-		return
-	}
-	err = n.change(r.Context(), current.Command(base, config, body))
-	switch {
-	case err == nil:
-		reply(w, http.StatusOK, "taken")
-	case errors.Is(err, catalog.ErrStale):
-		reply(w, http.StatusPreconditionFailed, err.Error())
-	case errors.Is(err, catalog.ErrInvalid):
-		reply(w, http.StatusBadRequest, err.Error())
-	default:
-		reply(w, http.StatusServiceUnavailable, err.Error()) // it may still be accepted, or may have been
-	}
-}
-
-// backup returns all that was acknowledged, as the file that package backup reads.
-func (n *Node) backup(w http.ResponseWriter, r *http.Request) {
-	if n.elsewhere(r.Context(), w, "/backup") {
-		return
-	}
-	var data []byte
-	var failed error
-	look := func() {
-		b := backup.Backup{Term: n.consensus.Term(), Index: n.applied, State: n.catalog}
-		data, failed = b.Encode()
-	}
-	if err := n.read(r.Context(), look); err != nil {
-		reply(w, http.StatusServiceUnavailable, err.Error())
-		return
-	}
-	if failed != nil {
-		reply(w, http.StatusInternalServerError, failed.Error())
-		return
-	}
-	w.Header().Set("Content-Type", "application/octet-stream")
-	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	w.Write(data)
-}
-
-// readConfig returns the newest configuration as it was sent.
-func (n *Node) readConfig(w http.ResponseWriter, r *http.Request) {
-	if n.elsewhere(r.Context(), w, "/config/read") {
-		return
-	}
-	var body []byte
-	if err := n.read(r.Context(), func() { body = n.catalog.Body() }); err != nil {
-		reply(w, http.StatusServiceUnavailable, err.Error())
-		return
-	}
-	if body == nil {
-		reply(w, http.StatusNotFound, "no configuration yet")
-		return
-	}
-	w.Header().Set("Content-Type", "application/msgpack")
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.Write(body)
-}
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -144,6 +144,14 @@
 // Leader returns the leader's identity; 0: unknown.
 func (c *Node) Leader() uint64 { return c.leaderID }
 
+// LeaderHeardWithin returns the leader's identity where this member leads, or has heard the leader lately; 0: not so.
+func (c *Node) LeaderHeardWithin(now, silence time.Duration) uint64 {
+	if c.role == leader || now-c.leaderContactAt < silence {
+		return c.leaderID
+	}
+	return 0
+}
+
 // Leads tells whether this member is the leader.
 func (c *Node) Leads() bool { return c.role == leader }
 
