--- a/internal/catalog/accepted.go
+++ b/internal/catalog/accepted.go
@@ -29,15 +29,21 @@
 type acceptedChanges struct {
 	newest    []acceptedChange // ascending by revision
 	forgotten uint64           // the highest revision that is no longer remembered; 0: none is
+	limit     int              // of how many are remembered; 0: maxAccepted
 }
 
+// RememberAccepted bounds how many accepted changes are remembered; 0: as many as usual. Small bounds reach in a short
+// simulation what service reaches in hours.
+func (c *Catalog) RememberAccepted(limit int) { c.accepted.limit = limit }
+
 // add remembers a change whose revision is above all others.
 func (a *acceptedChanges) add(c acceptedChange) {
 	a.newest = append(a.newest, c)
-	if len(a.newest) <= maxAccepted {
+	limit := cmp.Or(a.limit, maxAccepted)
+	if len(a.newest) <= limit {
 		return
 	}
-	drop := maxAccepted / 8 // some at a time: each move costs the whole list
+	drop := max(1, limit/8) // some at a time: each move costs the whole list
 	a.forgotten = a.newest[drop-1].revision
 	a.newest = slices.Delete(a.newest, 0, drop)
 }
@@ -65,9 +71,9 @@
 	s.Forgotten = &a.forgotten
 }
 
-// decodeAccepted returns the memory that is in a snapshot.
-func decodeAccepted(s *wire.Snapshot) acceptedChanges {
-	a := acceptedChanges{newest: make([]acceptedChange, len(s.GetTaken())), forgotten: s.GetForgotten()}
+// decode replaces the memory by that of a snapshot.
+func (a *acceptedChanges) decode(s *wire.Snapshot) {
+	a.newest, a.forgotten = make([]acceptedChange, len(s.GetTaken())), s.GetForgotten()
 	for i, t := range s.GetTaken() {
 		a.newest[i].revision = t.Revision
 		copy(a.newest[i].digest[:], t.Hash)
@@ -75,5 +81,4 @@
 	if s.Forgotten == nil && len(a.newest) >= maxAcceptedBefore { // there may have been others
 		a.forgotten = a.newest[0].revision - 1
 	}
-	return a
 }
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -66,7 +66,8 @@
 	}
 	view := NewView()
 	view.Apply(changesOf(s, config))
-	c.view, c.config, c.body, c.accepted = view, config, nil, decodeAccepted(&snapshot)
+	c.view, c.config, c.body = view, config, nil
+	c.accepted.decode(&snapshot)
 	if config != nil {
 		c.body = s.Config
 	}
--- a/internal/control/operator_sim_test.go
+++ b/internal/control/operator_sim_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -32,6 +33,9 @@
 	simSnapshot = 12          // entries after which the log is compacted
 )
 
+// simFiller is what configurations have in common, so that the log holds differences.
+var simFiller = strings.Repeat("service", 60)
+
 // simMember is a quorum member: its disk, and while it runs the consensus, the state, and the operator's interface as in
 // service.
 type simMember struct {
@@ -93,6 +97,7 @@
 	ids         int
 	ackLoss     float64
 	perOperator int
+	memory      int // accepted changes that members remember; 0: as in service
 	calm        bool
 	quiet       bool   // no new changes, until a restore
 	backup      []byte // to be restored at the end of this turn
@@ -131,7 +136,7 @@
 func (w *simWorld) start(m *simMember) {
 	m.node = raft.New(m.disk.ID, m.disk.Hard, m.disk.Snap, slices.Clone(m.disk.Entries), w.rng.Uint64(), w.now)
 	m.node.Retain(m.disk.Tail)
-	m.restore(m.disk.Snap)
+	m.restore(m.disk.Snap, w.memory)
 	m.requests = newRequestQueue(m.node, func() int { return min(3, len(w.members)) }, w.now)
 	m.api = operatorAPI{requests: m.requests, state: func() backup.Backup {
 		return backup.Backup{Term: m.node.Term(), Index: m.applied, State: m.state}
@@ -139,8 +144,9 @@
 	m.inbox = nil
 }
 
-func (m *simMember) restore(s *wire.RaftSnapshot) {
+func (m *simMember) restore(s *wire.RaftSnapshot, memory int) {
 	m.state, m.applied = catalog.New(), s.Index
+	m.state.RememberAccepted(memory)
 	if err := m.state.Restore(s.Data); err != nil {
 		panic(err)
 	}
@@ -173,7 +179,7 @@
 			return
 		}
 		if out.Snapshot != nil {
-			m.restore(out.Snapshot)
+			m.restore(out.Snapshot, w.memory)
 		}
 		if len(out.Entries) > 0 {
 			m.node.Stable(out.Entries[len(out.Entries)-1].Index)
@@ -276,8 +282,8 @@
 		o.resent = true
 		w.resends++
 	}
-	if !w.calm && w.rng.IntN(25) == 0 {
-		w.close(o) // the operator gives up
+	if !w.calm && w.rng.IntN(25) == 0 || o.again && o.send > 10 {
+		w.close(o) // the operator gives up; of what was acknowledged long ago, nothing may be known any more
 	}
 }
 
@@ -386,7 +392,7 @@
 func (w *simWorld) describe(o *operation, revision uint64) {
 	w.ids++
 	o.revision, o.identity = revision, fmt.Sprintf("%d/%d", revision, w.ids)
-	body, err := msgpack.Marshal(&meshconfig.Config{Revision: revision, Backends: []meshconfig.Backend{{Name: o.identity}}})
+	body, err := msgpack.Marshal(&meshconfig.Config{Revision: revision, Backends: []meshconfig.Backend{{Name: o.identity}, {Name: simFiller}}})
 	if err != nil {
 		panic(err)
 	}
@@ -456,6 +462,11 @@
 	rng := rand.New(rand.NewPCG(seed, 5))
 	w := newSimWorld(seed, 3+2*rng.IntN(2), 2+rng.IntN(3))
 	w.ackLoss = []float64{0, 0.2, 0.7}[rng.IntN(3)]
+	if w.memory = []int{0, 4}[rng.IntN(2)]; w.memory > 0 {
+		for _, m := range w.members {
+			m.state.RememberAccepted(w.memory)
+		}
+	}
 	restoreAt := length * time.Duration(1+rng.IntN(4)) / 4 // a quarter of the runs have none
 	for w.now < length {
 		w.calm = w.now > length-6*time.Second
