Split the operator's tool by command, and give its client typed errors

Behaviour and texts stay, but that 400 and 413 now say that the configuration is invalid. Test: TestApplyIsRepeatedUntilItIsClear asks for the errors, too.

--- /dev/null
+++ b/cmd/ivydeckctl/config.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/operator"
+)
+
+type checkCmd struct {
+	File string `arg:"" type:"existingfile"`
+}
+
+func (c *checkCmd) Run() error {
+	_, config, err := operator.Load(c.File)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: revision %d, %d routes, %d backends, no fault found\n", c.File, config.Revision, len(config.Routes), len(config.Backends))
+	return nil
+}
+
+type diffCmd struct {
+	A string `arg:"" type:"existingfile"`
+	B string `arg:"" type:"existingfile"`
+}
+
+func (c *diffCmd) Run() error {
+	_, a, err := operator.Load(c.A)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.A, err)
+	}
+	_, b, err := operator.Load(c.B)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.B, err)
+	}
+	for _, line := range operator.Diff(a, b) {
+		fmt.Println(line)
+	}
+	return nil
+}
+
+type readCmd struct {
+	coreFlags
+	Output string `help:"json or table." enum:"json,table" default:"table"`
+}
+
+func (c *readCmd) Run(ctx context.Context) error {
+	core, err := c.core()
+	if err != nil {
+		return err
+	}
+	_, config, err := core.Read(ctx)
+	if err != nil {
+		return err
+	}
+	if config == nil {
+		return errors.New("no configuration yet")
+	}
+	return show(config, c.Output)
+}
+
+func show(config *meshconfig.Config, output string) error {
+	if output == "json" {
+		enc := json.NewEncoder(os.Stdout)
+		enc.SetIndent("", "  ")
+		return enc.Encode(config)
+	}
+	fmt.Printf("revision %d\n%-32s %-15s %8s %8s %8s  %s\n", config.Revision, "place", "type", "priority", "aim ms", "limit ms", "to")
+	for _, r := range config.Routes {
+		to := []string{r.Backend}
+		for _, w := range r.Backends {
+			to = append(to, fmt.Sprintf("%s:%g", w.Backend, w.Weight))
+		}
+		fmt.Printf("%-32s %-15s %8d %8g %8g  %s\n", r.Host+r.Prefix, r.Kind, r.Priority, r.AimMs, r.TimeoutMs, strings.Trim(strings.Join(to, " "), " "))
+	}
+	return nil
+}
+
+type applyCmd struct {
+	coreFlags
+	File string `arg:"" type:"existingfile"`
+	Base int64  `help:"Revision that it builds on; the one in force where it is not given." default:"-1"`
+}
+
+func (c *applyCmd) Run(ctx context.Context) error {
+	body, config, err := operator.Load(c.File)
+	if err != nil {
+		return err
+	}
+	core, err := c.core()
+	if err != nil {
+		return err
+	}
+	base := uint64(c.Base)
+	if c.Base < 0 {
+		_, current, err := core.Read(ctx)
+		if err != nil {
+			return err
+		}
+		if base = 0; current != nil {
+			base = current.Revision
+		}
+	}
+	if err := core.Apply(ctx, base, body); err != nil {
+		return err
+	}
+	fmt.Printf("revision %d is in force\n", config.Revision)
+	return nil
+}
--- a/internal/data/mesh_test.go
+++ b/internal/data/mesh_test.go
@@ -94,8 +94,8 @@
 }
 
 // operator returns what calls the core as an operator, or with another role as one who is none.
-func (m *mesh) operator(role identity.Role) *operator.Core {
-	core := &operator.Core{}
+func (m *mesh) operator(role identity.Role) *operator.Client {
+	core := &operator.Client{}
 	for n := 1; n <= 3; n++ {
 		core.Addresses = append(core.Addresses, fmt.Sprintf("127.7.0.%d:%d", n, m.ports[1]))
 	}
@@ -336,7 +336,7 @@
 func BenchmarkChanges(b *testing.B) {
 	m := &mesh{t: b, ports: freePorts(b), dir: b.TempDir()}
 	defer m.running.Wait()
-	core := &operator.Core{}
+	core := &operator.Client{}
 	for n := 1; n <= 3; n++ {
 		defer m.start(control.Run, m.settings(n, nodefile.Core, true))()
 		core.Addresses = append(core.Addresses, fmt.Sprintf("127.7.0.%d:%d", n, m.ports[1]))
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -89,7 +89,7 @@
 		m.ports[i] = l.Addr().(*net.TCPAddr).Port
 		l.Close()
 	}
-	core := &operator.Core{}
+	core := &operator.Client{}
 	for n := 1; n <= machines; n++ {
 		if err := m.start(n, "core", "ivydeck-control"); err != nil {
 			return err
@@ -208,7 +208,7 @@
 }
 
 // ready brings the mesh to where it serves.
-func (m *mesh) ready(ctx context.Context, core *operator.Core) error {
+func (m *mesh) ready(ctx context.Context, core *operator.Client) error {
 	began := time.Now()
 	route := func(name string, kind meshconfig.Kind, priority int) *meshconfig.Route {
 		return &meshconfig.Route{Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, TimeoutMs: 2000, AimMs: 200,
@@ -293,7 +293,7 @@
 }
 
 // play sends traffic, drains a server at a third, and ends the leader at two thirds.
-func (m *mesh) play(ctx context.Context, core *operator.Core) error {
+func (m *mesh) play(ctx context.Context, core *operator.Client) error {
 	ctx, cancel := context.WithTimeout(ctx, m.Length)
 	defer cancel()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: 3 * time.Second}
@@ -351,7 +351,7 @@
 }
 
 // endLeader kills the core machine that leads.
-func (m *mesh) endLeader(ctx context.Context, core *operator.Core) error {
+func (m *mesh) endLeader(ctx context.Context, core *operator.Client) error {
 	states, err := core.Status(ctx)
 	for _, s := range states {
 		if s.Leads {
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,189 @@
+// Package operator is what an operator's tool does: it reads configurations from
+// files that people write, says what differs between two, and calls the quorum.
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"ivydeck/internal/backup"
+	"ivydeck/internal/control"
+	"ivydeck/internal/identity"
+	"ivydeck/internal/meshconfig"
+)
+
+const (
+	maxTries   = 8
+	tryTimeout = 3 * time.Second
+	firstPause = 200 * time.Millisecond // doubled up to maxPause
+	maxPause   = 2 * time.Second
+
+	maxAnswer = meshconfig.MostBytes + 16<<20 // a configuration, and a list of servers in a backup
+)
+
+// What may come of a change.
+var (
+	ErrStale   = errors.New("another version is in place")
+	ErrInvalid = errors.New("the configuration is invalid")
+	ErrUnclear = errors.New("it may be in force or not")
+)
+
+// Client calls the quorum members.
+type Client struct {
+	Addresses []string // host:port; tried in turn
+	HTTP      http.Client
+	Secure    bool // HTTP has an identity, and the members ask for one
+}
+
+// With makes calls with an identity.
+func (c *Client) With(source *identity.Source) *Client {
+	c.Secure, c.HTTP.Transport = true, &http.Transport{TLSClientConfig: source.Client()}
+	return c
+}
+
+// place is where a machine answers for a path.
+func (c *Client) place(address, path string) string {
+	if c.Secure {
+		return "https://" + address + path
+	}
+	return "http://" + address + path
+}
+
+// call asks one machine after another until one gives a clear answer. The same
+// call may be made again without harm.
+func (c *Client) call(ctx context.Context, method, path string, body []byte, header http.Header) (int, []byte, error) {
+	var last error
+	pause := firstPause
+	for i := range maxTries {
+		status, answer, err := c.once(ctx, method, c.place(c.Addresses[i%len(c.Addresses)], path), body, header)
+		if err == nil && status < 500 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests {
+			return status, answer, nil
+		}
+		if last = err; err == nil {
+			last = fmt.Errorf("%s answers %d: %s", c.Addresses[i%len(c.Addresses)], status, bytes.TrimSpace(answer))
+		}
+		select {
+		case <-time.After(pause):
+			pause = min(2*pause, maxPause)
+		case <-ctx.Done():
+			return 0, nil, ctx.Err()
+		}
+	}
+	return 0, nil, fmt.Errorf("no clear answer in %d tries: %w", maxTries, last)
+}
+
+func (c *Client) once(ctx context.Context, method, at string, body []byte, header http.Header) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, at, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	resp, err := c.HTTP.Do(req) // follows 307 with the same method and body
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	return resp.StatusCode, answer, err
+}
+
+// Read returns the configuration in force, as it was sent; nil: there is none.
+func (c *Client) Read(ctx context.Context) ([]byte, *meshconfig.Config, error) {
+	status, body, err := c.call(ctx, http.MethodGet, "/config/read", nil, nil)
+	switch {
+	case err != nil:
+		return nil, nil, err
+	case status == http.StatusNotFound:
+		return nil, nil, nil
+	case status != http.StatusOK:
+		return nil, nil, fmt.Errorf("the quorum answers %d: %s", status, bytes.TrimSpace(body))
+	}
+	config, err := meshconfig.Parse(body)
+	return body, config, err
+}
+
+// Apply sends a configuration that builds on a revision; 0 for the first. It returns nil where that very configuration is
+// accepted, now or before, ErrStale or ErrInvalid where it is refused for good, and ErrUnclear where it may be in force or
+// not: it may be sent again unchanged.
+func (c *Client) Apply(ctx context.Context, base uint64, body []byte) error {
+	header := http.Header{"Base-Revision": {strconv.FormatUint(base, 10)}, "Content-Type": {"application/msgpack"}}
+	status, answer, err := c.call(ctx, http.MethodPost, "/config/replace", body, header)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnclear, err)
+	}
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusPreconditionFailed:
+		return fmt.Errorf("%w than %d", ErrStale, base)
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		return fmt.Errorf("%w: %s", ErrInvalid, bytes.TrimSpace(answer))
+	}
+	return fmt.Errorf("the quorum answers %d: %s", status, bytes.TrimSpace(answer))
+}
+
+// Backup returns all that the quorum has acknowledged.
+func (c *Client) Backup(ctx context.Context) (*backup.Backup, error) {
+	status, body, err := c.call(ctx, http.MethodGet, "/backup", nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, fmt.Errorf("the quorum answers %d: %s", status, bytes.TrimSpace(body))
+	}
+	return backup.Decode(body)
+}
+
+// Look asks a quorum member for what all nodes see.
+func (c *Client) Look(ctx context.Context) (l control.Look, err error) {
+	return l, c.fetch(ctx, "/look", &l)
+}
+
+// fetch reads what a machine answers for a path in JSON.
+func (c *Client) fetch(ctx context.Context, path string, into any) error {
+	status, body, err := c.call(ctx, http.MethodGet, path, nil, nil)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return fmt.Errorf("the quorum answers %d: %s", status, bytes.TrimSpace(body))
+	}
+	return json.Unmarshal(body, into)
+}
+
+// Trace asks for what the mesh has kept of a request and its calls.
+func (c *Client) Trace(ctx context.Context, attempt string) (t control.Trace, err error) {
+	return t, c.fetch(ctx, "/trace/"+url.PathEscape(attempt), &t)
+}
+
+// Status asks each machine for what it says of itself; what failed is in errs.
+func (c *Client) Status(ctx context.Context) (all []control.Status, errs []error) {
+	for _, a := range c.Addresses {
+		status, body, err := c.once(ctx, http.MethodGet, c.place(a, "/status"), nil, nil)
+		var s control.Status
+		if err == nil && status != http.StatusOK {
+			err = fmt.Errorf("answers %d: %s", status, bytes.TrimSpace(body))
+		}
+		if err == nil {
+			err = json.Unmarshal(body, &s)
+		}
+		if err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", a, err))
+			continue
+		}
+		all = append(all, s)
+	}
+	return all, errs
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -79,11 +80,16 @@
 		http.Redirect(w, r, leader.URL+r.URL.Path, http.StatusTemporaryRedirect)
 	}))
 	defer follower.Close()
-	c := &Core{Addresses: []string{busy.Listener.Addr().String(), follower.Listener.Addr().String()}}
+	c := &Client{Addresses: []string{busy.Listener.Addr().String(), follower.Listener.Addr().String()}}
 	if err := c.Apply(context.Background(), 3, body); err != nil || string(taken) != string(body) {
 		t.Errorf("%v, %d bytes taken of %d", err, len(taken), len(body))
 	}
-	if err := c.Apply(context.Background(), 2, body); err == nil || !strings.Contains(err.Error(), "another version") {
+	if err := c.Apply(context.Background(), 2, body); !errors.Is(err, ErrStale) || !strings.Contains(err.Error(), "another version") {
 		t.Errorf("a stale base: %v", err)
 	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := c.Apply(ended, 3, body); !errors.Is(err, ErrUnclear) {
+		t.Errorf("given up before an answer: %v", err)
+	}
 }
