--- a/cmd/meshlab/check.go
+++ b/cmd/meshlab/check.go
@@ -104,31 +104,40 @@
 }
 
 type mutateCmd struct {
-	Bugs  string   `arg:"" type:"existingfile" help:"A list of bugs, such as lab/mutations.toml."`
-	Only  []string `placeholder:"NAME" help:"Of the bugs, those whose names hold this."`
-	Seeds int      `default:"600" help:"Worlds of the consensus's simulation; a twentieth of them of the lab's."`
-	Jobs  int      `default:"2" help:"Bugs at a time."`
+	Bugs   string   `arg:"" type:"existingfile" help:"A list of bugs, such as lab/mutations.toml."`
+	Only   []string `placeholder:"NAME" help:"Of the bugs, those whose names hold this."`
+	Skip   []string `placeholder:"CHECK" help:"Checks that are not run: model, simulation, lab, tests."`
+	States int      `default:"30000" help:"Of each search of the model checker, at most."`
+	Walks  int      `default:"5000" help:"Random walks of the model checker."`
+	Seeds  int      `default:"600" help:"Runs of the consensus's simulation; a twentieth of them of the lab's."`
+	Jobs   int      `default:"2" help:"Bugs at a time."`
 }
 
 func (c *mutateCmd) Run(ctx context.Context) error {
-	bugs, err := mutation.Load(c.Bugs, ".")
+	list, err := mutation.Load(c.Bugs, ".")
 	if err != nil {
 		return err
 	}
-	rows, err := mutation.Try(ctx, bugs, mutation.Options{Root: ".", Only: c.Only, Seeds: c.Seeds, Jobs: c.Jobs, Progress: os.Stderr})
+	rows, err := mutation.Try(ctx, list, mutation.Options{
+		Root: ".", Only: c.Only, Skip: c.Skip, States: c.States, Walks: c.Walks, Seeds: c.Seeds, Jobs: c.Jobs, Progress: os.Stderr,
+	})
 	if err != nil {
 		return err
 	}
-	missed := 0
-	fmt.Println("| bug | checker | simulation | lab | other tests |\n|---|---|---|---|---|")
+	fmt.Println(mutation.Header)
+	found, searched := 0, 0
 	for _, r := range rows {
 		fmt.Println(r)
-		if !r.Caught() {
-			missed++
+		if r.Found() {
+			found++
+		}
+		if r.Searched() {
+			searched++
 		}
 	}
-	if missed > 0 {
-		return fmt.Errorf("%d of %d bugs were not found", missed, len(rows))
+	fmt.Printf("%d bugs, %d found, %d of them by a search or a simulated run\n", len(rows), found, searched)
+	if searched < len(rows) {
+		return fmt.Errorf("%d of %d bugs were not found by any search or simulated run", len(rows)-searched, len(rows))
 	}
 	return nil
 }
--- a/internal/modelcheck/event.go
+++ b/internal/modelcheck/event.go
@@ -223,7 +223,7 @@
 		m.node = nil
 	case wipe:
 		s.left.Wipes--
-		*m = member{incarnation: m.incarnation + 1, clock: m.clock}
+		*m = member{incarnation: m.incarnation + 1, processes: m.processes, clock: m.clock}
 	case restart:
 		m.start(e.member, s.left.Batch)
 	}
--- a/internal/modelcheck/search.go
+++ b/internal/modelcheck/search.go
@@ -15,8 +15,8 @@
 		return nil, err
 	}
 	began := time.Now()
-	q := &searcher{seen: map[uint64]bool{first.key(): true}, visits: []visit{{parent: -1}}}
-	q.run(first, set.States)
+	q := &searcher{maxStates: set.States, seen: map[uint64]bool{first.key(): true}, visits: []visit{{parent: -1}}}
+	q.run(first)
 	q.result.States, q.result.Took = len(q.seen), time.Since(began)
 	return &q.result, nil
 }
@@ -29,18 +29,22 @@
 
 // searcher is a breadth-first search under way.
 type searcher struct {
-	seen   map[uint64]bool
-	visits []visit
-	result Result
+	maxStates int // 0: no bound
+	seen      map[uint64]bool
+	visits    []visit
+	result    Result
 }
 
+// full tells whether as many states have been met as are wanted.
+func (q *searcher) full() bool { return q.maxStates > 0 && len(q.seen) >= q.maxStates }
+
 // reached is a state of the level that is searched, with its place among the visits.
 type reached struct {
 	state *state
 	visit int32
 }
 
-func (q *searcher) run(first *state, maxStates int) {
+func (q *searcher) run(first *state) {
 	level := []reached{{first, 0}}
 	for len(level) > 0 {
 		next := q.level(level)
@@ -53,7 +57,7 @@
 		}
 		q.result.Depth++
 		level = next
-		if maxStates > 0 && len(q.seen) >= maxStates {
+		if q.full() {
 			return
 		}
 	}
@@ -62,6 +66,16 @@
 
 // level returns the new states behind those of a level.
 func (q *searcher) level(level []reached) (next []reached) {
+	for len(level) > 0 && !q.full() && q.result.Broken == "" {
+		part := level[:min(len(level), expandAtOnce)]
+		level = level[len(part):]
+		next = q.visit(part, next)
+	}
+	return next
+}
+
+// visit appends the new states behind some of a level's.
+func (q *searcher) visit(level, next []reached) []reached {
 	for i, successors := range expand(level) {
 		for _, f := range successors {
 			q.result.Steps++
@@ -91,6 +105,9 @@
 	return trace
 }
 
+// expandAtOnce bounds the successors that are held at a time.
+const expandAtOnce = 20_000
+
 // successor is a state behind another.
 type successor struct {
 	state *state
--- a/internal/modelcheck/state.go
+++ b/internal/modelcheck/state.go
@@ -14,6 +14,7 @@
 // something happens to it.
 type member struct {
 	incarnation uint64 // of its disk: its identity is its number and this
+	processes   uint64 // that it has had so far
 	hard        *wire.HardState
 	voted       *wire.HardState // what it has told others of its term and vote; hard, unless votes are lost on purpose
 	snapshot    *wire.RaftSnapshot
@@ -82,7 +83,8 @@
 
 // start begins the member's process, from what is on its disk.
 func (m *member) start(n, batch int) {
-	m.node = raft.New(identity(n, m.incarnation), m.hard, m.snapshot, slices.Clone(m.entries), 1, m.clock)
+	m.processes++
+	m.node = raft.New(identity(n, m.incarnation), m.hard, m.snapshot, slices.Clone(m.entries), m.processes, m.clock)
 	m.node.Batch(batch)
 	m.node.Retain(0) // short logs have to need snapshots
 	m.voted = m.hard
--- a/internal/raft/handover_test.go
+++ b/internal/raft/handover_test.go
@@ -10,66 +10,66 @@
 func TestHandOver(t *testing.T) {
 	for _, c := range []struct {
 		name  string
-		hand  func(w *world, lead *machine) // makes the leader give the lead away
-		after time.Duration                 // within which another leads
-		other bool                          // another leads then
+		hand  func(w *simulation, lead *simMember) // makes the leader give the lead away
+		after time.Duration                        // within which another leads
+		other bool                                 // another leads then
 	}{
-		{"an end", func(w *world, m *machine) {
-			if !m.core.HandOver(w.now) {
+		{"an end", func(w *simulation, m *simMember) {
+			if !m.node.HandOver(w.now) {
 				t.Error("nobody could take the lead")
 			}
-			if _, _, err := m.core.Propose(w.now, []byte("x")); err != ErrBusy {
+			if _, _, err := m.node.Propose(w.now, []byte("x")); err != ErrBusy {
 				t.Errorf("a proposal while the lead is handed over: %v", err)
 			}
 		}, 50 * time.Millisecond, true},
-		{"a slow disk", func(w *world, m *machine) {
+		{"a slow disk", func(w *simulation, m *simMember) {
 			for range 20 {
-				m.core.Synced(60 * time.Millisecond)
+				m.node.Synced(60 * time.Millisecond)
 			}
 		}, 400 * time.Millisecond, true},
-		{"disks that are all slow", func(w *world, m *machine) {
-			for _, o := range w.machines {
+		{"disks that are all slow", func(w *simulation, m *simMember) {
+			for _, o := range w.members {
 				for range 20 {
-					o.core.Synced(60 * time.Millisecond)
+					o.node.Synced(60 * time.Millisecond)
 				}
 			}
 			for range 200 { // the leader hears of it
 				w.turn()
 			}
 		}, 400 * time.Millisecond, false},
-		{"others that say nothing", func(w *world, m *machine) {
-			for _, o := range w.machines {
+		{"others that say nothing", func(w *simulation, m *simMember) {
+			for _, o := range w.members {
 				if o != m {
-					w.cut[[2]int{m.n, o.n}] = true
+					w.cut[[2]int{m.number, o.number}] = true
 				}
 			}
-			m.core.HandOver(w.now)
+			m.node.HandOver(w.now)
 		}, 150 * time.Millisecond, false},
 	} {
-		w := ready(3, 7)
-		var lead *machine
+		w := newFaultless(3, 7)
+		var lead *simMember
 		for ; lead == nil || w.now < 3*time.Second; w.turn() {
 			lead = w.leader()
 		}
-		for _, m := range w.machines {
-			m.core.Synced(time.Millisecond)
+		for _, m := range w.members {
+			m.node.Synced(time.Millisecond)
 		}
 		for until := w.now + 300*time.Millisecond; w.now < until; w.turn() { // they tell the leader
 		}
 		lead = w.leader()
-		term := lead.core.Term()
+		term := lead.node.Term()
 		c.hand(w, lead)
 		until := w.now + c.after
 		for w.now < until && (w.leader() == lead || w.leader() == nil) {
-			if lead.core.Ill() {
-				lead.core.HandOver(w.now)
+			if lead.node.Ill() {
+				lead.node.HandOver(w.now)
 			}
 			w.turn()
 		}
 		if now := w.leader(); (now != nil && now != lead) != c.other {
 			t.Errorf("%s: the lead has moved: %v, want %v", c.name, now != lead, c.other)
-		} else if c.other && now.core.Term() != term+1 {
-			t.Errorf("%s: from term %d to %d", c.name, term, now.core.Term())
+		} else if c.other && now.node.Term() != term+1 {
+			t.Errorf("%s: from term %d to %d", c.name, term, now.node.Term())
 		}
 		if !c.other {
 			clear(w.cut)
@@ -77,7 +77,7 @@
 			}
 			if lead := w.leader(); lead == nil {
 				t.Errorf("%s: nobody leads afterwards", c.name)
-			} else if _, _, err := lead.core.Propose(w.now, nil); err != nil {
+			} else if _, _, err := lead.node.Propose(w.now, nil); err != nil {
 				t.Errorf("%s: afterwards a proposal comes to %v", c.name, err)
 			}
 		}
