--- a/internal/data/update.go
+++ b/internal/data/update.go
@@ -8,6 +8,11 @@
 	"ivydeck/internal/wire"
 )
 
+const (
+	updatePauses   = 6 // times as long as an update took the next one waits ...
+	maxUpdatePause = 200 * time.Millisecond
+)
+
 // watch keeps the outbound side up to date with the updates and the members. What comes while an update is under way shares
 // the next one.
 func (n *Node) watch(ctx context.Context) {
@@ -22,7 +27,11 @@
 		}
 		if n.hub.Index() != n.world.Index() || version != members {
 			members = version
+			began := time.Now()
 			n.update()
+			// An update of a service with thousands of servers costs milliseconds: where such updates come one behind
+			// the other, as at a start of all machines, several share one, so that most of the time is left for requests.
+			sleep(ctx, min(updatePauses*time.Since(began), maxUpdatePause))
 		}
 		select {
 		case <-changed:
@@ -34,6 +43,16 @@
 	}
 }
 
+// sleep waits, unless the context ends before.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // update hands on what has changed.
 func (n *Node) update() {
 	before := n.world.World().Config
