Name events that the end of a scale run cuts off, and take the base of processes that are up

Cause: the first run at 300 nodes was ended by its bound in the midst of an event, which its report left out; and the base of hollow processes was read before their runtime was up (2.4 to 5.2 MB), so that nodes were said to hold the rest. Change: such an event stands in the report as not run; hollow processes answer a command before their base is read.

--- a/internal/scale/machines.go
+++ b/internal/scale/machines.go
@@ -137,6 +137,9 @@
 			return fmt.Errorf("%s: %w", c.name, errEnded)
 		}
 	}
+	if _, err := r.each(func(*child) *command { return &command{State: true} }); err != nil { // they are there
+		return err
+	}
 	samples, err := r.samples(ctx, hollowRole)
 	for c, s := range samples {
 		c.base, c.baseFiles = s.resident, s.files
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -216,11 +216,13 @@
 			continue
 		}
 		if ctx.Err() != nil {
-			r.report.Events = append(r.report.Events, EventReport{Name: e.name, NotRun: "the run's time was over"})
+			r.report.Events = append(r.report.Events, EventReport{Name: e.name, NotRun: "the run was over"})
 			continue
 		}
 		if err := r.event(ctx, e); err != nil && ctx.Err() == nil {
 			return fmt.Errorf("%s: %w", e.name, err)
+		} else if err != nil {
+			r.report.Events = append(r.report.Events, EventReport{Name: e.name, NotRun: "the run's end came in its midst"})
 		}
 	}
 	return ctx.Err()
