Tell agreement on updates from that on members in scale's reports

Cause: at 300 nodes, on a busy machine, all had the updates and the list within seconds of a start, and did not know the same members after 40 s; the report held but the latter, and not why. Change: each event tells both times, and what was missing at the end of its patience.

--- a/internal/scale/agree.go
+++ b/internal/scale/agree.go
@@ -46,70 +46,89 @@
 	return nil
 }
 
-// agreed tells whether all nodes know each other and the newest update, and the list has all their servers.
-func (r *run) agreed(ctx context.Context) (bool, string) {
+// agreement is how far all nodes agree.
+type agreement struct {
+	updates bool   // all have the latest update, and the list has all their servers
+	all     bool   // they know each other, too
+	why     string // not all
+}
+
+// agreed asks all nodes.
+func (r *run) agreed(ctx context.Context) (a agreement) {
 	for _, c := range r.list(quorumRole, realRole) {
 		if err := c.died(); err != nil {
-			return false, err.Error()
+			return agreement{why: err.Error()}
 		}
 	}
 	latest, ok := r.latestIndex(ctx)
 	if !ok {
-		return false, "no leader"
+		return agreement{why: "no leader"}
 	}
 	answers, err := r.each(func(*child) *command { return &command{State: true} })
 	if err != nil {
-		return false, err.Error()
+		return agreement{why: err.Error()}
 	}
-	members := quorumSize + len(r.running)
-	for _, a := range answers {
-		switch s := a.State; {
+	for _, answer := range answers {
+		switch s := answer.State; {
 		case s.Nodes == 0:
 		case s.MinIndex < latest:
-			return false, fmt.Sprintf("a node knows of update %d of %d", s.MinIndex, latest)
+			return agreement{why: fmt.Sprintf("a node knows of update %d of %d", s.MinIndex, latest)}
 		case s.Fenced < s.Nodes:
-			return false, fmt.Sprintf("%d of %d nodes of a process are ready", s.Fenced, s.Nodes)
-		case s.MinMembers != members || s.MaxMembers != members:
-			return false, fmt.Sprintf("nodes know %d to %d members, there are %d", s.MinMembers, s.MaxMembers, members)
+			return agreement{why: fmt.Sprintf("%d of %d nodes of a process are ready", s.Fenced, s.Nodes)}
 		}
 	}
 	if n := r.listed(ctx); n != len(r.running) {
-		return false, fmt.Sprintf("%d of %d servers are listed", n, len(r.running))
+		return agreement{why: fmt.Sprintf("%d of %d servers are listed", n, len(r.running))}
 	}
-	return r.realAgree(ctx, latest, members)
+	a.updates = true
+	members := quorumSize + len(r.running)
+	for _, answer := range answers {
+		if s := answer.State; s.Nodes > 0 && (s.MinMembers != members || s.MaxMembers != members) {
+			a.why = fmt.Sprintf("nodes know %d to %d members, there are %d", s.MinMembers, s.MaxMembers, members)
+			return a
+		}
+	}
+	a.why = r.realDisagree(ctx, latest, members)
+	a.all = a.why == ""
+	return a
 }
 
-// realAgree tells whether the real nodes know of an update and of so many members. They are asked last and seldom, as
-// showing its figures costs a node more than all else that it does in a quiet second.
-func (r *run) realAgree(ctx context.Context, latest uint64, members int) (bool, string) {
+// realDisagree says which real node does not know of an update or of so many members; empty: all do. They are asked last
+// and seldom, as showing its figures costs a node more than all else that it does in a quiet second.
+func (r *run) realDisagree(ctx context.Context, latest uint64, members int) string {
 	real, err := r.samples(ctx, realRole)
 	if err != nil {
-		return false, err.Error()
+		return err.Error()
 	}
 	for c, s := range real {
 		if s.index < latest || s.members != members {
-			return false, fmt.Sprintf("%s knows of update %d of %d and %d of %d members", c.name, s.index, latest, s.members, members)
+			return fmt.Sprintf("%s knows of update %d of %d and %d of %d members", c.name, s.index, latest, s.members, members)
 		}
 	}
-	return true, ""
+	return ""
 }
 
-// untilAgreed waits until all agree. It returns how long that took from a moment on; nil: not within the patience.
-func (r *run) untilAgreed(ctx context.Context, from time.Time) *float64 {
+// untilAgreed waits until all agree, and reports how long that took from a moment on.
+func (r *run) untilAgreed(ctx context.Context, e *EventReport, from time.Time) {
 	patience, cancel := context.WithTimeout(ctx, r.Settle)
 	defer cancel()
-	why := ""
+	since := func() *float64 {
+		took := time.Since(from).Seconds()
+		return &took
+	}
 	for polls := 0; patience.Err() == nil; polls++ { // seldom where it takes long
-		ok, reason := r.agreed(patience)
-		if ok {
-			took := time.Since(from).Seconds()
-			return &took
+		a := r.agreed(patience)
+		if a.updates && e.UpdatesS == nil {
+			e.UpdatesS = since()
+		}
+		if a.all {
+			e.AgreeS, e.Disagree = since(), ""
+			return
 		}
 		if patience.Err() == nil {
-			why = reason
+			e.Disagree = a.why
 		}
 		pause(patience, pollEvery*time.Duration(1+polls/20))
 	}
-	r.say("  no agreement within %v: %s", r.Settle, why)
-	return nil
+	r.say("  no agreement within %v: %s", r.Settle, e.Disagree)
 }
--- a/internal/scale/events.go
+++ b/internal/scale/events.go
@@ -126,7 +126,7 @@
 			s.Changes, s.AckP50Ms, s.AckMaxMs, s.P50Ms, s.P99Ms, s.MaxMs, s.Missing, s.Refused)
 	}
 	if e.AgreeS != nil {
-		r.say("  all agree after %.1f s; %.1f cores", *e.AgreeS, e.Machine)
+		r.say("  all agree after %.1f s (on updates after %.1f); %.1f cores", *e.AgreeS, *e.UpdatesS, e.Machine)
 	}
 }
 
@@ -138,7 +138,7 @@
 	if err := r.startNodes(r.hollowMachines()); err != nil {
 		return err
 	}
-	e.AgreeS = r.untilAgreed(ctx, began)
+	r.untilAgreed(ctx, e, began)
 	return nil
 }
 
@@ -319,7 +319,7 @@
 	if err := r.startNodes(one); err != nil {
 		return err
 	}
-	e.AgreeS = r.untilAgreed(ctx, began)
+	r.untilAgreed(ctx, e, began)
 	return nil
 }
 
@@ -343,7 +343,7 @@
 		}
 		pause(ctx, rollPause)
 	}
-	e.AgreeS = r.untilAgreed(ctx, began)
+	r.untilAgreed(ctx, e, began)
 	return nil
 }
 
@@ -352,7 +352,7 @@
 	if err := r.stopNodes(r.some(2, tenth), false); err != nil {
 		return err
 	}
-	e.AgreeS = r.untilAgreed(ctx, began)
+	r.untilAgreed(ctx, e, began)
 	return nil
 }
 
@@ -368,7 +368,7 @@
 	if err := r.startNodes(list); err != nil {
 		return err
 	}
-	e.AgreeS = r.untilAgreed(ctx, began)
+	r.untilAgreed(ctx, e, began)
 	return nil
 }
 
@@ -394,7 +394,7 @@
 	if err := r.setCut(-1); err != nil {
 		return err
 	}
-	e.AgreeS = r.untilAgreed(ctx, healed)
+	r.untilAgreed(ctx, e, healed)
 	return nil
 }
 
@@ -414,6 +414,6 @@
 	if err := r.startNodes(r.hollowMachines()); err != nil {
 		return err
 	}
-	e.AgreeS = r.untilAgreed(ctx, began)
+	r.untilAgreed(ctx, e, began)
 	return nil
 }
--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -116,12 +116,13 @@
 
 // Times of an event.
 const (
-	agreeMeasure = "all agree, s"
-	ackMeasure   = "acknowledged p50, ms"
-	p50Measure   = "known p50, ms"
-	p99Measure   = "known p99, ms"
-	maxMeasure   = "known by the last, ms"
-	allNodes     = "all"
+	agreeMeasure   = "all agree, s"
+	updatesMeasure = "all have the updates, s"
+	ackMeasure     = "acknowledged p50, ms"
+	p50Measure     = "known p50, ms"
+	p99Measure     = "known p99, ms"
+	maxMeasure     = "known by the last, ms"
+	allNodes       = "all"
 )
 
 // SeriesOf sorts the figures of reports by event, role and measure. Reports of one size stand beside each other.
@@ -161,6 +162,9 @@
 			if e.AgreeS != nil {
 				add(e.Name, allNodes, agreeMeasure, r.Nodes, *e.AgreeS, 0)
 			}
+			if e.UpdatesS != nil {
+				add(e.Name, allNodes, updatesMeasure, r.Nodes, *e.UpdatesS, 0)
+			}
 			if s := e.Spread; s != nil && s.Changes > 0 {
 				add(e.Name, allNodes, ackMeasure, r.Nodes, s.AckP50Ms, 0)
 				add(e.Name, allNodes, p50Measure, r.Nodes, s.P50Ms, 0)
--- a/internal/scale/hops.go
+++ b/internal/scale/hops.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -201,8 +200,9 @@
 		}
 		c.servers = append(c.servers, s)
 	}
-	if c.untilAgreed(ctx, time.Now()) == nil {
-		return errors.New("the nodes do not agree")
+	var start EventReport
+	if c.untilAgreed(ctx, &start, time.Now()); start.AgreeS == nil {
+		return fmt.Errorf("the nodes do not agree: %s", start.Disagree)
 	}
 	return nil
 }
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -32,17 +32,20 @@
 
 // EventReport is one event. Uses are those of its whole length.
 type EventReport struct {
-	Name    string         `json:"name"`
-	About   string         `json:"about,omitempty"`
-	NotRun  string         `json:"not_run,omitempty"` // why
-	Seconds float64        `json:"seconds"`
-	Nodes   int            `json:"nodes"`             // that ran at its end
-	Machine float64        `json:"machine_cores"`     // that all processes of the run kept busy
-	Load    float64        `json:"load_average"`      // of the whole machine, over a minute: what else ran
-	AgreeS  *float64       `json:"agree_s,omitempty"` // from the event on until all agree; absent: not within the event's time
-	Spread  *Spread        `json:"spread,omitempty"`
-	Roles   map[string]Use `json:"roles,omitempty"`
-	Calls   []Call         `json:"calls,omitempty"`
+	Name    string   `json:"name"`
+	About   string   `json:"about,omitempty"`
+	NotRun  string   `json:"not_run,omitempty"` // why
+	Seconds float64  `json:"seconds"`
+	Nodes   int      `json:"nodes"`             // that ran at its end
+	Machine float64  `json:"machine_cores"`     // that all processes of the run kept busy
+	Load    float64  `json:"load_average"`      // of the whole machine, over a minute: what else ran
+	AgreeS  *float64 `json:"agree_s,omitempty"` // from the event on until all agree; absent: not within the event's time
+	// The same until all have the latest update and all servers are listed; part of agreeing.
+	UpdatesS *float64       `json:"updates_s,omitempty"`
+	Disagree string         `json:"disagree,omitempty"` // why not all agreed
+	Spread   *Spread        `json:"spread,omitempty"`
+	Roles    map[string]Use `json:"roles,omitempty"`
+	Calls    []Call         `json:"calls,omitempty"`
 }
 
 // Spread is the time from an operator's call to the nodes.
