--- a/cmd/meshlab/scale.go
+++ b/cmd/meshlab/scale.go
@@ -89,6 +89,7 @@
 	Role    []string `placeholder:"NAME" help:"Only these roles: leader, follower, real, hollow, all."`
 	Measure []string `placeholder:"TEXT" help:"Only measures whose names hold one of these."`
 	Budget  bool     `help:"Only measures that have a budget."`
+	Methods bool     `help:"Also the parts of single methods."`
 	Nodes   int      `default:"28000" help:"Carry the fits on to so many nodes."`
 }
 
@@ -114,7 +115,7 @@
 	all = slices.DeleteFunc(all, func(s *scale.Series) bool {
 		return len(c.Event) > 0 && !slices.Contains(c.Event, s.Event) || len(c.Role) > 0 && !slices.Contains(c.Role, s.Role) ||
 			len(c.Measure) > 0 && !slices.ContainsFunc(c.Measure, func(text string) bool { return strings.Contains(s.Measure, text) }) ||
-			c.Budget && s.Budget == 0
+			c.Budget && s.Budget == 0 || s.Method && !c.Methods || slices.Max(s.Values) == 0
 	})
 	scale.WriteTable(os.Stdout, all, target)
 	return nil
--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -81,6 +81,7 @@
 	Event, Role, Measure string
 	Nodes, Values        []float64
 	Budget               float64 // 0: none
+	Method               bool    // it is of one method alone
 }
 
 // power fits y = c * n^slope; ok is false where a value is not above 0.
@@ -131,7 +132,7 @@
 	slices.SortStableFunc(reports, func(a, b *Report) int { return cmp.Compare(a.Nodes, b.Nodes) })
 	index := map[[3]string]*Series{}
 	var all []*Series
-	add := func(event, role, name string, nodes int, value, budget float64) {
+	add := func(event, role, name string, nodes int, value, budget float64) *Series {
 		key := [3]string{event, role, name}
 		s := index[key]
 		if s == nil {
@@ -140,6 +141,7 @@
 			all = append(all, s)
 		}
 		s.Nodes, s.Values = append(s.Nodes, float64(nodes)), append(s.Values, value)
+		return s
 	}
 	for _, r := range reports {
 		for _, e := range r.Events {
@@ -155,8 +157,8 @@
 					add(e.Name, role, m.name, r.Nodes, m.of(u), budget)
 				}
 				for method, rate := range u.Methods {
-					add(e.Name, role, method+" bytes out/s", r.Nodes, rate.BytesOut, 0)
-					add(e.Name, role, method+" messages out/s", r.Nodes, rate.MessagesOut, 0)
+					add(e.Name, role, method+" bytes out/s", r.Nodes, rate.BytesOut, 0).Method = true
+					add(e.Name, role, method+" messages out/s", r.Nodes, rate.MessagesOut, 0).Method = true
 				}
 			}
 			if e.AgreeS != nil {
