--- a/internal/raft/retention.go
+++ b/internal/raft/retention.go
@@ -67,7 +67,7 @@
 func (c *Node) trimTail() {
 	base := c.tailBase(c.tailEntries, tailBytes)
 	for _, p := range c.progress {
-		if p.transfer != nil {
+		if c.role == leader && p.transfer != nil {
 			base = min(base, p.transfer.Index)
 		}
 	}
