--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -14,14 +14,14 @@
 
 // Errors of a request to the log. None of them says that a command was not applied, but for those that wrap errNotRun.
 var (
-	errNotRun       = errors.New("not run")
-	errEntryReplaced     = fmt.Errorf("%w: another entry took its place in the log", errNotRun)
-	errTooFewVoters = fmt.Errorf("%w: the quorum has too few voters yet", errNotRun)
-	errNoLeader     = fmt.Errorf("%w: no leader", errNotRun)
-	errLateRequest  = fmt.Errorf("%w: it waited too long for its turn", errNotRun)
-	errTooMany      = fmt.Errorf("%w: too many requests wait", errNotRun)
-	errTimeout      = errors.New("no quorum in time")
-	errLostLead     = errors.New("the lead was lost before the outcome was known")
+	errNotRun        = errors.New("not run")
+	errEntryReplaced = fmt.Errorf("%w: another entry took its place in the log", errNotRun)
+	errTooFewVoters  = fmt.Errorf("%w: the quorum has too few voters yet", errNotRun)
+	errNoLeader      = fmt.Errorf("%w: no leader", errNotRun)
+	errLateRequest   = fmt.Errorf("%w: it waited too long for its turn", errNotRun)
+	errTooMany       = fmt.Errorf("%w: too many requests wait", errNotRun)
+	errTimeout       = errors.New("no quorum in time")
+	errLostLead      = errors.New("the lead was lost before the outcome was known")
 )
 
 // notLeaderError says who leads instead.
