--- a/internal/modelcheck/directed.go
+++ b/internal/modelcheck/directed.go
@@ -33,12 +33,16 @@
 		deliver all
 		change 0 learner 3
 		lose all
+		crash 0
+		start 0
 		campaign 2
 		deliver 2 1 VOTE@3
 		deliver 2 3 VOTE@3
 		deliver 1 2 VOTED@3
 		deliver 3 2 VOTED@3
 		lose all
+		campaign 0
+		campaign 0
 	`, Bounds{Members: 4, Terms: 4, Link: 1, Changes: 1, States: 200_000}},
 
 	// A leader that all follow, for reads by it or by a later one.
