--- a/internal/raft/sim_checks_test.go
+++ b/internal/raft/sim_checks_test.go
@@ -90,6 +90,36 @@
 	}
 }
 
+// tail: behind a new snapshot a member keeps as many entries as it is to, and those that lead on from a snapshot that is
+// under way. first is what it had kept from before.
+func (c *checks) tail(now time.Duration, m *simMember, first uint64, tail int) {
+	wanted := max(first, m.applied-min(m.applied, uint64(tail)))
+	for id, p := range m.node.progress {
+		if index := m.node.Transferring(id); p.match < index {
+			wanted = max(first, min(wanted, index))
+		}
+	}
+	if m.node.First() > wanted {
+		c.breaks(now, "member %d keeps the entries behind %d at its snapshot of %d, and not those behind %d", m.number, m.node.First(), m.applied, wanted)
+	}
+}
+
+// transfer: a snapshot that is under way is sent to its end, as long as the log leads on from it and its receiver is not
+// gone.
+func (c *checks) transfer(now time.Duration, m *simMember, message *wire.Raft) {
+	if message.Kind != wire.Raft_SNAPSHOT {
+		return
+	}
+	to := message.To
+	sent := sentSnapshot{message.Snapshot.GetIndex(), message.Term, now}
+	before, p := m.transfers[to], m.node.progress[to]
+	underWay := p != nil && before.term == sent.term && p.match < before.index && now-before.at < transferGone
+	if underWay && before.index >= m.node.First() && before.index != sent.index {
+		c.breaks(now, "member %d sends a snapshot of entry %d to identity %d, while one of entry %d is under way", m.number, sent.index, to, before.index)
+	}
+	m.transfers[to] = sent
+}
+
 // applyCommand hands an entry to a state machine, and returns the verdict that its client gets.
 func applyCommand(state *catalog.Catalog, e *wire.Entry) string {
 	if e.Kind != wire.Entry_COMMAND {
--- a/internal/raft/sim_run_test.go
+++ b/internal/raft/sim_run_test.go
@@ -33,7 +33,14 @@
 	inbox       []parcel
 	reconciled  time.Duration // when its upkeep of the members last ran
 	led         bool
-	fallsAt     time.Duration // it loses its power then; 0: it does not
+	transfers   map[uint64]sentSnapshot // the last, by the receiver's identity
+	fallsAt     time.Duration           // it loses its power then; 0: it does not
+}
+
+// sentSnapshot is a snapshot that a leader has begun to send.
+type sentSnapshot struct {
+	index, term uint64
+	at          time.Duration
 }
 
 // parcel is a message under way.
@@ -132,7 +139,7 @@
 	m.restore(m.disk.Snap)
 	m.led = false
 	m.reads, m.writes = map[uint64]*operation{}, map[uint64]proposal{}
-	m.senders, m.inbox = map[uint64]int{}, nil
+	m.senders, m.transfers, m.inbox = map[uint64]int{}, map[uint64]sentSnapshot{}, nil
 }
 
 // crash takes a member's power away for some time.
@@ -198,6 +205,7 @@
 			return
 		}
 		for _, message := range o.Messages {
+			w.checks.transfer(w.now, m, message)
 			w.send(m, message)
 		}
 		for _, e := range o.Committed {
@@ -294,7 +302,9 @@
 		panic(err)
 	}
 	w.checks.snapshot(w.now, m, data)
+	first := m.node.First()
 	if s := m.node.Compact(m.applied, data); s != nil {
+		w.checks.tail(w.now, m, first, w.tail)
 		m.disk.Compact(s)
 	}
 }
