--- a/internal/data/update.go
+++ b/internal/data/update.go
@@ -21,16 +21,16 @@
 	var members uint64 // the version that was taken last
 	for ctx.Err() == nil {
 		changed := n.hub.Changed()
-		version := n.gossip.Version()
-		if version != members {
-			n.world.Members(n.gossip.Members(), func(node string) bool { return n.gossip.Gone(node) > 0 })
-		}
-		if n.hub.Index() != n.world.Index() || version != members {
-			members = version
+		if version := n.gossip.Version(); n.hub.Index() != n.world.Index() || version != members {
 			began := time.Now()
+			if version != members {
+				members = version
+				n.world.Members(n.gossip.Members(), func(node string) bool { return n.gossip.Gone(node) > 0 })
+			}
 			n.update()
-			// An update of a service with thousands of servers costs milliseconds: where such updates come one behind
-			// the other, as at a start of all machines, several share one, so that most of the time is left for requests.
+			// An update of a service with thousands of servers costs milliseconds, one of the members of a large mesh too:
+			// where such updates come one behind the other, as at a start of all machines, several share one, so that most
+			// of the time is left for requests.
 			sleep(ctx, min(updatePauses*time.Since(began), maxUpdatePause))
 		}
 		select {
