--- a/internal/catalog/judge.go
+++ b/internal/catalog/judge.go
@@ -75,7 +75,7 @@
 
 // rebuild returns the body that a delta leads to, from the one in force.
 func (c *Catalog) rebuild(put *wire.PutConfig) ([]byte, error) {
-	body, err := bytedelta.Apply(c.body, put.Delta, meshconfig.MostBytes)
+	body, err := bytedelta.Apply(c.body, put.Delta, meshconfig.MaxBytes)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrStale, err)
 	}
--- a/internal/control/operator_http.go
+++ b/internal/control/operator_http.go
@@ -24,7 +24,7 @@
 
 // replace takes a whole configuration.
 func (n *Node) replace(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, meshconfig.MostBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, meshconfig.MaxBytes))
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
--- a/internal/control/operator_http_test.go
+++ b/internal/control/operator_http_test.go
@@ -67,7 +67,7 @@
 		{"nothing yet", "GET", readPath, "", "", http.StatusNotFound, ""},
 		{"no base", "POST", replacePath, "", first, http.StatusBadRequest, "Base-Revision"},
 		{"cut short", "POST", replacePath, "0", first[:7], http.StatusBadRequest, "not readable"},
-		{"too large", "POST", replacePath, "0", strings.Repeat("x", meshconfig.MostBytes+1), http.StatusRequestEntityTooLarge, ""},
+		{"too large", "POST", replacePath, "0", strings.Repeat("x", meshconfig.MaxBytes+1), http.StatusRequestEntityTooLarge, ""},
 		{"the first", "POST", replacePath, "0", first, http.StatusOK, ""},
 		{"read back", "GET", readPath, "", "", http.StatusOK, first},
 		{"sent again", "POST", replacePath, "0", first, http.StatusOK, "already"},
--- a/internal/meshconfig/meshconfig.go
+++ b/internal/meshconfig/meshconfig.go
@@ -13,8 +13,8 @@
 
 // Bounds on what an operator may send.
 const (
-	MostBytes  = 8 << 20
-	mostRoutes = 100_000
+	MaxBytes  = 8 << 20
+	maxRoutes = 100_000
 )
 
 // Backend is a service.
@@ -58,8 +58,8 @@
 	if c.Revision == 0 {
 		fault("revision is 0 or missing")
 	}
-	if len(c.Routes) > mostRoutes || len(c.Backends) > mostRoutes {
-		fault("more than %d routes or services", mostRoutes)
+	if len(c.Routes) > maxRoutes || len(c.Backends) > maxRoutes {
+		fault("more than %d routes or services", maxRoutes)
 	}
 	known := func(service string) bool {
 		return slices.ContainsFunc(c.Backends, func(b Backend) bool { return b.Name == service })
--- a/internal/meshconfig/parse.go
+++ b/internal/meshconfig/parse.go
@@ -19,8 +19,8 @@
 // ParseNext is Parse where another configuration has been parsed before: routes with the same bytes are taken from there,
 // without being decoded and checked again. The body is not to be changed afterwards.
 func ParseNext(body []byte, base *Config) (*Config, error) {
-	if len(body) > MostBytes {
-		return nil, fmt.Errorf("configuration: %d bytes, at most %d are allowed", len(body), MostBytes)
+	if len(body) > MaxBytes {
+		return nil, fmt.Errorf("configuration: %d bytes, at most %d are allowed", len(body), MaxBytes)
 	}
 	p := parser{body: body, in: bytes.NewReader(body), base: base, config: &Config{}}
 	if base != nil {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -26,7 +26,7 @@
 	firstPause = 200 * time.Millisecond // doubled up to maxPause
 	maxPause   = 2 * time.Second
 
-	maxAnswer = meshconfig.MostBytes + 16<<20 // a configuration, and a list of servers in a backup
+	maxAnswer = meshconfig.MaxBytes + 16<<20 // a configuration, and a list of servers in a backup
 )
 
 // What may come of a change.
