Remove voters by evidence alone, and let a member that was away join again by itself

Cause: a voter was taken out after 6 s of silence (deadFor), its own log still said that it was a member, so it never asked to join again; nobody sent to it, and its pre-votes were refused without a reason. A restart did not help. After a replacement the old member stayed a voter for up to 6 s more, and for 6 s more with each election.

Change: raft.MembershipManager is one pure state machine for the control program, the lab and the simulation. A process that hears no leader for two election times, or that is told that it is no member (wire.Raft.refusal), asks the members it knows and the gossip's, some at a time. Voters go by evidence: superseded (another identity at the address), replaced (silent for a second while a learner has caught up), left by plan, removed by the operator (ivydeckctl member remove). The silent one goes out first and its successor comes in by the next change: what is half done shows in the membership, so that a new leader goes on at once. No removal leaves less to spare than before it. A voter promoted has caught up with what the log had a heartbeat ago, and counts once it holds the membership in force. A process that gets SIGTERM hands over the lead and ends once its last entry is on a majority of those that stay (member.left), or says member.left_short after half of the grace time. Acknowledgements need as many voters that a majority of them outlasts the losses to be borne (MinAckVoters), one fewer than wanted, for the moment of a replacement.

Tests changed: TestQuestionsEndWithTheProcess asks by the new functions, one more than before.

--- a/cmd/ivydeckctl/main.go
+++ b/cmd/ivydeckctl/main.go
@@ -23,6 +23,9 @@
 	} `cmd:"" help:"Configurations: .toml, .yaml, .json, or MessagePack."`
 	Status  statusCmd  `cmd:"" help:"Print what core machines say of themselves, their members and the servers."`
 	Members membersCmd `cmd:"" help:"Print the members of the core, as its leader knows them."`
+	Member  struct {
+		Remove memberRemoveCmd `cmd:"" help:"Remove a member that is gone for good and has no successor; refused where the quorum needs it."`
+	} `cmd:"" help:"A single member of the quorum."`
 	Servers serversCmd `cmd:"" help:"Print the registered servers, as the leader knows them."`
 	Top     topCmd     `cmd:"" help:"Show what the nodes are doing, again and again."`
 	Trace   traceCmd   `cmd:"" help:"Print the way of a request through the mesh, and of the calls that it made."`
--- /dev/null
+++ b/cmd/ivydeckctl/member.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"context"
+	"fmt"
+)
+
+// memberRemoveCmd removes a quorum member that is gone for good.
+type memberRemoveCmd struct {
+	coreFlags
+	Identity string `arg:"" help:"Its identity, as members prints it."`
+}
+
+func (c *memberRemoveCmd) Run(ctx context.Context) error {
+	core, err := c.core()
+	if err != nil {
+		return err
+	}
+	if err := core.RemoveMember(ctx, c.Identity); err != nil {
+		return err
+	}
+	fmt.Printf("%s is no member any longer\n", c.Identity)
+	return nil
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -34,8 +34,7 @@
 	answerWithin = 900 * time.Millisecond // operators move on after a second of silence
 	mostHeard    = 64
 	diskPause    = 200 * time.Millisecond
-	handoverWait = 400 * time.Millisecond // for another to take the lead, when this process ends
-	lastWords    = 50 * time.Millisecond  // for its vote to go out
+	lastWords    = 50 * time.Millisecond // for its vote to go out
 )
 
 // Node is a core machine.
@@ -55,6 +54,7 @@
 	// What follows belongs to the goroutine in loop.
 	store       *store.Store
 	consensus   *raft.Node
+	members     *membershipManager
 	catalog     *catalog.Catalog
 	applied     uint64
 	requests    *requestQueue
@@ -127,7 +127,8 @@
 	n.gossip.Register(server)
 	server.Handle("raft", n.raftStream, identity.Core)
 	server.Handle("snapshot", n.snapshotStream, identity.Core)
-	server.Handle("join", rpc.Unary(n.join), identity.Core)
+	server.Handle("join", rpc.Unary(n.members.join), identity.Core)
+	server.Handle("leave", rpc.Unary(n.members.leave), identity.Core)
 	server.Handle("propose", rpc.Unary(n.propose))
 	server.Handle("latest", rpc.Unary(n.latest))
 	server.Handle("subscribe", n.hub.Serve)
@@ -145,7 +146,7 @@
 	}
 	n.workers.Go(func() { web.Serve(public) })
 	n.workers.Go(func() { n.gossip.Run(ctx) })
-	n.workers.Go(func() { n.joinLoop(ctx) })
+	n.members.run(ctx)
 	n.workers.Go(func() {
 		for s := reload(); s != nil; s = reload() { // it returns nothing once the program ends
 			n.set.Store(s)
@@ -185,8 +186,9 @@
 		}
 	}
 	n.consensus = raft.New(st.ID, st.Hard, st.Snapshot, slices.Concat(st.Tail, st.Entries), seed, 0)
+	n.members = newMembershipManager(n)
 	st.Tail, st.Entries = nil, nil
-	n.requests = newRequestQueue(n.consensus, n.fewest, 0)
+	n.requests = newRequestQueue(n.consensus, n.minAckVoters, 0)
 	n.operatorAPI = operatorAPI{requests: n.requests, state: func() backup.Backup {
 		return backup.Backup{Term: n.consensus.Term(), Index: n.applied, State: n.catalog}
 	}}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"testing"
 	"time"
+
+	"ivydeck/internal/wire"
 )
 
 // TestQuestionsEndWithTheProcess: whoever has asked the loop something is let go when the loop ends without having read
@@ -11,13 +13,15 @@
 func TestQuestionsEndWithTheProcess(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{events: make(chan func(), 64), ctx: ctx} // nobody reads the events
+	n.members = &membershipManager{node: n, asks: make(chan string)}
 	for name, ask := range map[string]func(){
-		"joining": func() { n.joinLoop(ctx) },
+		"leaving": func() { n.members.awaitLeft(ctx) },
 		"leader":  func() { n.ask(ctx) },
 		"status":  func() { n.state(ctx) },
 		"change":  func() { n.change(ctx, nil) },
 		"read":    func() { n.read(ctx, func() {}) },
-		"join":    func() { n.join(ctx, nil) },
+		"join":    func() { n.members.join(ctx, &wire.JoinCore{Peer: &wire.Peer{Id: 1, Address: "a"}}) },
+		"asking":  func() { n.members.run(ctx); n.workers.Wait() },
 	} {
 		done := make(chan struct{})
 		go func() { defer close(done); ask() }()
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -33,21 +33,26 @@
 	return false
 }
 
-// loop owns the consensus: events in, disk, messages, state. Once stop is closed it returns as soon as this machine
-// does not lead.
+// loop owns the consensus: events in, disk, messages, state. Once stop is closed it returns as soon as
+// another leads and the voters that stay hold what this log holds, or after a part of the grace time.
 func (n *Node) loop(stop <-chan struct{}) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	var leave <-chan time.Time // set while it hands the lead over
+	var left <-chan struct{}     // closed once this process may end by plan
+	var overdue <-chan time.Time // it ends anyway
 	for {
 		select {
 		case <-stop:
-			if !n.consensus.HandOver(n.now()) {
-				return
-			}
-			stop, leave = nil, time.After(handoverWait)
-			n.log.Info("core.hands", "term", n.consensus.Term())
-		case <-leave:
+			stop = nil
+			left, overdue = n.members.beginLeave(), time.After(n.set.Load().Bounds.Grace/leavePart)
+			n.log.Info("member.leaves", "term", n.consensus.Term(), "leads", n.consensus.Leads())
+		case <-left:
+			n.log.Info("member.left", "term", n.consensus.Term())
+			n.pause(lastWords)
+			return
+		case <-overdue:
+			index, _ := n.consensus.LastEntry()
+			n.log.Warn("member.left_short", "index", index, "commit", n.consensus.Commit(), "leads", n.consensus.Leads())
 			return
 		case f := <-n.events:
 			n.consensus.Tick(n.now()) // after a pause of the process the lead, or the word of it, may be out of date
@@ -68,11 +73,8 @@
 			n.managed = now
 			n.manage()
 		}
+		n.members.tick()
 		n.flush()
-		if leave != nil && !n.consensus.Leads() {
-			n.pause(lastWords)
-			return
-		}
 		now := n.now()
 		n.contactAt.Store(int64(now - n.consensus.QuorumContactAge(now)))
 		wait := min(n.consensus.Next()-n.now(), manageEvery)
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
-	"ivydeck/internal/raft"
 	"ivydeck/internal/wire"
 )
 
@@ -47,87 +43,8 @@
 	}
 }
 
-// joinLoop asks to be a member until it is one.
-func (n *Node) joinLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		member := make(chan bool, 1)
-		if !n.do(func() {
-			member <- slices.ContainsFunc(n.consensus.Peers(), func(p *wire.Peer) bool {
-				return p.Id == n.store.ID && p.Address == n.set.Load().Internal()
-			})
-		}) {
-			return
-		}
-		var joined bool
-		select {
-		case joined = <-member:
-		case <-ctx.Done(): // the loop may have ended with the question unread
-			return
-		}
-		if joined {
-			n.pause(time.Second)
-			continue
-		}
-		n.askToJoin(ctx)
-		n.pause(250 * time.Millisecond)
-	}
-}
-
-func (n *Node) askToJoin(ctx context.Context) {
-	asked := map[string]bool{n.set.Load().Internal(): true}
-	ask := n.set.Load().SeedNodes()
-	for _, m := range n.gossip.Members() {
-		if m.Core {
-			ask = append(ask, m.Address)
-		}
-	}
-	for i := 0; i < len(ask) && i < 16; i++ {
-		if asked[ask[i]] {
-			continue
-		}
-		asked[ask[i]] = true
-		call, cancel := context.WithTimeout(ctx, 600*time.Millisecond)
-		answer := new(wire.JoinedCore)
-		err := n.pool.Call(call, ask[i], "join", &wire.JoinCore{Peer: n.self(false)}, answer)
-		cancel()
-		if err == nil && answer.Member {
-			return
-		}
-		if err == nil && answer.Leader != "" && !asked[answer.Leader] {
-			ask = slices.Insert(ask, i+1, answer.Leader)
-		}
-	}
-}
-
-// join takes a machine in as a learner: it has no vote before it has the log.
-func (n *Node) join(ctx context.Context, j *wire.JoinCore) (*wire.JoinedCore, error) {
-	p := j.GetPeer()
-	if p.GetId() == 0 || p.GetAddress() == "" {
-		return nil, errors.New("no identity or address")
-	}
-	c := make(chan *wire.JoinedCore, 1)
-	n.do(func() {
-		if !n.consensus.Leads() {
-			c <- &wire.JoinedCore{Leader: n.leader().GetAddress()}
-			return
-		}
-		move, member := n.consensus.Joining(p)
-		if member {
-			c <- &wire.JoinedCore{Member: true}
-			return
-		}
-		n.move(move)
-		c <- &wire.JoinedCore{}
-	})
-	select {
-	case r := <-c:
-		return r, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-// manage is the leader's upkeep: who is a member, and which servers are gone.
+// manage is the leader's upkeep: whether another should lead, and which servers are gone. The members are the
+// membershipManager's.
 func (n *Node) manage() {
 	if !n.consensus.Leads() {
 		if n.wasLead {
@@ -144,20 +61,9 @@
 		n.log.Warn("core.hands", "term", n.consensus.Term(), "why", "the disk is far slower than another's")
 		return
 	}
-	n.move(n.consensus.Reconcile(n.fewest()))
 	n.manageServers()
 }
 
-// move proposes a change of the members; another one under way comes first.
-func (n *Node) move(m raft.Move) {
-	if m.Next == nil {
-		return
-	}
-	if err := n.consensus.Change(n.now(), m.Next); err == nil {
-		n.log.Info(m.Event, "address", m.Peer.Address, "identity", fmt.Sprintf("%016x", m.Peer.Id))
-	}
-}
-
 // manageServers takes servers off the list whose machines are gone.
 func (n *Node) manageServers() {
 	gone := n.catalog.On(func(node string) bool { return n.gossip.Lost(node, n.now()-n.ledSince) })
--- a/internal/control/node_api.go
+++ b/internal/control/node_api.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"ivydeck/internal/raft"
 	"ivydeck/internal/wire"
 )
 
@@ -56,11 +57,17 @@
 	}
 }
 
-// fewest is the number of voters below which nothing is acknowledged: with
-// fewer, the losses that are to be borne could take a change away.
-func (n *Node) fewest() int {
+// wantedVoters is the number of voters that the losses to be borne ask for.
+func (n *Node) wantedVoters() int {
 	set := n.set.Load()
-	return min(2*set.Tolerated+1, len(set.Seeds))
+	return raft.WantedVoters(set.Tolerated, len(set.Seeds))
+}
+
+// minAckVoters is the number of voters below which nothing is acknowledged: with fewer, the losses that are to be borne
+// could take a change away.
+func (n *Node) minAckVoters() int {
+	set := n.set.Load()
+	return raft.MinAckVoters(set.Tolerated, len(set.Seeds))
 }
 
 // propose takes a data node's change of the list of servers.
--- a/internal/control/web.go
+++ b/internal/control/web.go
@@ -19,6 +19,7 @@
 	mux.HandleFunc("GET "+readPath, n.readConfig)
 	mux.HandleFunc("GET "+backupPath, n.operators(n.backup))
 	mux.HandleFunc("GET /status", n.status)
+	mux.HandleFunc("POST /member/remove/{identity}", n.operators(n.removeMember))
 	mux.HandleFunc("GET /trace/{attempt}", n.operators(n.trace))
 	mux.HandleFunc("GET /look", n.look)
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/lab/core.go
+++ b/internal/lab/core.go
@@ -17,6 +17,8 @@
 const (
 	answerWithin = 900 * time.Millisecond
 	manageEvery  = 250 * time.Millisecond
+
+	joinCallTimeout = 600 * time.Millisecond
 )
 
 // core is a core machine: the consensus on its disk, and the root of the relays.
@@ -28,6 +30,7 @@
 	stall time.Duration // until then the disk takes nothing
 
 	raft     *raft.Node
+	members  *raft.MembershipManager
 	catalog  *catalog.Catalog
 	applied  uint64
 	changes  map[uint64]*change
@@ -69,6 +72,7 @@
 		s.must(c.catalog.Restore(c.disk.Snap.Data))
 	}
 	c.raft = raft.New(c.disk.ID, c.disk.Hard, c.disk.Snap, append([]*wire.Entry(nil), c.disk.Entries...), s.rng.Uint64(), s.now)
+	c.members = raft.NewMembershipManager(c.raft)
 	c.applied = c.disk.Snap.GetIndex()
 	c.changes, c.reads, c.inbox, c.busy, c.leads = map[uint64]*change{}, map[uint64]func(bool){}, nil, false, false
 	c.contactAt = s.now - raft.MaxContactAge
@@ -76,7 +80,6 @@
 	c.hub.Apply(c.catalog.Whole())
 	c.peerView.start(s, &c.machine)
 	c.loop(c.life)
-	c.askToJoin(c.life)
 }
 
 func (c *core) peer(voter bool) *wire.Peer {
@@ -131,6 +134,7 @@
 		c.managed = now
 		c.manage()
 	}
+	c.manageMembers()
 	c.flush()
 }
 
@@ -235,9 +239,6 @@
 	if c.raft.Ill() && c.raft.HandOver(c.s.now) {
 		return
 	}
-	if m := c.raft.Reconcile(c.s.fewest()); m.Next != nil {
-		c.raft.Change(c.s.now, m.Next)
-	}
 	gone := c.catalog.On(func(node string) bool { return c.group.Lost(c.s.now, node, c.s.now-c.ledSince) })
 	if len(gone) > 0 && len(c.changes) == 0 {
 		c.propose(&wire.Command{What: &wire.Command_Remove{Remove: &wire.RemoveServers{Members: gone}}}, func(error) {})
@@ -248,7 +249,7 @@
 func (c *core) propose(cmd *wire.Command, result func(error)) {
 	data, err := proto.Marshal(cmd)
 	c.s.must(err)
-	if c.raft.Leads() && raft.Voters(c.raft.Peers()) < c.s.fewest() {
+	if c.raft.Leads() && raft.Voters(c.raft.Peers()) < raft.MinAckVoters(tolerated, len(c.s.cores)) {
 		result(errYoung)
 		return
 	}
@@ -276,32 +277,52 @@
 	return nil
 }
 
-// askToJoin asks the others for membership until they have it.
-func (c *core) askToJoin(life uint64) {
-	if !c.up || c.life != life {
-		return
+// manageMembers is the driver of raft.MembershipManager.
+func (c *core) manageMembers() {
+	actions := c.members.Tick(c.s.now, c.peer(false), raft.WantedVoters(tolerated, len(c.s.cores)), c.knownMembers)
+	if actions.Change.Next != nil {
+		c.raft.Change(c.s.now, actions.Change.Next)
 	}
-	c.s.after(250*time.Millisecond, func() { c.askToJoin(life) })
-	for _, p := range c.raft.Peers() {
-		if p.Id == c.disk.ID {
-			return
-		}
+	for _, address := range actions.Ask {
+		c.askToJoin(address)
 	}
-	me := c.peer(false)
-	for _, other := range c.s.cores {
-		if other != c {
-			c.s.call(&c.machine, &other.machine, proto.Size(me), 600*time.Millisecond, func(answer func(int, func())) {
-				other.do(func() {
-					if !other.raft.Leads() {
-						return
-					}
-					if m, member := other.raft.Joining(me); !member {
-						other.raft.Change(c.s.now, m.Next)
-					}
-				})
-			}, func(bool) {})
+}
+
+// knownMembers are the seeds, and the addresses that the gossip knows.
+func (c *core) knownMembers() []string {
+	known := slices.Clone(c.s.seeds)
+	for _, member := range c.group.Members() {
+		if member.Core {
+			known = append(known, member.Address)
 		}
 	}
+	return known
+}
+
+// askToJoin asks a process for membership.
+func (c *core) askToJoin(address string) {
+	place := slices.IndexFunc(c.s.cores, func(o *core) bool { return o.name == address })
+	if place < 0 {
+		return
+	}
+	other, life := c.s.cores[place], c.life
+	self := c.peer(false)
+	c.s.call(&c.machine, &other.machine, proto.Size(self), joinCallTimeout, func(answer func(int, func())) {
+		other.do(func() {
+			change, joined := other.members.Join(c.s.now, self)
+			if change.Next != nil {
+				other.raft.Change(c.s.now, change.Next)
+			}
+			answer(proto.Size(joined), func() {
+				if !c.up || c.life != life {
+					return
+				}
+				if leader := c.members.Answered(joined); leader != "" {
+					c.askToJoin(leader)
+				}
+			})
+		})
+	}, func(bool) {})
 }
 
 // peerView is what every machine has: a view of the others, and a place in the tree.
--- a/internal/lab/sim.go
+++ b/internal/lab/sim.go
@@ -150,8 +150,8 @@
 	}
 }
 
-// fewest is the number of voters without which nothing is acknowledged.
-func (s *sim) fewest() int { return min(3, len(s.cores)) }
+// tolerated is the number of quorum members that may be lost at one time.
+const tolerated = 1
 
 func (s *sim) coreByID(id uint64) *core {
 	for _, c := range s.cores {
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -138,6 +138,8 @@
 	// Nobody leads a later term before a majority has voted in this one, after the campaign's begin.
 	c.quorumContactAt, c.leaderSince = c.campaignAt, c.now
 	clear(c.roundStartedAt)
+	clear(c.departing)
+	c.catchUp = catchUp{}
 	// Only an entry of the own term may be committed by count.
 	c.append(&wire.Entry{Term: c.hard.Term, Index: c.last() + 1, Kind: wire.Entry_BLANK})
 	c.trackPeers()
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -39,9 +39,12 @@
 
 // What may come of a proposal or a read.
 var (
-	ErrNotLeader = errors.New("raft: not the leader")
-	ErrBusy      = errors.New("raft: too much under way")
-	ErrChange    = errors.New("raft: another change of members is under way")
+	ErrNotLeader  = errors.New("raft: not the leader")
+	ErrBusy       = errors.New("raft: too much under way")
+	ErrChange     = errors.New("raft: another change of members is under way")
+	ErrNotMember  = errors.New("raft: no such member")
+	ErrMemberRuns = errors.New("raft: the member answers: end its process first, it would join again")
+	ErrNeeded     = errors.New("raft: fewer voters than wanted would be left, or they could bear less than now")
 )
 
 type role int
@@ -109,9 +112,12 @@
 	quorumContactAt  time.Duration            // begin of the newest round, or of the campaign, that a majority answered
 	leaderSince      time.Duration            // when it was elected
 	reads            []pendingRead
-	syncTime         time.Duration // that a synced write takes here, averaged; 0: not known
-	transferTarget   uint64        // the member that is asked to lead; 0: none
-	transferDeadline time.Duration // until then it is waited for
+	syncTime         time.Duration            // that a synced write takes here, averaged; 0: not known
+	transferTarget   uint64                   // the member that is asked to lead; 0: none
+	transferDeadline time.Duration            // until then it is waited for
+	catchUp          catchUp                  // of learners
+	departing        map[uint64]time.Duration // when members that are about to end have last said so
+	expelled         bool                     // another process has said that this one is no member, and no leader has been heard since
 
 	out Output
 }
@@ -126,7 +132,7 @@
 	c := &Node{
 		id: id, rng: rand.New(rand.NewPCG(seed, id)), now: now, snap: snap, tailEntries: tailEntries,
 		commit: snap.Index, applied: snap.Index, progress: map[uint64]*progress{},
-		memberships: []membership{{snap.Index, snap.GetPeers().GetPeers()}}, roundStartedAt: map[uint64]time.Duration{},
+		memberships: []membership{{snap.Index, snap.GetPeers().GetPeers()}}, roundStartedAt: map[uint64]time.Duration{}, departing: map[uint64]time.Duration{},
 		leaderContactAt: -electionMax, contactAt: now - MaxContactAge, process: seed, startedAt: now, batch: maxEntries,
 	}
 	if hard != nil {
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -13,6 +13,7 @@
 	match, next uint64
 	round       uint64 // newest round that it has answered
 	lastContact time.Duration
+	readySince  time.Duration // of a learner that has caught up; 0: it has not
 	syncTime    time.Duration // that a synced write takes there; 0: not known
 	stamp       *wire.Stamp   // the newest of its clock
 	stampAt     time.Duration // when that was received
--- a/internal/raft/state.go
+++ b/internal/raft/state.go
@@ -23,6 +23,7 @@
 		process: c.process, contactAt: c.contactAt, campaignAt: c.campaignAt,
 		votes: maps.Clone(c.votes), progress: make(map[uint64]*progress, len(c.progress)), heartbeatAt: c.heartbeatAt, round: c.round,
 		roundStartedAt: maps.Clone(c.roundStartedAt), quorumContactAt: c.quorumContactAt, leaderSince: c.leaderSince, reads: slices.Clone(c.reads), syncTime: c.syncTime, transferTarget: c.transferTarget, transferDeadline: c.transferDeadline,
+		catchUp: c.catchUp, departing: maps.Clone(c.departing), expelled: c.expelled,
 	}
 	d.hard.Term, d.hard.Vote = c.hard.Term, c.hard.Vote
 	d.saved.Term, d.saved.Vote = c.saved.Term, c.saved.Vote
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -12,6 +12,9 @@
 	if m.To != c.id { // for the one that had this address before
 		return
 	}
+	if m.Refusal == wire.Raft_NOT_MEMBER {
+		c.expelled = true // MembershipManager asks
+	}
 	if m.Kind == wire.Raft_VOTE {
 		c.vote(m)
 		return
@@ -32,7 +35,7 @@
 	}
 	if m.Term < c.hard.Term {
 		if m.Kind == wire.Raft_APPEND || m.Kind == wire.Raft_SNAPSHOT {
-			c.send(&wire.Raft{Kind: wire.Raft_APPENDED, To: m.From, Reject: true}) // tells it the term
+			c.send(&wire.Raft{Kind: wire.Raft_APPENDED, To: m.From, Reject: true, Refusal: c.staleRefusal(m.From)}) // tells it the term
 		}
 		return
 	}
@@ -81,6 +84,9 @@
 			c.resetTimer()
 		}
 	}
+	if reply.Reject {
+		reply.Refusal = c.refusal(m, heard, current)
+	}
 	c.send(reply)
 }
 
@@ -89,7 +95,7 @@
 	if c.role != follower {
 		c.becomeFollower(c.hard.Term, lead)
 	}
-	c.leaderID, c.leaderContactAt = lead, c.now
+	c.leaderID, c.leaderContactAt, c.expelled = lead, c.now, false
 	c.resetTimer() // after the lead is known: see there
 }
 
