--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -203,7 +203,7 @@
 // gone.
 func superseded(p *wire.Peer, peers []*wire.Peer) bool {
 	later := peers[peerIndex(peers, p.Id)+1:]
-	return slices.ContainsFunc(later, func(q *wire.Peer) bool { return q.Address == p.Address })
+	return p.Address != "" && slices.ContainsFunc(later, func(q *wire.Peer) bool { return q.Address == p.Address })
 }
 
 // nextPromotion makes a learner that has caught up a voter. Where enough voters are there and one of them is neither in
--- /dev/null
+++ b/internal/raft/membership_test.go
@@ -0,0 +1,215 @@
+package raft
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"ivydeck/internal/wire"
+)
+
+// answering brings the answers of members of a leader of term 4 up to its last entry, at a time.
+func answering(c *Node, now time.Duration, ids ...uint64) {
+	for _, id := range ids {
+		c.Step(now, &wire.Raft{Kind: wire.Raft_APPENDED, From: id, To: c.ID(), Term: c.Term(), Index: c.last(), Round: c.round})
+		settle(c)
+	}
+}
+
+// leadingOf returns a leader of n voters, of whom those named are in contact at its time.
+func leadingOf(t *testing.T, n int, inContact ...uint64) *Node {
+	t.Helper()
+	c := New(1, &wire.HardState{Term: 3}, &wire.RaftSnapshot{Term: 1, Index: 1, Peers: voters(n)}, nil, 1, 0)
+	c.Tick(lateNow)
+	settle(c)
+	for _, pre := range []bool{true, false} {
+		for id := 2; id <= n; id++ {
+			c.Step(lateNow, &wire.Raft{Kind: wire.Raft_VOTED, From: uint64(id), To: 1, Term: 4, Pre: pre})
+			settle(c)
+		}
+	}
+	for now := lateNow; now < lateNow+3*silentAfter; now += Heartbeat {
+		c.Tick(now)
+		settle(c)
+		answering(c, now, inContact...)
+	}
+	if !c.Leads() {
+		t.Fatal("it does not lead")
+	}
+	return c
+}
+
+// TestRemovalsAreRefused: nobody can take out a member that runs, or one without which fewer voters than wanted are
+// left or the rest bears less.
+func TestRemovalsAreRefused(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		voters    int
+		inContact []uint64
+		wanted    int
+		id        uint64
+		want      error
+	}{
+		{"the one that is too many", 4, []uint64{2, 3}, 3, 4, nil},
+		{"one of the wanted", 3, []uint64{2}, 3, 3, ErrNeeded},
+		{"one that runs", 4, []uint64{2, 3, 4}, 3, 4, ErrMemberRuns},
+		{"the leader", 4, []uint64{2, 3, 4}, 3, 1, ErrMemberRuns},
+		{"nobody", 4, []uint64{2, 3}, 3, 9, ErrNotMember},
+		{"one of two that are silent", 5, []uint64{2, 3}, 3, 5, nil},
+		{"one that more than half do without", 5, []uint64{2, 3}, 5, 5, ErrNeeded},
+	} {
+		node := leadingOf(t, c.voters, c.inContact...)
+		change, err := node.Removal(node.now, c.id, c.wanted)
+		if !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, err, c.want)
+		}
+		if err == nil && Voters(change.Next) != c.voters-1 {
+			t.Errorf("%s: %d voters are left", c.name, Voters(change.Next))
+		}
+	}
+}
+
+// TestNoRemovalLeavesLessToSpare: a voter that does its part goes only where the rest has as much to spare.
+func TestNoRemovalLeavesLessToSpare(t *testing.T) {
+	for _, c := range []struct {
+		voters    int
+		inContact []uint64
+		removed   uint64
+		successor bool
+		want      bool
+	}{
+		{4, []uint64{2, 3, 4}, 4, false, true}, // three bear one loss as four do
+		{5, []uint64{2, 3, 4, 5}, 5, false, false},
+		{5, []uint64{2, 3, 4}, 5, false, true},
+		{3, []uint64{2}, 3, true, true},
+		{3, []uint64{2}, 3, false, false},
+		{3, []uint64{2, 3}, 3, true, false},
+		{5, []uint64{2, 3}, 3, false, false},
+	} {
+		node := leadingOf(t, c.voters, c.inContact...)
+		next := without(node.Peers(), peerIndex(node.Peers(), c.removed))
+		if got := node.permits(next, 3, c.successor); got != c.want {
+			t.Errorf("%+v: permitted: %v", c, got)
+		}
+	}
+	// One that is about to end has no less to spare without it, but is needed until another is back.
+	node := leadingOf(t, 5, 2, 3)
+	node.departing[3] = node.now
+	if node.permits(without(node.Peers(), peerIndex(node.Peers(), 3)), 3, false) {
+		t.Error("a departing voter goes without whom the rest is no majority")
+	}
+}
+
+// TestDeparture: a member may end once the others hold its last entry, and is out first where more voters than wanted
+// are there.
+func TestDeparture(t *testing.T) {
+	ask := func(c *Node, index, term uint64, wanted int) Departure {
+		d, ok := c.Depart(c.now, 3, index, term, wanted)
+		if !ok {
+			t.Fatal("no answer")
+		}
+		return d
+	}
+	t.Run("its entry is on itself and the leader alone", func(t *testing.T) {
+		c := leadingOf(t, 3, 2, 3)
+		if _, _, err := c.Propose(c.now, []byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		settle(c)
+		answering(c, c.now, 3)
+		if c.Commit() != c.last() || ask(c, c.last(), 4, 3).Held {
+			t.Error("the majority that commits is taken for one of those that stay")
+		}
+		answering(c, c.now, 2)
+		if d := ask(c, c.last(), 4, 3); !d.Done() || !d.Stays {
+			t.Errorf("with all of them: %+v", d)
+		}
+	})
+	t.Run("an entry in the snapshot that another voter lacks", func(t *testing.T) {
+		c := leadingOf(t, 3, 2, 3)
+		if _, _, err := c.Propose(c.now, []byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		settle(c)
+		answering(c, c.now, 3)
+		settle(c)
+		if s := c.Compact(c.Commit(), nil); s == nil || ask(c, c.last(), 4, 3).Held {
+			t.Errorf("snapshot %v: what is committed is taken for held by the others", s)
+		}
+	})
+	t.Run("an entry of another term", func(t *testing.T) {
+		c := leadingOf(t, 3, 2, 3)
+		if ask(c, c.last(), 3, 3).Held || ask(c, c.last()+1, 4, 3).Held {
+			t.Error("an entry that the leader lacks is held")
+		}
+	})
+	t.Run("more voters than wanted", func(t *testing.T) {
+		c := leadingOf(t, 4, 2, 3, 4)
+		own := c.last()
+		if d := ask(c, own, 4, 3); !d.Held || d.Done() {
+			t.Errorf("before it is out: %+v", d)
+		}
+		change := c.Reconcile(3)
+		if change.Reason != ReasonLeft || change.Peer.GetId() != 3 {
+			t.Fatalf("next is %v", change)
+		}
+		if err := c.Change(c.now, change.Next); err != nil {
+			t.Fatal(err)
+		}
+		settle(c)
+		if d := ask(c, own, 4, 3); !d.Held || d.Done() {
+			t.Errorf("before the change is committed: %+v", d)
+		}
+		answering(c, c.now, 2, 4)
+		if d := ask(c, own, 4, 3); !d.Done() {
+			t.Errorf("afterwards: %+v", d)
+		}
+	})
+	t.Run("while the removal of another is under way", func(t *testing.T) {
+		c := leadingOf(t, 4, 2, 3)
+		own := c.last()
+		change, err := c.Removal(c.now, 4, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Change(c.now, change.Next); err != nil {
+			t.Fatal(err)
+		}
+		settle(c)
+		if d := ask(c, own, 4, 3); !d.Held || d.Done() {
+			t.Errorf("before it is committed: %+v", d)
+		}
+		answering(c, c.now, 2, 3)
+		if d := ask(c, own, 4, 3); !d.Stays || !d.Done() {
+			t.Errorf("afterwards: %+v", d)
+		}
+	})
+}
+
+// TestRefusalsSayWhy: who is refused a vote is told why, so that one that was taken out can join again.
+func TestRefusalsSayWhy(t *testing.T) {
+	c := leadingOf(t, 3, 2, 3)
+	for _, r := range []struct {
+		from, term uint64
+		want       wire.Raft_Refusal
+	}{{9, 9, wire.Raft_NOT_MEMBER}, {2, 3, wire.Raft_STALE_TERM}, {2, 9, wire.Raft_LEADER_ALIVE}} {
+		c.Step(c.now, &wire.Raft{Kind: wire.Raft_VOTE, From: r.from, To: 1, Term: r.term, Pre: true})
+		for _, m := range settle(c).Messages {
+			if m.Kind == wire.Raft_VOTED && (m.Refusal != r.want || !m.Reject) {
+				t.Errorf("%d in term %d: %v, want %v", r.from, r.term, m.Refusal, r.want)
+			}
+		}
+	}
+	asker := New(9, nil, &wire.RaftSnapshot{Term: 1, Index: 1, Peers: &wire.Peers{Peers: []*wire.Peer{{Id: 9, Address: "nine", Voter: true}, {Id: 2, Address: "two", Voter: true}}}}, nil, 1, 0)
+	manager := NewMembershipManager(asker)
+	self := &wire.Peer{Id: 9, Address: "nine"}
+	nobody := func() []string { return nil }
+	if a := manager.Tick(0, self, 3, nobody); len(a.Ask) != 0 {
+		t.Errorf("it asks %v before it knows of anything", a.Ask)
+	}
+	asker.Step(0, &wire.Raft{Kind: wire.Raft_VOTED, From: 2, To: 9, Term: 4, Pre: true, Reject: true, Refusal: wire.Raft_NOT_MEMBER})
+	if a := manager.Tick(0, self, 3, nobody); fmt.Sprint(a.Ask) != "[two]" {
+		t.Errorf("once it has been told, it asks %v", a.Ask)
+	}
+}
