--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -59,6 +59,7 @@
 	if c.role == leader {
 		c.contactAt = c.knownContactAt() // before the term changes
 		c.refuseReads()
+		clear(c.progress) // what it knew of the others, and the transfers of snapshots that it had under way
 	}
 	if term > c.hard.Term {
 		c.hard.Term, c.hard.Vote = term, 0
