Turn to the next parent at once when a good one dies, and to suspected members last

Cause: a parent that had lasted over 5 s counted as good also when it fell silent, so a node asked it once more; its connection looks sound for 1.8 s, and another 1.2 s of silence went by.

Change: after the best parent has failed, the second is tried. Quorum members that are not alive are the last candidates.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -71,6 +71,17 @@
 	return p.parents
 }
 
+// reluctance orders quorum members as parents in a zone: those that others can't reach come last.
+func reluctance(m *wire.Member, zone string) int {
+	switch {
+	case m.State != wire.Member_ALIVE:
+		return 2
+	case m.Zone != zone:
+		return 1
+	}
+	return 0
+}
+
 // Parents returns the addresses that a node should follow, the best first: its
 // place in the zone's tree, then the quorum members, those of its zone first.
 func Parents(self string, zone string, members []*wire.Member) []string {
@@ -95,13 +106,7 @@
 	slices.SortFunc(mates, byOrder)
 	slices.SortFunc(quorum, byOrder)
 	slices.SortStableFunc(quorum, func(a, b place) int {
-		far := func(p place) int {
-			if p.m.Zone == zone {
-				return 0
-			}
-			return 1
-		}
-		return cmp.Compare(far(a), far(b))
+		return cmp.Compare(reluctance(a.m, zone), reluctance(b.m, zone))
 	})
 	var out []string
 	if i := slices.IndexFunc(mates, func(p place) bool { return p.m.Name == self }); i > 0 {
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -58,8 +58,11 @@
 // Ended takes the end of a subscription.
 func (s *Selector) Ended(now time.Duration, why string) {
 	switch {
-	case why == Renew, now-s.began > settledFor:
+	case why == Renew, now-s.began > settledFor && !s.best:
 		s.turn = 0
+	case now-s.began > settledFor:
+		// The best one has failed: while its connection looks sound, another try would take as long again to show it.
+		s.turn = 1
 	default:
 		if s.turn++; s.turn%s.among == 0 {
 			s.until = now + roundPause
