Split the sidecar's program into its parts, its listeners and its shutdown

Run was ninety lines that made, opened, registered and started everything. Nothing else changes but that the figures' server starts with the others.

--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -5,13 +5,8 @@
 
 import (
 	"context"
-	"fmt"
-	"ivydeck/internal/identity"
-	"ivydeck/internal/program"
-	"ivydeck/internal/trace"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -21,20 +16,16 @@
 	"ivydeck/internal/budget"
 	"ivydeck/internal/entry"
 	"ivydeck/internal/gossip"
+	"ivydeck/internal/identity"
 	"ivydeck/internal/nodefile"
+	"ivydeck/internal/program"
 	"ivydeck/internal/proxy"
 	"ivydeck/internal/relay"
 	"ivydeck/internal/rpc"
+	"ivydeck/internal/trace"
 )
 
-const (
-	upkeepEvery = 500 * time.Millisecond
-	clientsGo   = 2500 * time.Millisecond
-	stopMargin  = 1600 * time.Millisecond // before the platform kills the process: no further request is begun
-	leaveMargin = 600 * time.Millisecond  // the same: the process ends
-	serverGoes  = 1500 * time.Millisecond // after SIGTERM, until then the server beside the node has work as ever
-	cutFor      = 200 * time.Millisecond  // before the end requests are called off, so that they have an answer
-)
+const upkeepEvery = 500 * time.Millisecond
 
 // Node is a sidecar machine's process.
 type Node struct {
@@ -61,16 +52,59 @@
 	world entry.WorldBuilder // watch's own
 }
 
-// Run is the whole life of a sidecar's process. It returns some time after the
+// Run is a sidecar's process from its start to its end. It returns some time after the
 // context ends, once clients and servers have had their answers.
 func Run(ctx context.Context, set *nodefile.Settings, reload func() *nodefile.Settings, log *slog.Logger) error {
-	life, end := context.WithCancel(context.Background())
-	defer end()
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	n, err := newNode(running, set, log)
+	if err != nil {
+		return err
+	}
+	l, err := listen(set)
+	if err != nil {
+		return err
+	}
+	defer l.close()
+	server, heartbeats, readiness := n.rpcServer(), n.httpServer(n.beat), n.httpServer(n.ready)
+	n.workers.Go(func() { server.Serve(running, l.internal) })
+	n.workers.Go(func() {
+		if err := n.front.Serve(running, l.outbound); err != nil {
+			log.Error("front.ended", "err", err)
+		}
+	})
+	n.workers.Go(func() { heartbeats.Serve(l.control) })
+	n.workers.Go(func() { readiness.Serve(l.readiness) })
+	n.workers.Go(func() { n.agent.Run(running) })
+	n.workers.Go(func() { n.watch(running) })
+	n.workers.Go(func() {
+		for s := reload(); s != nil; s = reload() { // it returns nothing once the program ends
+			n.set.Store(s)
+		}
+	})
+	if set.Metrics != "" {
+		n.workers.Go(func() {
+			n.outbound.Metrics.Serve(running, set.Metrics, program.Secure(n.pool.Identity, set.SecureMetrics), log)
+		})
+	}
+	log.Info("data.start", "node", set.Node, "service", set.Backend)
+	<-ctx.Done()
+	n.shutDown()
+	heartbeats.Close()
+	readiness.Close()
+	stop()
+	n.workers.Wait()
+	n.outbound.Wait()
+	return nil
+}
+
+// newNode makes the parts of a node; none of them runs yet. Connections to other nodes end with the context.
+func newNode(running context.Context, set *nodefile.Settings, log *slog.Logger) (*Node, error) {
 	rng := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), rand.Uint64()))
-	n := &Node{log: log, began: time.Now(), pool: rpc.NewPool(life)}
+	n := &Node{log: log, began: time.Now(), pool: rpc.NewPool(running)}
 	var err error
 	if n.pool.Identity, err = program.Identity(set, log); err != nil {
-		return err
+		return nil, err
 	}
 	n.set.Store(set)
 	n.shares.Known = set.Bootstrap
@@ -93,69 +127,26 @@
 	}
 	if set.Metrics != "" {
 		n.outbound.Metrics = n.figures()
-		n.workers.Go(func() {
-			n.outbound.Metrics.Serve(life, set.Metrics, program.Secure(n.pool.Identity, set.SecureMetrics), log)
-		})
 	}
 	n.front = &proxy.Front{
 		Handle: n.outbound.Handle, Bounds: n.outbound.Bounds, Memory: int64(set.MemoryMB) << 20 / 4, Log: log,
 	}
-	listeners := make([]net.Listener, 0, 4)
-	closeAll := func() {
-		for _, l := range listeners {
-			l.Close()
-		}
-	}
-	for _, addr := range []string{set.Internal(), set.Outbound, set.Control, set.Readiness} {
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			closeAll()
-			return fmt.Errorf("listening: %w", err)
-		}
-		listeners = append(listeners, l)
-	}
-	defer closeAll()
+	return n, nil
+}
 
-	server := rpc.NewServer(log)
+// rpcServer answers other nodes.
+func (n *Node) rpcServer() *rpc.Server {
+	server := rpc.NewServer(n.log)
 	server.Identity, server.Refused = n.pool.Identity, &n.refused
 	n.agent.Register(server)
 	server.Handle("forward", rpc.Unary(n.inbound.Forward))
 	server.Handle("trace", rpc.Unary(n.trace), identity.Core)
 	server.Handle("look", rpc.Unary(n.look), identity.Core)
-	beats := n.web(http.HandlerFunc(n.beat))
-	ready := n.web(http.HandlerFunc(n.ready))
-	n.workers.Go(func() { server.Serve(life, listeners[0]) })
-	n.workers.Go(func() {
-		if err := n.front.Serve(life, listeners[1]); err != nil {
-			log.Error("front.ended", "err", err)
-		}
-	})
-	n.workers.Go(func() { beats.Serve(listeners[2]) })
-	n.workers.Go(func() { ready.Serve(listeners[3]) })
-	n.workers.Go(func() { n.agent.Run(life) })
-	n.workers.Go(func() { n.watch(life) })
-	n.workers.Go(func() {
-		for life.Err() == nil {
-			if s := reload(); s != nil {
-				n.set.Store(s)
-			} else {
-				return
-			}
-		}
-	})
-	log.Info("data.start", "node", set.Node, "service", set.Backend)
-	<-ctx.Done()
-	n.leave()
-	beats.Close()
-	ready.Close()
-	end()
-	n.workers.Wait()
-	n.outbound.Wait()
-	return nil
+	return server
 }
 
-// web makes a server for the platform's and the server's own calls.
-func (n *Node) web(h http.Handler) *http.Server {
+// httpServer answers the platform's and the server's own calls.
+func (n *Node) httpServer(h http.HandlerFunc) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: 3 * time.Second, ReadTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second,
 		IdleTimeout: 30 * time.Second, MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
@@ -185,36 +176,3 @@
 	n.shares.Slack, n.shares.Window = n.set.Load().Bounds.RetrySlack, n.set.Load().Bounds.RetryWindow
 	n.outbound.Share(n.shares.Part(time.Since(n.began), nodes))
 }
-
-// leave ends the node's part in the mesh in order: no new work, answers to all
-// that is under way, and the end before the platform's patience is over.
-func (n *Node) leave() {
-	began := time.Now()
-	n.leaving.Store(true)
-	n.front.Leave()
-	n.log.Info("data.leaving")
-	grace := n.set.Load().Bounds.Grace
-	calm := func() bool { return n.front.Pending() == 0 && n.inbound.Busy() == 0 }
-	for time.Since(began) < grace-stopMargin && !(time.Since(began) >= clientsGo && calm()) {
-		// Clients take two seconds to go elsewhere, in which the server's work may go on. In a roll of many nodes
-		// that is a good part of the capacity.
-		if time.Since(began) >= min(serverGoes, grace/4) && !n.emptying.Swap(true) {
-			n.inbound.Poke() // the list has to say so
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	// Some clients come to the end, where few other nodes are ready. What they send
-	// from here on is not read, and goes elsewhere.
-	n.front.Stop()
-	for time.Since(began) < grace-leaveMargin-cutFor && !calm() {
-		time.Sleep(20 * time.Millisecond)
-	}
-	n.front.Cut()
-	for time.Since(began) < grace-leaveMargin && n.front.Pending() > 0 {
-		time.Sleep(10 * time.Millisecond)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-	defer cancel()
-	n.gossip.Leave(ctx)
-	n.log.Info("data.left", "pending", n.front.Pending(), "busy", n.inbound.Busy())
-}
--- /dev/null
+++ b/internal/data/shutdown.go
@@ -0,0 +1,48 @@
+package data
+
+import (
+	"context"
+	"time"
+)
+
+// Steps of a graceful shutdown, from SIGTERM on or before the end of the platform's grace period.
+const (
+	clientsLeave = 2500 * time.Millisecond // clients have found other nodes after that
+	serverLeaves = 1500 * time.Millisecond // until then the server beside the node has work as ever
+	stopMargin   = 1600 * time.Millisecond // before the end: no further request is begun
+	leaveMargin  = 600 * time.Millisecond  // before the end: the process ends
+	cancelBefore = 200 * time.Millisecond  // before that requests are called off, so that they have an answer
+)
+
+// shutDown ends the node's part in the mesh in order: no new work, answers to all
+// that is under way, and the end before the platform kills the process.
+func (n *Node) shutDown() {
+	began := time.Now()
+	n.leaving.Store(true)
+	n.front.Leave()
+	n.log.Info("data.leaving")
+	grace := n.set.Load().Bounds.Grace
+	idle := func() bool { return n.front.Pending() == 0 && n.inbound.Busy() == 0 }
+	for time.Since(began) < grace-stopMargin && !(time.Since(began) >= clientsLeave && idle()) {
+		// Clients take two seconds to go elsewhere, in which the server's work may go on. In a roll of many nodes
+		// that is a good part of the capacity.
+		if time.Since(began) >= min(serverLeaves, grace/4) && !n.emptying.Swap(true) {
+			n.inbound.Poke() // the list has to say so
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	// Some clients come to the end, where few other nodes are ready. What they send
+	// from here on is not read, and goes elsewhere.
+	n.front.Stop()
+	for time.Since(began) < grace-leaveMargin-cancelBefore && !idle() {
+		time.Sleep(20 * time.Millisecond)
+	}
+	n.front.Cut()
+	for time.Since(began) < grace-leaveMargin && n.front.Pending() > 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	n.gossip.Leave(ctx)
+	n.log.Info("data.left", "pending", n.front.Pending(), "busy", n.inbound.Busy())
+}
