--- a/internal/catalog/search_test.go
+++ b/internal/catalog/search_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -119,3 +120,45 @@
 		t.Errorf("children were behind the floor %d times: hardly a test", wholes)
 	}
 }
+
+// TestSearchOfDeltas makes commands on one state and applies them to another, which has another body under the same
+// revision, as behind a restore: what is accepted is the very body that was sent.
+func TestSearchOfDeltas(t *testing.T) {
+	accepted, refused := 0, 0
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 0xde17a))
+		drawBody := func(revision uint64) []byte {
+			return config(t, revision, func(c map[string]any) {
+				var services []map[string]any
+				for i := range 1 + rng.IntN(8) {
+					services = append(services, map[string]any{"name": fmt.Sprint("s", i), "health_path": fmt.Sprint("/health", rng.IntN(3)), "protocol": "h1"})
+				}
+				c["backend_table"], c["route_table"] = services, []map[string]any{}
+			})
+		}
+		forks := []*Catalog{New(), New()}
+		for revision := uint64(1); revision < 60; revision++ {
+			for _, c := range forks {
+				body := drawBody(revision)
+				made := forks[rng.IntN(2)].Current()
+				parsed, err := made.Parse(body)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, err = c.Apply(made.Command(c.Revision(), parsed, body))
+				switch {
+				case err != nil:
+					refused++
+				case !bytes.Equal(c.Body(), body):
+					t.Fatalf("seed %d: revision %d was accepted, with another body", seed, revision)
+				default:
+					accepted++
+				}
+			}
+		}
+	}
+	if accepted < 500 || refused < 100 {
+		t.Errorf("%d accepted, %d refused: hardly a test", accepted, refused)
+	}
+	t.Logf("%d accepted, %d refused", accepted, refused)
+}
--- a/internal/relay/search_test.go
+++ b/internal/relay/search_test.go
@@ -208,6 +208,14 @@
 			parent := hubs[rng.IntN(len(hubs))]
 			have := hubs[child].Index()
 			f, _ := parent.Feed(have, 0, 0)
+			if rng.IntN(10) == 0 { // the parent is of another version
+				f.Format = uint32(rng.IntN(4))
+			}
+			if err := CheckFormat("a parent", f.Format); (err == nil) != (f.Format == Format) {
+				t.Fatalf("seed %d: a feed of format %d: %v", seed, f.Format, err)
+			} else if err != nil {
+				continue
+			}
 			if c := f.Changes; c != nil && c.To != f.Latest {
 				t.Fatalf("seed %d: a parent at %d sends a difference up to %d", seed, f.Latest, c.To)
 			}
