Let no node that has just started serve by an unproven state of any age

Cause: after six seconds without an answer of the leader a node was ready by whatever a relay had told it, also where that relay had been cut off for long. Change: relay.Fence, a pure state machine for the node and the lab. Proof is the leader's index, as before, or a quorum's contact since the start, which the age of the state now shows without a question; without either, after six seconds, a state of at most 20 s (what a change may take to be in force beside a cut). The leader is asked on until there is a proof, once a second after the first six. Ruled out: no start at all without a proof (a control plane that is down for some seconds would keep restarted nodes out). Measured: TestFence; seen to fail with the age bound left out, with a contact of before the start counted, and with the leader's index not awaited.

--- /dev/null
+++ b/internal/agent/fence.go
@@ -0,0 +1,72 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"ivydeck/internal/relay"
+)
+
+const (
+	fenceCheck = 50 * time.Millisecond // between looks at the age of the state
+	longWait   = 6 * time.Second       // without an answer, after which the leader is asked less often
+	longPause  = time.Second
+)
+
+// fence waits until what is known here may be served by: see relay.Fence.
+func (a *Agent) fence(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan uint64, 1)
+	a.workers.Go(func() { a.askLatest(ctx, answers) })
+	tick := time.NewTicker(fenceCheck)
+	defer tick.Stop()
+	var fence relay.Fence
+	for ctx.Err() == nil {
+		changed := a.Hub.Changed()
+		age := a.Follower.Age()
+		if proof := fence.Check(time.Since(a.began), age, a.Hub.Index()); proof != relay.NoProof {
+			a.fenced.Store(true)
+			a.log.Info("data.fenced", "index", a.Hub.Index(), "confirmed", proof != relay.Unconfirmed, "proof", string(proof),
+				"age", min(age, time.Hour))
+			return
+		}
+		select {
+		case latest := <-answers:
+			fence.Confirmed(latest)
+		case <-changed:
+		case <-tick.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// askLatest asks the leader how far the updates have come, until it has an answer.
+func (a *Agent) askLatest(ctx context.Context, answers chan<- uint64) {
+	for ctx.Err() == nil {
+		round, cancel := context.WithCancel(ctx)
+		if first := a.Hub.Changed(); a.Hub.Index() == 0 {
+			// The first updates show that there is a leader by now. What is still being asked may be a machine without
+			// power, whose dial goes on for long.
+			a.workers.Go(func() {
+				select {
+				case <-first:
+					cancel()
+				case <-round.Done():
+				}
+			})
+		}
+		latest, known := a.LatestIndex(round)
+		if known {
+			cancel()
+			answers <- latest
+			return
+		}
+		wait := roundPause
+		if time.Since(a.began) > longWait {
+			wait = longPause
+		}
+		pause(round, wait)
+		cancel()
+	}
+}
--- a/internal/agent/leader.go
+++ b/internal/agent/leader.go
@@ -13,7 +13,6 @@
 	nextAfter  = 120 * time.Millisecond // without an answer from one quorum member the next is asked as well
 	roundPause = 100 * time.Millisecond // after a round of questions that has found no leader
 	maxAsked   = 6
-	fenceWait  = 6 * time.Second // after which a node starts by what a relay told it
 )
 
 // quorum returns the addresses of quorum members, the leader's first, and those last to which there is no connection.
@@ -115,38 +114,3 @@
 		return answer.Index, answer.Known, answer.Leader
 	})
 }
-
-// fence waits until what is known here is as new as what had been acknowledged when the process started: a node never
-// begins with an older configuration.
-func (a *Agent) fence(ctx context.Context) {
-	var latest uint64
-	known := false
-	for ctx.Err() == nil && !known && time.Since(a.began) < fenceWait {
-		round, cancel := context.WithCancel(ctx)
-		if first := a.Hub.Changed(); a.Hub.Index() == 0 {
-			// The first updates show that there is a leader by now. What is still being asked may be a machine without
-			// power, whose dial goes on for long.
-			a.workers.Go(func() {
-				select {
-				case <-first:
-					cancel()
-				case <-round.Done():
-				}
-			})
-		}
-		latest, known = a.LatestIndex(round)
-		if !known {
-			pause(round, roundPause)
-		}
-		cancel()
-	}
-	for ctx.Err() == nil && a.Hub.Index() < latest {
-		select {
-		case <-a.Hub.Changed():
-		case <-time.After(100 * time.Millisecond):
-		case <-ctx.Done():
-		}
-	}
-	a.fenced.Store(true)
-	a.log.Info("data.fenced", "index", latest, "confirmed", known)
-}
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -24,7 +24,6 @@
 
 const (
 	upkeepEvery  = 500 * time.Millisecond
-	fenceWait    = 6 * time.Second // as the real node's: it starts by what a relay told it after that
 	fencePause   = 100 * time.Millisecond
 	fenceLook    = 20 * time.Millisecond
 	answerMargin = 15 * time.Millisecond
@@ -40,6 +39,7 @@
 	parent   *child // as the parent has it
 	heardAt  time.Duration
 	freshAt  time.Duration
+	fence    relay.Fence
 
 	table    *entry.Table
 	station  *station.Station[*ticket]
@@ -71,20 +71,22 @@
 	n.peerView.start(s, &n.machine)
 	n.ready, n.owed = false, s.acked
 	life := n.life
-	n.fence(life)
+	n.startFence(life)
 	s.after(time.Duration(s.rng.Int64N(int64(upkeepEvery))), func() { n.upkeep(life) })
 	s.after(time.Duration(s.rng.Int64N(int64(200*time.Millisecond))), func() { n.follow(life) })
 }
 
-// fence asks the leader how far the updates have come, and waits for them.
-func (n *node) fence(life uint64) {
+// startFence lets the node serve once its state may be served by: see relay.Fence.
+func (n *node) startFence(life uint64) {
+	n.fence = relay.Fence{}
+	n.askLatest(life)
+	n.checkFence(life)
+}
+
+// askLatest asks the leader how far the updates have come, until it has an answer.
+func (n *node) askLatest(life uint64) {
 	s := n.s
-	over := func() bool { return !n.up || n.life != life || n.ready }
-	if over() {
-		return
-	}
-	if s.now-n.began >= fenceWait {
-		n.ready = true
+	if !n.up || n.life != life || n.ready {
 		return
 	}
 	var latest uint64
@@ -98,27 +100,31 @@
 			answer(nil)
 		})
 	}, func(err error) {
-		if err != nil {
-			s.after(fencePause, func() { n.fence(life) })
-			return
-		}
-		var look func()
-		look = func() {
-			switch {
-			case over():
-			case n.hub.Index() < latest:
-				s.after(fenceLook, look)
-			default:
-				n.ready = true
-				if c := n.hub.Config(); n.owed > 0 && (c == nil || c.Revision < n.owed) {
-					s.broken("%s is ready without revision %d, which was acknowledged before its start", n.name, n.owed)
-				}
-			}
+		switch {
+		case err != nil:
+			s.after(fencePause, func() { n.askLatest(life) })
+		case n.up && n.life == life:
+			n.fence.Confirmed(latest)
 		}
-		look()
 	})
 }
 
+func (n *node) checkFence(life uint64) {
+	s := n.s
+	if !n.up || n.life != life {
+		return
+	}
+	proof := n.fence.Check(s.now-n.began, s.now-n.freshAt, n.hub.Index())
+	if proof == relay.NoProof {
+		s.after(fenceLook, func() { n.checkFence(life) })
+		return
+	}
+	n.ready = true
+	if c := n.hub.Config(); proof != relay.Unconfirmed && n.owed > 0 && (c == nil || c.Revision < n.owed) {
+		s.broken("%s is ready without revision %d, which was acknowledged before its start (proof: %s)", n.name, n.owed, proof)
+	}
+}
+
 func (n *node) stop(power bool) {
 	if n.up {
 		n.s.down(&n.machine, power)
