--- a/internal/raft/retention_test.go
+++ b/internal/raft/retention_test.go
@@ -256,3 +256,19 @@
 	}
 	t.Errorf("after %d heartbeats the log joins up to %d of %d, and %d is asked for", most, c.progress[3].match, c.last(), c.progress[3].next)
 }
+
+// TestAFollowerKeepsNothingForTransfers: one that led, and was transferring a snapshot, keeps the usual tail from then on.
+func TestAFollowerKeepsNothingForTransfers(t *testing.T) {
+	c := needsSnapshot(t)
+	if c.Transferring(3) == 0 {
+		t.Fatal("no transfer is under way")
+	}
+	for range 20 {
+		e := &wire.Entry{Term: 5, Index: c.last() + 1}
+		c.Step(c.now, &wire.Raft{Kind: wire.Raft_APPEND, From: 2, To: 1, Term: 5, Index: c.last(), LogTerm: c.lastTerm(), Entries: []*wire.Entry{e}, Commit: e.Index})
+		settle(c)
+	}
+	if c.Compact(c.applied, nil); c.Leads() || c.last()-c.base.index != 4 {
+		t.Errorf("%d entries are kept", c.last()-c.base.index)
+	}
+}
