--- a/internal/control/join_test.go
+++ b/internal/control/join_test.go
@@ -58,7 +58,6 @@
 type quorum struct {
 	t        *testing.T
 	settings []*nodefile.Settings
-	running  sync.WaitGroup
 }
 
 // newQuorum has as many members as there are numbers, none of which runs.
