Acknowledge a change that is sent again by any member that knows it was accepted

Cause: each resend went to the leader and became an entry of its own: whole, up to 8 MB, as its base is no longer the current one; and without a leader it got no answer, though the member that it came to had applied the change. Change: a member that has applied a change acknowledges it at once. That it was accepted is committed and stays true, whoever leads; that it was not is only for the log to say.

--- a/internal/catalog/accepted.go
+++ b/internal/catalog/accepted.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"slices"
 
+	"ivydeck/internal/meshconfig"
 	"ivydeck/internal/wire"
 )
 
@@ -18,18 +19,27 @@
 // maxAcceptedBefore is the bound of the versions whose snapshots do not say what has been forgotten.
 const maxAcceptedBefore = 1024
 
-// acceptedChange is a configuration that was once in force.
-type acceptedChange struct {
+// Change identifies a configuration: two may have one revision.
+type Change struct {
 	revision uint64
 	digest   [sha256.Size]byte
 }
 
+// ChangeOf returns the identity of a configuration with its body.
+func ChangeOf(config *meshconfig.Config, body []byte) Change {
+	return Change{revision: config.Revision, digest: sha256.Sum256(body)}
+}
+
+// Accepted tells whether a change was accepted, now or before. That it was stays true, so that any replica may answer
+// for it which knows; that it was not is for the log to say.
+func (c *Catalog) Accepted(change Change) bool { return c.accepted.contains(change) }
+
 // acceptedChanges remembers the newest configurations that were accepted. Revisions only rise, so the list is in
 // their order, and all that is forgotten is below all that is remembered.
 type acceptedChanges struct {
-	newest    []acceptedChange // ascending by revision
-	forgotten uint64           // the highest revision that is no longer remembered; 0: none is
-	limit     int              // of how many are remembered; 0: maxAccepted
+	newest    []Change // ascending by revision
+	forgotten uint64   // the highest revision that is no longer remembered; 0: none is
+	limit     int      // of how many are remembered; 0: maxAccepted
 }
 
 // RememberAccepted bounds how many accepted changes are remembered; 0: as many as usual. Small bounds reach in a short
@@ -37,7 +47,7 @@
 func (c *Catalog) RememberAccepted(limit int) { c.accepted.limit = limit }
 
 // add remembers a change whose revision is above all others.
-func (a *acceptedChanges) add(c acceptedChange) {
+func (a *acceptedChanges) add(c Change) {
 	a.newest = append(a.newest, c)
 	limit := cmp.Or(a.limit, maxAccepted)
 	if len(a.newest) <= limit {
@@ -49,8 +59,8 @@
 }
 
 // contains tells whether a very change is remembered.
-func (a *acceptedChanges) contains(c acceptedChange) bool {
-	i, found := slices.BinarySearchFunc(a.newest, c.revision, func(x acceptedChange, revision uint64) int {
+func (a *acceptedChanges) contains(c Change) bool {
+	i, found := slices.BinarySearchFunc(a.newest, c.revision, func(x Change, revision uint64) int {
 		return cmp.Compare(x.revision, revision)
 	})
 	return found && a.newest[i] == c
@@ -73,7 +83,7 @@
 
 // decode replaces the memory by that of a snapshot.
 func (a *acceptedChanges) decode(s *wire.Snapshot) {
-	a.newest, a.forgotten = make([]acceptedChange, len(s.GetTaken())), s.GetForgotten()
+	a.newest, a.forgotten = make([]Change, len(s.GetTaken())), s.GetForgotten()
 	for i, t := range s.GetTaken() {
 		a.newest[i].revision = t.Revision
 		copy(a.newest[i].digest[:], t.Hash)
--- a/internal/catalog/judge.go
+++ b/internal/catalog/judge.go
@@ -48,7 +48,7 @@
 // judge decides on a configuration. It returns neither a configuration nor an
 // error for one that has been accepted before.
 func (c *Catalog) judge(put *wire.PutConfig) (*Current, error) {
-	body, change := put.Body, acceptedChange{revision: put.Revision}
+	body, change := put.Body, Change{revision: put.Revision}
 	if len(put.Delta) > 0 {
 		copy(change.digest[:], put.Hash)
 		if known, err := c.verdict(change, put.Base); known || err != nil {
@@ -86,7 +86,7 @@
 }
 
 // verdict tells whether a change is known, and otherwise why it can't be accepted.
-func (c *Catalog) verdict(change acceptedChange, base uint64) (known bool, err error) {
+func (c *Catalog) verdict(change Change, base uint64) (known bool, err error) {
 	switch {
 	case c.accepted.contains(change):
 		return true, nil
--- a/internal/control/operator_api.go
+++ b/internal/control/operator_api.go
@@ -8,7 +8,6 @@
 
 	"ivydeck/internal/backup"
 	"ivydeck/internal/catalog"
-	"ivydeck/internal/meshconfig"
 	"ivydeck/internal/wire"
 )
 
@@ -66,19 +65,31 @@
 	state    func() backup.Backup // what is applied
 }
 
-// replacement reads a configuration that builds on a revision. An error says what is wrong with it alone: any member may
-// refuse it for that, as all would, while whatever depends on the state is the log's to judge: this member may be behind.
-func replacement(current catalog.Current, base uint64, body []byte) (*wire.Command, *meshconfig.Config, error) {
+// replacement is a configuration that an operator wants in force.
+type replacement struct {
+	command  *wire.Command
+	change   catalog.Change
+	revision uint64
+}
+
+// parseReplacement reads a configuration that builds on a revision. An error says what is wrong with it alone: any member
+// may refuse it for that, as all would. Whatever depends on the state is the log's to judge, as this member may be behind.
+func parseReplacement(current catalog.Current, base uint64, body []byte) (replacement, error) {
 	config, err := current.Parse(body)
 	if err != nil {
-		return nil, nil, err
+		return replacement{}, err
 	}
-	return current.Command(base, config, body), config, nil
+	return replacement{current.Command(base, config, body), catalog.ChangeOf(config, body), config.Revision}, nil
 }
 
-// replace puts a configuration into the log.
-func (a *operatorAPI) replace(now, deadline time.Duration, command *wire.Command, done func(Answer)) {
-	data, err := proto.Marshal(command)
+// replace puts a configuration into the log, unless this member knows that it was accepted before: that is true for good,
+// whoever leads and however far behind this member is.
+func (a *operatorAPI) replace(now, deadline time.Duration, r replacement, done func(Answer)) {
+	if a.state().State.Accepted(r.change) {
+		done(Answer{Result: AlreadyAccepted})
+		return
+	}
+	data, err := proto.Marshal(r.command)
 	if err != nil {
 		done(unanswered(err))
 		return
--- a/internal/control/operator_http.go
+++ b/internal/control/operator_http.go
@@ -42,16 +42,16 @@
 		reply(w, http.StatusBadRequest, "Base-Revision is no number")
 		return
 	}
-	command, config, err := replacement(*n.current.Load(), base, body) // here, as it takes long for the loop
+	replacement, err := parseReplacement(*n.current.Load(), base, body) // here, as it takes long for the loop
 	if err != nil {
 		reply(w, http.StatusBadRequest, err.Error())
 		return
 	}
 	began := n.now()
 	answer := n.answer(r.Context(), func(deadline time.Duration, done func(Answer)) {
-		n.operatorAPI.replace(n.now(), deadline, command, done)
+		n.operatorAPI.replace(n.now(), deadline, replacement, done)
 	})
-	n.log.Info("operator.replace", "base", base, "revision", config.Revision, "result", answer.Result.String(), "reason", answer.Reason,
+	n.log.Info("operator.replace", "base", base, "revision", replacement.revision, "result", answer.Result.String(), "reason", answer.Reason,
 		"took", n.now()-began)
 	n.write(w, replacePath, answer)
 }
--- a/internal/control/operator_sim_test.go
+++ b/internal/control/operator_sim_test.go
@@ -315,12 +315,12 @@
 		if o.revision == 0 {
 			m.api.read(w.now, deadline, answer)
 		} else {
-			command, _, err := replacement(m.state.Current(), o.base, o.body)
+			replacement, err := parseReplacement(m.state.Current(), o.base, o.body)
 			if err != nil {
 				answer(Answer{Result: Invalid})
 				return
 			}
-			m.api.replace(w.now, deadline, command, answer)
+			m.api.replace(w.now, deadline, replacement, answer)
 		}
 	}})
 }
