--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -51,6 +51,8 @@
 	events  chan func()
 	ctx     context.Context
 
+	replacing chan struct{} // one element for each change that an operator's call holds
+
 	// What follows belongs to the goroutine in loop.
 	store       *store.Store
 	consensus   *raft.Node
@@ -95,7 +97,7 @@
 		log.Error("store.damaged", "err", st.Damaged, "kept", "beside the new folder, as log.damaged")
 	}
 	n := &Node{
-		log: log, began: time.Now(), events: make(chan func(), 1024), ctx: ctx, store: st, catalog: catalog.New(),
+		log: log, began: time.Now(), events: make(chan func(), 1024), replacing: make(chan struct{}, maxReplacing), ctx: ctx, store: st, catalog: catalog.New(),
 		senders: map[uint64]*sender{}, heard: map[uint64]string{}, pool: rpc.NewPool(ctx), transferPool: rpc.NewPool(ctx),
 		transfers: map[uint64]*transfer{},
 	}
--- a/internal/control/operator_http.go
+++ b/internal/control/operator_http.go
@@ -15,15 +15,28 @@
 // retryAfter is the pause in seconds that an operator is asked for where another member may do better.
 const retryAfter = "0.1"
 
-// routeOf is the path of each of the operator's requests.
+// The paths of the operator's requests.
 const (
 	replacePath = "/config/replace"
 	readPath    = "/config/read"
 	backupPath  = "/backup"
 )
 
+// maxReplacing is how many changes are read and judged at a time. Operators have up to eight under way, and those that
+// were given up may still be here; each may hold some times meshconfig.MaxBytes.
+const maxReplacing = 12
+
 // replace takes a whole configuration.
 func (n *Node) replace(w http.ResponseWriter, r *http.Request) {
+	select {
+	case n.replacing <- struct{}{}:
+		defer func() { <-n.replacing }()
+	case <-time.After(answerWithin):
+		reply(w, http.StatusServiceUnavailable, errTooMany.Error())
+		return
+	case <-r.Context().Done():
+		return
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, meshconfig.MaxBytes))
 	var large *http.MaxBytesError
 	switch {
--- a/internal/control/operator_http_test.go
+++ b/internal/control/operator_http_test.go
@@ -31,7 +31,7 @@
 		t.Fatal(err)
 	}
 	n := &Node{
-		log: slog.New(slog.DiscardHandler), began: time.Now(), events: make(chan func(), 64), ctx: ctx, store: disk, catalog: catalog.New(),
+		log: slog.New(slog.DiscardHandler), began: time.Now(), events: make(chan func(), 64), replacing: make(chan struct{}, maxReplacing), ctx: ctx, store: disk, catalog: catalog.New(),
 		senders: map[uint64]*sender{}, heard: map[uint64]string{}, pool: rpc.NewPool(ctx), hub: relay.NewHub(func() time.Duration { return 0 }),
 	}
 	const address = "127.0.0.1:1"
@@ -114,3 +114,25 @@
 		t.Errorf("%q, %v", answer, err)
 	}
 }
+
+// TestChangesAreBounded: what operators send is held so many times at most; who comes then is told to come again.
+func TestChangesAreBounded(t *testing.T) {
+	n := aloneNode(t)
+	post := func() int {
+		w := httptest.NewRecorder()
+		r := httptest.NewRequest(http.MethodPost, replacePath, strings.NewReader(encoded(t, 3, "a")))
+		r.Header.Set("Base-Revision", "0")
+		n.routes().ServeHTTP(w, r)
+		return w.Code
+	}
+	for range maxReplacing {
+		n.replacing <- struct{}{}
+	}
+	if status := post(); status != http.StatusServiceUnavailable {
+		t.Errorf("%d with all places taken", status)
+	}
+	<-n.replacing
+	if status := post(); status != http.StatusOK || len(n.replacing) != maxReplacing-1 {
+		t.Errorf("%d with one place left, and %d are taken behind it", status, len(n.replacing))
+	}
+}
