Show how old a quorum member's state is, and log when it loses touch

Cause: /status of a member that is cut off could not be told from that of one that is current, and no log line said which side of a cut a member was on. Change: age_ms in /status, age_seconds in ivydeck_core, quorum.out_of_touch (warn) and quorum.in_touch (info) around 1.5 s. Clocks of the simulated relays drift; a test of its own shows that a fast clock of a parent hides no age. Measured: go test ./internal/raft -run CutOff, ./internal/relay, ./internal/control pass; TestDriftDoesNotHideAge fails without the drift's part.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -77,6 +77,8 @@
 
 	workers   sync.WaitGroup
 	contactAt atomic.Int64 // ns since the begin, when a quorum last confirmed the state here
+
+	outOfTouch bool // as last logged; the loop's
 }
 
 // Run is the whole life of a core machine. It returns soon after the context ends: a leader gives the lead to another
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -75,8 +75,7 @@
 		}
 		n.members.tick()
 		n.flush()
-		now := n.now()
-		n.contactAt.Store(int64(now - n.consensus.QuorumContactAge(now)))
+		n.observeContact(n.now())
 		wait := min(n.consensus.Next()-n.now(), manageEvery)
 		if at, ok := n.requests.next(); ok {
 			wait = min(wait, at-n.now())
--- a/internal/control/web.go
+++ b/internal/control/web.go
@@ -56,6 +56,7 @@
 	Term     uint64   `json:"term"`
 	Commit   uint64   `json:"commit"`
 	Revision uint64   `json:"revision"`
+	AgeMs    int64    `json:"age_ms"` // since a quorum confirmed what this member has, at most
 	Members  []Member `json:"members"`
 	Servers  []Server `json:"servers"`
 }
@@ -82,7 +83,7 @@
 	c := make(chan Status, 1)
 	n.do(func() {
 		s := Status{Node: n.set.Load().Node, Leads: n.consensus.Leads(), Leader: n.leader().GetAddress(), Term: n.consensus.Term(),
-			Commit: n.consensus.Commit(), Revision: n.catalog.Revision()}
+			Commit: n.consensus.Commit(), Revision: n.catalog.Revision(), AgeMs: n.contactAge().Milliseconds()}
 		for _, p := range n.consensus.Peers() {
 			s.Members = append(s.Members, Member{fmt.Sprintf("%016x", p.Id), p.Address, p.Voter})
 		}
@@ -112,7 +113,7 @@
 
 // figures are what the machine shows of itself.
 func (n *Node) figures() *metrics.Set {
-	return metrics.New(metrics.Gauge{Name: "ivydeck_core", Help: "The core as this machine knows it: term, commit, leads (1 or 0), revision, members, voters, servers; calls refused for their identity, and seconds that its own is good for (-1: none).",
+	return metrics.New(metrics.Gauge{Name: "ivydeck_core", Help: "The core as this machine knows it: term, commit, leads (1 or 0), revision, members, voters, servers; seconds since a quorum confirmed its state; calls refused for their identity, and seconds that its own is good for (-1: none).",
 		Labels: []string{"what"}, Read: func() (list []metrics.Reading) {
 			s, ok := n.state(n.ctx)
 			if !ok {
@@ -129,7 +130,7 @@
 			}
 			for what, value := range map[string]float64{"term": float64(s.Term), "commit": float64(s.Commit), "leads": leads, "revision": float64(s.Revision),
 				"members": float64(len(s.Members)), "voters": float64(voters), "servers": float64(len(s.Servers)),
-				"identity_refused": float64(n.refused.Load()), "identity_ends_seconds": n.pool.Identity.Left().Seconds()} {
+				"age_seconds": n.contactAge().Seconds(), "identity_refused": float64(n.refused.Load()), "identity_ends_seconds": n.pool.Identity.Left().Seconds()} {
 				list = append(list, metrics.Reading{Value: value, Labels: []string{what}})
 			}
 			return list
--- a/internal/relay/age.go
+++ b/internal/relay/age.go
@@ -30,7 +30,8 @@
 		return now - time.Duration(f.AgeMs)*time.Millisecond
 	}
 	offset := time.Duration(*f.ContactNs)
-	return s.AskedAt + offset - offset.Abs()/driftShare
+	drift := offset.Abs() / (driftShare - 1) // of a span that is itself measured by the faster clock
+	return s.AskedAt + offset - drift
 }
 
 // Outdated tells whether the subscription is to be renewed because it no longer relates the two clocks well.
