--- a/cmd/meshlab/main.go
+++ b/cmd/meshlab/main.go
@@ -1,4 +1,4 @@
-// Command meshlab plays whole meshes in simulated time, and compares them.
+// Command meshlab simulates whole meshes in simulated time, and compares them.
 package main
 
 import (
@@ -17,9 +17,9 @@
 
 type commands struct {
 	Version  kong.VersionFlag `help:"Print the version and exit."`
-	Run      runCmd           `cmd:"" help:"Play a world once."`
-	Sweep    sweepCmd         `cmd:"" help:"Play a world with some settings and many seeds."`
-	Compare  compareCmd       `cmd:"" help:"Compare two worlds, paired by seed."`
+	Run      runCmd           `cmd:"" help:"Run a scenario once."`
+	Sweep    sweepCmd         `cmd:"" help:"Run a scenario with some settings and many seeds."`
+	Compare  compareCmd       `cmd:"" help:"Compare two scenarios, paired by seed."`
 	Report   reportCmd        `cmd:"" help:"Write a page about the results in a folder."`
 	Check    checkCmd         `cmd:"" help:"Model-check the consensus: look at all histories within some bounds."`
 	Mutate   mutateCmd        `cmd:"" aliases:"planted" help:"Mutation testing: put bugs into the sources, one at a time, and see which check finds each (needs the Go tools)."`
@@ -32,14 +32,14 @@
 }
 
 type runCmd struct {
-	World string   `arg:"" type:"existingfile"`
-	Seed  uint64   `default:"1" help:"Of the random numbers; the same seed plays the same."`
-	Set   []string `placeholder:"KEY=VALUE" help:"Set a key of the world, such as nodes=30 or route.0.rate=90."`
-	Out   string   `placeholder:"DIR" help:"Keep the result here."`
+	Scenario string   `arg:"" type:"existingfile"`
+	Seed     uint64   `default:"1" help:"Of the random numbers; the same seed runs the same."`
+	Set      []string `placeholder:"KEY=VALUE" help:"Set a key of the scenario, such as nodes=30 or route.0.rate=90."`
+	Out      string   `placeholder:"DIR" help:"Keep the result here."`
 }
 
-// load reads a world and sets keys in it.
-func load(path string, set []string) (*lab.World, error) {
+// load reads a scenario and sets keys in it.
+func load(path string, set []string) (*lab.Scenario, error) {
 	w, err := lab.Load(path)
 	if err != nil {
 		return nil, err
@@ -57,12 +57,12 @@
 }
 
 func (c *runCmd) Run() error {
-	w, err := load(c.World, c.Set)
+	w, err := load(c.Scenario, c.Set)
 	if err != nil {
 		return err
 	}
-	r := lab.Play(w, c.Seed)
-	fmt.Printf("%s, seed %d: worth %.4f of %d requests; %.3f refused, %.4f failed\n", r.World, r.Seed, r.Total.Worth, r.Total.Asked,
+	r := lab.Run(w, c.Seed)
+	fmt.Printf("%s, seed %d: worth %.4f of %d requests; %.3f refused, %.4f failed\n", r.Scenario, r.Seed, r.Total.Worth, r.Total.Asked,
 		float64(r.Total.Refused)/float64(max(1, r.Total.Asked)), float64(r.Total.Failed)/float64(max(1, r.Total.Asked)))
 	for _, route := range w.Routes {
 		if x, ok := r.Routes[route.Name]; ok {
@@ -85,43 +85,43 @@
 	}
 	fmt.Println(strings.Join(r.Recent, "\n"))
 	n := 0
-	small := lab.Shrink(w, func(x *lab.World) (float64, bool) {
+	small := lab.Shrink(w, func(x *lab.Scenario) (float64, bool) {
 		n++
-		r := lab.Play(x, c.Seed)
+		r := lab.Run(x, c.Seed)
 		return r.FaultAtS, len(r.Faults) > 0
 	})
 	text, err := small.Text()
 	if err != nil {
 		return err
 	}
-	file := fmt.Sprintf("%s-broken-%d.toml", r.World, c.Seed)
+	file := fmt.Sprintf("%s-broken-%d.toml", r.Scenario, c.Seed)
 	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
 		return err
 	}
-	return fmt.Errorf("broken with seed %d: %s (shrunk in %d plays to %.1f s and %d troubles: %s)",
+	return fmt.Errorf("broken with seed %d: %s (shrunk in %d runs to %.1f s and %d troubles: %s)",
 		c.Seed, strings.Join(r.Faults, "; "), n, small.Seconds, len(small.Troubles), file)
 }
 
 type sweepCmd struct {
-	World string   `arg:"" type:"existingfile"`
-	Vary  string   `placeholder:"KEY=A,B,C" help:"Play once with each of these values."`
-	Set   []string `placeholder:"KEY=VALUE" help:"Set a key of the world in all plays."`
-	Seeds int      `default:"20" help:"Plays of each value."`
-	Seed  uint64   `default:"1" help:"The first of them."`
-	Out   string   `placeholder:"DIR" help:"Keep the results here."`
+	Scenario string   `arg:"" type:"existingfile"`
+	Vary     string   `placeholder:"KEY=A,B,C" help:"Run once with each of these values."`
+	Set      []string `placeholder:"KEY=VALUE" help:"Set a key of the scenario in all runs."`
+	Seeds    int      `default:"20" help:"Runs of each value."`
+	Seed     uint64   `default:"1" help:"The first of them."`
+	Out      string   `placeholder:"DIR" help:"Keep the results here."`
 }
 
 func play(jobs []lab.Job) []*lab.Result {
 	bar := progressbar.NewOptions(len(jobs), progressbar.OptionSetWriter(os.Stderr), progressbar.OptionShowCount(),
-		progressbar.OptionClearOnFinish(), progressbar.OptionSetDescription("plays"))
+		progressbar.OptionClearOnFinish(), progressbar.OptionSetDescription("runs"))
 	results := lab.Sweep(jobs, func() { bar.Add(1) })
 	bar.Finish()
 	return results
 }
 
-func jobs(w *lab.World, varied string, first uint64, n int) (list []lab.Job) {
+func jobs(w *lab.Scenario, varied string, first uint64, n int) (list []lab.Job) {
 	for i := range n {
-		list = append(list, lab.Job{World: w, Seed: first + uint64(i), Varied: varied})
+		list = append(list, lab.Job{Scenario: w, Seed: first + uint64(i), Varied: varied})
 	}
 	return list
 }
@@ -131,14 +131,14 @@
 	var errs []error
 	for _, r := range results {
 		if len(r.Faults) > 0 {
-			errs = append(errs, fmt.Errorf("%s %s broken with seed %d: %s", r.World, r.Varied, r.Seed, r.Faults[0]))
+			errs = append(errs, fmt.Errorf("%s %s broken with seed %d: %s", r.Scenario, r.Varied, r.Seed, r.Faults[0]))
 		}
 	}
 	return errors.Join(errs...)
 }
 
 func (c *sweepCmd) Run() error {
-	w, err := load(c.World, c.Set)
+	w, err := load(c.Scenario, c.Set)
 	if err != nil {
 		return err
 	}
@@ -167,7 +167,7 @@
 	for i := 0; i < len(results); i += c.Seeds {
 		name := results[i].Varied
 		if name == "" {
-			name = results[i].World
+			name = results[i].Scenario
 		}
 		fmt.Printf("%-24s", name)
 		for _, f := range lab.Figures {
@@ -191,7 +191,7 @@
 	A     string   `arg:"" type:"existingfile"`
 	B     string   `arg:"" type:"existingfile"`
 	Set   []string `placeholder:"KEY=VALUE" help:"Set a key in B; A and B may be the same file."`
-	Seeds int      `default:"20" help:"Plays of each."`
+	Seeds int      `default:"20" help:"Runs of each."`
 	Seed  uint64   `default:"1" help:"The first of them."`
 }
 
@@ -239,5 +239,5 @@
 }
 
 func main() {
-	program.Tool("meshlab", "Plays ivydeck meshes in simulated time.", new(commands))
+	program.Tool("meshlab", "Simulates ivydeck meshes, and measures real ones.", new(commands))
 }
--- a/internal/lab/delivery_test.go
+++ b/internal/lab/delivery_test.go
@@ -12,7 +12,7 @@
 	w.Nodes, w.Seconds = 40, 6
 	play := func(routes int, every float64) *Result {
 		w.Operator.Routes, w.Operator.EveryS = routes, every
-		r := Play(w, 1)
+		r := Run(w, 1)
 		if len(r.Faults) > 0 || r.LagMaxMs > 1000 {
 			t.Errorf("%d routes, a change each %g s: at most %g ms until it is everywhere, %v", routes, every, r.LagMaxMs, r.Faults)
 		}
--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -45,7 +45,7 @@
 
 func (e *engine) after(d time.Duration, f func()) { e.at(e.now+d, f) }
 
-// run plays until a time.
+// run runs until a time.
 func (e *engine) run(until time.Duration) {
 	for len(e.queue) > 0 && e.queue[0].at <= until {
 		next := heap.Pop(&e.queue).(event)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -12,7 +12,7 @@
 	"ivydeck/internal/station"
 )
 
-func town(t *testing.T) *World {
+func town(t *testing.T) *Scenario {
 	t.Helper()
 	w, err := Load("../../lab/town.toml")
 	if err != nil {
@@ -21,11 +21,11 @@
 	return w
 }
 
-// TestTown plays a day with troubles: it repeats by its seed, nothing breaks, and
+// TestTown runs a day with troubles: it repeats by its seed, nothing breaks, and
 // where there is too much to do the lowest priority is refused first.
 func TestTown(t *testing.T) {
 	w := town(t)
-	a, b, c := Play(w, 1), Play(w, 1), Play(w, 2)
+	a, b, c := Run(w, 1), Run(w, 1), Run(w, 2)
 	if a.Fingerprint != b.Fingerprint || a.Total != b.Total {
 		t.Errorf("the same seed gave %v and %v", a.Total, b.Total)
 	}
@@ -115,7 +115,7 @@
 	}
 }
 
-func TestWorldsAreChecked(t *testing.T) {
+func TestScenariosAreChecked(t *testing.T) {
 	_, err := Parse(`
 nodes = 2
 speed = 3
@@ -177,7 +177,7 @@
 	w.Nodes, w.Services[0].Servers, w.Routes[0].Rate, w.Routes[1].Rate, w.Seconds = 20, 14, 120, 200, 36
 	for _, how := range []string{"error", "reset"} {
 		w.Troubles[0].How = how
-		r := Play(w, 1)
+		r := Run(w, 1)
 		if len(r.Faults) > 0 {
 			t.Errorf("%s: %s", how, strings.Join(r.Faults, "\n"))
 		}
@@ -235,7 +235,7 @@
 // TestShrink keeps the trouble and the route without which nothing breaks.
 func TestShrink(t *testing.T) {
 	w := town(t)
-	small := Shrink(w, func(x *World) (float64, bool) {
+	small := Shrink(w, func(x *Scenario) (float64, bool) {
 		drained, rate := false, 0.0
 		for _, tr := range x.Troubles {
 			drained = drained || tr.Kind == "drain"
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -27,7 +27,7 @@
 	Worth    float64 `json:"worth"`    // a request, at most 1
 }
 
-// Second is what happened in one second of a play.
+// Second is what happened in one second of a run.
 type Second struct {
 	Counts
 	ByPriority []int   `json:"refused_by_priority"`
@@ -50,10 +50,10 @@
 	P999Ms float64 `json:"p999_ms"`
 }
 
-// Result is what a play came to. Times are simulated.
+// Result is what a run came to. Times are simulated.
 type Result struct {
-	World       string                 `json:"world"`
-	Text        string                 `json:"text"` // the world as TOML
+	Scenario    string                 `json:"scenario"`
+	Text        string                 `json:"text"` // the scenario as TOML
 	Seed        uint64                 `json:"seed"`
 	Varied      string                 `json:"varied"` // what a sweep set, as key=value
 	Total       Counts                 `json:"total"`
@@ -83,9 +83,9 @@
 	Fingerprint string                 `json:"fingerprint"`
 }
 
-// measures are taken as a world is played.
+// measures are taken as a scenario is played.
 type measures struct {
-	w          *World
+	w          *Scenario
 	seconds    []Second
 	perSecond  []*hdrhistogram.Histogram
 	total      Counts
@@ -111,7 +111,7 @@
 
 func histogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 600_000_000, 3) } // microseconds
 
-func newMeasures(w *World) *measures {
+func newMeasures(w *Scenario) *measures {
 	return &measures{
 		w: w, routes: map[string]*Counts{}, latency: map[string]*hdrhistogram.Histogram{}, lag: histogram(),
 		commits: map[uint64]time.Duration{}, entries: map[string]*sliding{}, again: map[string]*sliding{},
@@ -284,7 +284,7 @@
 		s.broken("repeats came to %.2f of the shared budget", m.budget)
 	}
 	r := &Result{
-		World: m.w.Name, Text: text, Seed: seed, Total: m.total, Routes: map[string]RouteResult{}, Seconds: m.seconds,
+		Scenario: m.w.Name, Text: text, Seed: seed, Total: m.total, Routes: map[string]RouteResult{}, Seconds: m.seconds,
 		Repeats: m.repeats, Budget: m.budget, Depth: m.depth, Elections: m.elections, LeaderlessS: m.leaderless.Seconds(),
 		LagP50Ms: float64(m.lag.ValueAtQuantile(50)) / 1000, LagP99Ms: float64(m.lag.ValueAtQuantile(99)) / 1000,
 		LagMaxMs: float64(m.lag.Max()) / 1000, Acks: len(m.acks), DiskBytes: m.disk, Faults: s.faults,
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -17,7 +17,7 @@
 	"gonum.org/v1/plot/vg/vgsvg"
 )
 
-// group is the plays of one world with one setting.
+// group is the runs of one scenario with one setting.
 type group struct {
 	Name    string
 	Results []*Result
@@ -36,7 +36,7 @@
 func groups(results []*Result) []*group {
 	var list []*group
 	for _, r := range results {
-		name := strings.TrimSpace(r.World + " " + r.Varied)
+		name := strings.TrimSpace(r.Scenario + " " + r.Varied)
 		if len(list) == 0 || list[len(list)-1].Name != name {
 			list = append(list, &group{Name: name})
 		}
@@ -49,7 +49,7 @@
 	return list
 }
 
-// mean of a value over the plays of a group, second by second.
+// mean of a value over the runs of a group, second by second.
 func (g *group) series(of func(s *Second) float64) plotter.XYs {
 	longest := 0
 	for _, r := range g.Results {
--- a/internal/lab/world.go
+++ b/internal/lab/scenario.go
@@ -1,6 +1,6 @@
-// Package lab plays whole meshes in simulated time: the project's own cores by
+// Package lab simulates whole meshes in simulated time: the project's own cores by
 // their real code, among models of servers, clients, operators, the network and
-// disks. A play repeats bit for bit by its seed. It checks what must never happen
+// disks. A run repeats bit for bit by its seed. It checks what must never happen
 // as it goes, and measures what the mesh is worth to its clients.
 package lab
 
@@ -19,8 +19,8 @@
 	"ivydeck/internal/meshconfig"
 )
 
-// World describes a mesh and what happens to it. Times end in their unit.
-type World struct {
+// Scenario describes a mesh and what happens to it. Times end in their unit.
+type Scenario struct {
 	Name    string  `toml:"name"`
 	Seconds float64 `toml:"seconds"` // of simulated time
 	Zones   int     `toml:"zones"`
@@ -133,22 +133,22 @@
 	"loss": "all", "burst": "route",
 }
 
-// Load reads a world from a file.
-func Load(path string) (*World, error) {
+// Load reads a scenario from a file.
+func Load(path string) (*Scenario, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("world: %w", err)
+		return nil, fmt.Errorf("scenario: %w", err)
 	}
 	w, err := Parse(string(text))
 	if err != nil {
-		return nil, fmt.Errorf("world: %s: %w", path, err)
+		return nil, fmt.Errorf("scenario: %s: %w", path, err)
 	}
 	return w, nil
 }
 
-// Parse reads a world. The error names every fault, one a line.
-func Parse(text string) (*World, error) {
-	w := &World{
+// Parse reads a scenario. The error names every fault, one a line.
+func Parse(text string) (*Scenario, error) {
+	w := &Scenario{
 		Seconds: 30, Zones: 3, Cores: 3, Nodes: 6, SyncMs: 2, DrainMs: 2000, BeatMs: 1000,
 		Net: Net{LinkMs: 0.5, ZoneMs: 1, JitterMs: 0.5}, Retry: Retry{0.2, 10, 20}, Clients: Clients{Tries: 3},
 	}
@@ -241,7 +241,7 @@
 
 // find returns the number of what a trouble befalls: of a machine of its kind, of a
 // route or a zone; -1: there is none.
-func (w *World) find(t Trouble) int {
+func (w *Scenario) find(t Trouble) int {
 	what, rest, _ := strings.Cut(t.Target, " ")
 	n, least := -1, 0
 	switch what {
@@ -283,30 +283,30 @@
 	return n
 }
 
-// Text returns the world as TOML.
-func (w *World) Text() (string, error) {
+// Text returns the scenario as TOML.
+func (w *Scenario) Text() (string, error) {
 	var b bytes.Buffer
 	if err := toml.NewEncoder(&b).Encode(w); err != nil {
-		return "", fmt.Errorf("world: %w", err)
+		return "", fmt.Errorf("scenario: %w", err)
 	}
 	return b.String(), nil
 }
 
-// Vary returns the world with one key set anew, such as nodes=12, net.loss=0.01 or
+// Vary returns the scenario with one key set anew, such as nodes=12, net.loss=0.01 or
 // route.0.rate=400.
-func (w *World) Vary(key, value string) (*World, error) {
+func (w *Scenario) Vary(key, value string) (*Scenario, error) {
 	text, err := w.Text()
 	if err != nil {
 		return nil, err
 	}
 	var tree map[string]any
 	if _, err := toml.Decode(text, &tree); err != nil {
-		return nil, fmt.Errorf("world: %w", err)
+		return nil, fmt.Errorf("scenario: %w", err)
 	}
 	var set struct{ X any }
 	if _, err := toml.Decode("X = "+value, &set); err != nil {
 		if _, err := toml.Decode(fmt.Sprintf("X = %q", value), &set); err != nil {
-			return nil, fmt.Errorf("world: %s is no value: %w", value, err)
+			return nil, fmt.Errorf("scenario: %s is no value: %w", value, err)
 		}
 	}
 	parts := strings.Split(key, ".")
@@ -318,16 +318,16 @@
 		case []map[string]any:
 			i := -1
 			if _, err := fmt.Sscan(parts[1], &i); err != nil || i < 0 || i >= len(next) || len(parts) < 3 {
-				return nil, fmt.Errorf("world: %s is no key", key)
+				return nil, fmt.Errorf("scenario: %s is no key", key)
 			}
 			at, parts = next[i], parts[2:]
 		default:
-			return nil, fmt.Errorf("world: %s is no key", key)
+			return nil, fmt.Errorf("scenario: %s is no key", key)
 		}
 	}
 	old, known := at[parts[0]]
 	if !known {
-		return nil, fmt.Errorf("world: %s is no key", key)
+		return nil, fmt.Errorf("scenario: %s is no key", key)
 	}
 	if _, float := old.(float64); float {
 		if n, ok := set.X.(int64); ok {
@@ -337,7 +337,7 @@
 	at[parts[0]] = set.X
 	var b bytes.Buffer
 	if err := toml.NewEncoder(&b).Encode(tree); err != nil {
-		return nil, fmt.Errorf("world: %w", err)
+		return nil, fmt.Errorf("scenario: %w", err)
 	}
 	return Parse(b.String())
 }
@@ -345,7 +345,7 @@
 const host = "lab.example" // of all routes
 
 // config is the operator's configuration with a revision.
-func (w *World) config(revision uint64) ([]byte, error) {
+func (w *Scenario) config(revision uint64) ([]byte, error) {
 	c := meshconfig.Config{Revision: revision}
 	for _, s := range w.Services {
 		c.Backends = append(c.Backends, meshconfig.Backend{Name: s.Name})
--- a/internal/lab/sim.go
+++ b/internal/lab/sim.go
@@ -14,10 +14,10 @@
 	"ivydeck/internal/wire"
 )
 
-// sim is one play of a world.
+// sim is one run of a scenario.
 type sim struct {
 	network
-	w       *World
+	w       *Scenario
 	m       *measures
 	cores   []*core
 	nodes   []*node
@@ -42,7 +42,7 @@
 
 const (
 	mostRecent = 40
-	calmEnd    = 8 * time.Second // of a world with chaos, in which all has to come back
+	calmEnd    = 8 * time.Second // of a scenario with chaos, in which all has to come back
 )
 
 // note keeps an event for the report of a fault.
@@ -65,23 +65,23 @@
 	}
 }
 
-// must ends the play for an error that no world can cause.
+// must ends the run for an error that no scenario can cause.
 func (s *sim) must(err error) {
 	if err != nil {
 		panic(fmt.Sprintf("lab: at %v: %v", s.now, err))
 	}
 }
 
-// Play plays a world to its end. The same world and seed give the same Result.
-func Play(w *World, seed uint64) *Result {
+// Run simulates a scenario to its end. The same scenario and seed give the same Result.
+func Run(w *Scenario, seed uint64) *Result {
 	s := prepare(w, seed)
 	s.run(sec(w.Seconds))
 	s.atEnd()
 	return s.m.result(s, seed)
 }
 
-// prepare builds a world in which nothing has happened yet.
-func prepare(w *World, seed uint64) *sim {
+// prepare builds a scenario in which nothing has happened yet.
+func prepare(w *Scenario, seed uint64) *sim {
 	s := &sim{
 		w: w, m: newMeasures(w), views: map[string]*peerView{}, index: map[string]int{},
 		pipes:   map[[2]*core]*time.Duration{},
@@ -416,7 +416,7 @@
 
 func (c *core) raftProof() time.Duration { return c.s.now - c.raft.QuorumContactAge(c.s.now) }
 
-// fingerprint is alike for plays that went alike.
+// fingerprint is alike for runs that went alike.
 func (s *sim) fingerprint() uint64 {
 	h := fnv.New64a()
 	fmt.Fprint(h, s.seq, s.tries, s.lives, s.rng.Uint64(), s.m.total)
--- a/internal/lab/study.go
+++ b/internal/lab/study.go
@@ -15,14 +15,14 @@
 	"gonum.org/v1/gonum/stat/distuv"
 )
 
-// Job is one play of a study.
+// Job is one run of a study.
 type Job struct {
-	World  *World
-	Seed   uint64
-	Varied string
+	Scenario *Scenario
+	Seed     uint64
+	Varied   string
 }
 
-// Sweep plays jobs on all cores and returns their results in order. done is called
+// Sweep runs jobs on all cores and returns their results in order. done is called
 // after each, by one goroutine at a time.
 func Sweep(jobs []Job, done func()) []*Result {
 	results := make([]*Result, len(jobs))
@@ -32,7 +32,7 @@
 	for range min(len(jobs), runtime.GOMAXPROCS(0)) {
 		workers.Go(func() {
 			for i := range next {
-				r := Play(jobs[i].World, jobs[i].Seed)
+				r := Run(jobs[i].Scenario, jobs[i].Seed)
 				r.Varied = jobs[i].Varied
 				mu.Lock()
 				results[i] = r
@@ -124,7 +124,7 @@
 			return fmt.Errorf("lab: %w", err)
 		}
 		varied := strings.NewReplacer("/", "_", "=", "-").Replace(r.Varied)
-		name := strings.Trim(fmt.Sprintf("%s_%s_%d.json", r.World, varied, r.Seed), "_")
+		name := strings.Trim(fmt.Sprintf("%s_%s_%d.json", r.Scenario, varied, r.Seed), "_")
 		if err := os.WriteFile(filepath.Join(dir, name), data, 0o644); err != nil {
 			return fmt.Errorf("lab: %w", err)
 		}
@@ -132,7 +132,7 @@
 	return nil
 }
 
-// Read returns the results in a folder, by world, what was varied, and seed.
+// Read returns the results in a folder, by scenario, what was varied, and seed.
 func Read(dir string) ([]*Result, error) {
 	names, err := filepath.Glob(filepath.Join(dir, "*.json"))
 	if err != nil {
@@ -154,7 +154,7 @@
 		list = append(list, r)
 	}
 	slices.SortStableFunc(list, func(a, b *Result) int {
-		if c := strings.Compare(a.World+" "+a.Varied, b.World+" "+b.Varied); c != 0 {
+		if c := strings.Compare(a.Scenario+" "+a.Varied, b.Scenario+" "+b.Varied); c != 0 {
 			return c
 		}
 		return int(a.Seed) - int(b.Seed)
@@ -162,10 +162,10 @@
 	return list, nil
 }
 
-// Shrink looks for a shorter world that still goes wrong: without some of the
-// troubles and routes, and ending soon after the fault. fails plays a world and says
+// Shrink looks for a shorter scenario that still goes wrong: without some of the
+// troubles and routes, and ending soon after the fault. fails runs a scenario and says
 // at which second it broke, if it did.
-func Shrink(w *World, fails func(*World) (atS float64, broken bool)) *World {
+func Shrink(w *Scenario, fails func(*Scenario) (atS float64, broken bool)) *Scenario {
 	best := *w
 	if at, ok := fails(&best); ok {
 		if shorter := best; at+1 < best.Seconds {
