Measure what one node holds of a mesh of 28,000: meshlab scale-state

Change: scale-state builds the replicated state and a node's copy of it from what comes over the wire, and tells the living heap of its parts, the bytes of first feeds and whole views, and the bytes and times of single changes. Seen to fail: TestState where the list comes with the configuration (the heap of the servers is then none).

--- a/cmd/meshlab/main.go
+++ b/cmd/meshlab/main.go
@@ -16,19 +16,20 @@
 )
 
 type commands struct {
-	Version  kong.VersionFlag `help:"Print the version and exit."`
-	Run      runCmd           `cmd:"" help:"Run a scenario once."`
-	Sweep    sweepCmd         `cmd:"" help:"Run a scenario with some settings and many seeds."`
-	Compare  compareCmd       `cmd:"" help:"Compare two scenarios, paired by seed."`
-	Report   reportCmd        `cmd:"" help:"Write a page about the results in a folder."`
-	Check    checkCmd         `cmd:"" help:"Model-check the consensus: look at all histories within some bounds."`
-	Mutate   mutateCmd        `cmd:"" aliases:"planted" help:"Mutation testing: put bugs into the sources, one at a time, and see which check finds each (needs the Go tools)."`
-	Timeline timelineCmd      `cmd:"" help:"Say how the last start of many machines went, step by step, out of their logs."`
-	Demo     demoCmd          `cmd:"" help:"Start a small mesh of real processes on loopback, and send it traffic."`
-	Scale    scaleCmd         `cmd:"" help:"Measure what a mesh of real and hollow nodes on loopback costs as it grows."`
-	ScaleFit scaleFitCmd      `cmd:"" help:"Fit how figures of scale's reports grow, and carry that on to the target."`
-	Hops     hopsCmd          `cmd:"" help:"Measure what nodes add to a call, by pairs of chains with and without them."`
-	Hollow   hollowCmd        `cmd:"" hidden:"" help:"Run hollow nodes for the command scale."`
+	Version    kong.VersionFlag `help:"Print the version and exit."`
+	Run        runCmd           `cmd:"" help:"Run a scenario once."`
+	Sweep      sweepCmd         `cmd:"" help:"Run a scenario with some settings and many seeds."`
+	Compare    compareCmd       `cmd:"" help:"Compare two scenarios, paired by seed."`
+	Report     reportCmd        `cmd:"" help:"Write a page about the results in a folder."`
+	Check      checkCmd         `cmd:"" help:"Model-check the consensus: look at all histories within some bounds."`
+	Mutate     mutateCmd        `cmd:"" aliases:"planted" help:"Mutation testing: put bugs into the sources, one at a time, and see which check finds each (needs the Go tools)."`
+	Timeline   timelineCmd      `cmd:"" help:"Say how the last start of many machines went, step by step, out of their logs."`
+	Demo       demoCmd          `cmd:"" help:"Start a small mesh of real processes on loopback, and send it traffic."`
+	Scale      scaleCmd         `cmd:"" help:"Measure what a mesh of real and hollow nodes on loopback costs as it grows."`
+	ScaleFit   scaleFitCmd      `cmd:"" help:"Fit how figures of scale's reports grow, and carry that on to the target."`
+	ScaleState scaleStateCmd    `cmd:"" help:"Measure what one node holds of meshes of some sizes, and what single changes cost it."`
+	Hops       hopsCmd          `cmd:"" help:"Measure what nodes add to a call, by pairs of chains with and without them."`
+	Hollow     hollowCmd        `cmd:"" hidden:"" help:"Run hollow nodes for the command scale."`
 }
 
 type runCmd struct {
--- a/cmd/meshlab/scale.go
+++ b/cmd/meshlab/scale.go
@@ -120,3 +120,23 @@
 	scale.WriteTable(os.Stdout, all, target)
 	return nil
 }
+
+type scaleStateCmd struct {
+	Nodes    []int  `default:"100,1000,10000,28000" help:"Sizes of meshes."`
+	Services int    `default:"2000" help:"Services in the configuration."`
+	Routes   int    `default:"2000" help:"Routes in the configuration."`
+	Report   string `type:"path" placeholder:"FILE" help:"Write the measurements here, as JSON."`
+}
+
+// Help explains the command.
+func (c *scaleStateCmd) Help() string {
+	return `Builds the replicated state of a mesh, and one node's copy of it from what comes over the wire, in this process: the living heap
+of each part, the bytes of a first feed and of a whole view of the members, and the bytes and times of single changes. Connections, the
+runtime and garbage are not in it: see the command scale.`
+}
+
+func (c *scaleStateCmd) Run() error {
+	_, err := scale.MeasureState(scale.StateOptions{Nodes: c.Nodes, Services: c.Services, Routes: c.Routes, Report: c.Report,
+		Command: commandLine(os.Args[1:]), Progress: os.Stderr})
+	return err
+}
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -251,3 +251,29 @@
 		t.Errorf("too deep a chain: %v", err)
 	}
 }
+
+// TestState: what a node holds grows with the mesh, and a single change costs bytes that do not.
+func TestState(t *testing.T) {
+	o := StateOptions{Nodes: []int{50, 500}, Services: 20, Routes: 40, Progress: t.Output()}
+	report, err := MeasureState(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	small, large := report.Sizes[0], report.Sizes[1]
+	if large.StateBytes < small.StateBytes+450*50 || large.MembersBytes < 9*small.MembersBytes {
+		t.Errorf("a whole state and view: %+v, then %+v", small, large)
+	}
+	const least = 450.0 * 200 / (1 << 20) // of heap, for 450 servers
+	if large.ServersHeapMB < small.ServersHeapMB+least || large.SourceHeapMB < small.SourceHeapMB+least {
+		t.Errorf("living heap: %+v, then %+v", small, large)
+	}
+	for _, s := range report.Sizes {
+		if s.ServerChange < 50 || s.ServerChange > 200 || s.RouteChange < 50 || s.RouteChange > 400 || s.ServerMicros <= 0 || s.RouteMicros <= 0 || s.MemberMicros <= 0 {
+			t.Errorf("single changes: %+v", s)
+		}
+	}
+	o.Nodes = []int{1}
+	if _, err := MeasureState(o); err == nil || !strings.Contains(err.Error(), "2 to 60000 nodes") {
+		t.Errorf("a mesh of one node: %v", err)
+	}
+}
