--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -115,6 +115,25 @@
 	{"goroutines", func(u Use) float64 { return u.Goroutines }, noBudget},
 }
 
+// stateMeasures are the figures of StateReport, which stand among the others as those of an event.
+var stateMeasures = []struct {
+	role, name string
+	of         func(s StateSize) float64
+}{
+	{"node", "heap of the configuration, MB", func(s StateSize) float64 { return s.ConfigHeapMB }},
+	{"node", "heap of the servers, MB", func(s StateSize) float64 { return s.ServersHeapMB }},
+	{"node", "heap of the members, MB", func(s StateSize) float64 { return s.MembersHeapMB }},
+	{"node", "a server's change, µs", func(s StateSize) float64 { return s.ServerMicros }},
+	{"node", "a route's change, µs", func(s StateSize) float64 { return s.RouteMicros }},
+	{"node", "a member's change, µs", func(s StateSize) float64 { return s.MemberMicros }},
+	{"node", "first feed, bytes", func(s StateSize) float64 { return float64(s.StateBytes) }},
+	{"quorum", "heap of the replicated state, MB", func(s StateSize) float64 { return s.SourceHeapMB }},
+	{"quorum", "answer with a whole view, bytes", func(s StateSize) float64 { return float64(s.MembersBytes) }},
+	{"quorum", "answer with a whole view, ms", func(s StateSize) float64 { return s.AnswerMs }},
+}
+
+const stateEvent = "state"
+
 // Times of an event.
 const (
 	agreeMeasure   = "all agree, s"
@@ -144,6 +163,11 @@
 		return s
 	}
 	for _, r := range reports {
+		for _, size := range r.Sizes {
+			for _, m := range stateMeasures {
+				add(stateEvent, m.role, m.name, size.Nodes, m.of(size), 0)
+			}
+		}
 		for _, e := range r.Events {
 			if e.NotRun != "" {
 				continue
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -27,6 +27,7 @@
 	BaseMB      float64       `json:"hollow_process_base_mb"` // resident, before its first node
 	Events      []EventReport `json:"events"`
 	Seconds     float64       `json:"seconds"`
+	Sizes       []StateSize   `json:"sizes,omitempty"` // of a StateReport, which has no events
 	Fault       string        `json:"fault,omitempty"` // why the run has ended early
 }
 
