Refuse sizes of scale runs by what nodes were seen to hold, and say when one was interrupted

Change: the estimate goes by the three runs, and refuses 3,000 nodes (41.7 GB). An interrupt is told as one.

--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -32,11 +32,12 @@
 	nodePorts      = 4   // listeners of a real node
 )
 
-// What a run takes, for the check before it; measured by runs of 100 to 1,000 nodes (docs/CAPACITY.md).
+// What a run takes, for the check before it. Hollow nodes were seen to hold 4.1, 6.7 and 10.2 MB each at 100, 300 and
+// 1,000 nodes (docs/capacity/after-*.json), of which what they know of others grows with these.
 const (
 	bytesPerProcess = 24 << 20
-	bytesPerNode    = 1 << 20
-	bytesPerPair    = 1000 // of a node and one that it knows
+	bytesPerNode    = 8 << 20
+	bytesPerPair    = 2000 // of a node and one that it knows, with the collector's room
 )
 
 // Options say what a run is.
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -27,8 +27,11 @@
 	routeHost   = "scale.example"
 )
 
-// errMemory ends a run that takes more than it may.
-var errMemory = errors.New("the run's processes take more memory than they may")
+// Why a run has ended early.
+var (
+	errMemory      = errors.New("the run's processes take more memory than they may")
+	errInterrupted = errors.New("interrupted; all that was started is ended")
+)
 
 // run is a run under way.
 type run struct {
@@ -86,6 +89,9 @@
 	if err != nil && errors.Is(cause, context.DeadlineExceeded) {
 		r.report.Fault, err = fmt.Sprintf("the bound of %v was reached", r.Bound), nil
 	}
+	if errors.Is(cause, context.Canceled) && errors.Is(err, context.Canceled) {
+		err = errInterrupted
+	}
 	if err != nil {
 		r.report.Fault = err.Error()
 	}
