--- a/internal/raft/membership_sim_test.go
+++ b/internal/raft/membership_sim_test.go
@@ -49,6 +49,7 @@
 	}
 	variants := []variant{
 		{name: "kept"}, {name: "kept, deaf", deaf: true}, {name: "kept, restarted", restart: true},
+		{name: "kept, moved", restart: true, moved: true},
 		{name: "replaced", replaced: true}, {name: "replaced, deaf", replaced: true, deaf: true},
 		{name: "replaced, restarted", replaced: true, restart: true},
 		{name: "replaced, moved", replaced: true, restart: true, moved: true},
@@ -81,8 +82,8 @@
 						w.start(away)
 					}
 					w.run(cutAt + length)
-					if w.votes(away) == v.replaced {
-						t.Fatalf("at the end of the cut it votes: %v", !v.replaced)
+					if votes := w.votes(away); votes != (!v.replaced && !v.moved) { // at its present address
+						t.Fatalf("at the end of the cut it votes: %v", votes)
 					}
 					term := w.leader().node.Term()
 					away.cut, away.deaf = false, false
--- a/internal/raft/membership_test.go
+++ b/internal/raft/membership_test.go
@@ -101,6 +101,80 @@
 	}
 }
 
+// TestALostDiskIsEvidenceAtOnce: a voter whose address came back with another identity goes without any silence, where
+// more voters than wanted are left; else once the newcomer has caught up.
+func TestALostDiskIsEvidenceAtOnce(t *testing.T) {
+	for _, n := range []int{3, 4} {
+		c := leadingOf(t, n, others(n)...)
+		for i, p := range c.Peers() {
+			p.Address = fmt.Sprint("m", i+1)
+		}
+		change, _ := c.Joining(&wire.Peer{Id: 9, Address: fmt.Sprint("m", n)})
+		if change.Event != MemberAdded {
+			t.Fatalf("it joins by %v", change)
+		}
+		if err := c.Change(c.now, change.Next); err != nil {
+			t.Fatal(err)
+		}
+		settle(c)
+		answering(c, c.now, others(n-1)...)
+		if change := c.Reconcile(3); (change.Reason == ReasonSuperseded) != (n > 3) || change.Peer.GetId() == 9 {
+			t.Errorf("of %d voters, before the newcomer has caught up: %v", n, change)
+		}
+		answering(c, c.now, 9)
+		if change := c.Reconcile(3); change.Reason != ReasonSuperseded || change.Peer.GetId() != uint64(n) {
+			t.Errorf("of %d voters, afterwards: %v", n, change)
+		}
+	}
+}
+
+// others are the identities of so many members but the first.
+func others(n int) (ids []uint64) {
+	for id := 2; id <= n; id++ {
+		ids = append(ids, uint64(id))
+	}
+	return ids
+}
+
+// TestALearnerVotesOnceItHasTheLog: neither before, nor only when nothing new comes any more.
+func TestALearnerVotesOnceItHasTheLog(t *testing.T) {
+	c := leadingOf(t, 3, 2, 3)
+	change, _ := c.Joining(&wire.Peer{Id: 9, Address: "new"})
+	if err := c.Change(c.now, change.Next); err != nil {
+		t.Fatal(err)
+	}
+	settle(c)
+	answering(c, c.now, 2, 3, 9)
+	now := c.now
+	propose := func() (before uint64) { // and a heartbeat later the two others have it
+		before = c.last()
+		now += Heartbeat + time.Millisecond
+		c.Tick(now)
+		if _, _, err := c.Propose(now, []byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		settle(c)
+		answering(c, now, 2, 3)
+		return before
+	}
+	for range 5 {
+		propose()
+		c.progress[9].lastContact = now // it answers, and has nothing new
+		if change := c.Reconcile(3); change.Next != nil {
+			t.Fatalf("%v, with %d of %d entries", change.Event, c.progress[9].match, c.last())
+		}
+	}
+	for range 3 { // it is one entry behind at each moment
+		before := propose()
+		c.Step(now, &wire.Raft{Kind: wire.Raft_APPENDED, From: 9, To: 1, Term: 4, Index: before, Round: c.round})
+		settle(c)
+		change = c.Reconcile(3)
+	}
+	if change.Event != MemberPromoted || change.Peer.GetId() != 9 {
+		t.Errorf("with all but the newest entry: %v", change)
+	}
+}
+
 // TestDeparture: a member may end once the others hold its last entry, and is out first where more voters than wanted
 // are there.
 func TestDeparture(t *testing.T) {
