Start data nodes anew in the simulated cut, and cut some for forty seconds

Change: the two relays below each member start anew at any time, with clocks and nothing else of their own, and may be ready only by what relay.Fence allows; a quarter of the cuts last 40 s; 64 entries are kept. The relays' part has its file.

--- a/internal/raft/lease_sim_test.go
+++ b/internal/raft/lease_sim_test.go
@@ -19,9 +19,12 @@
 	leaseStep     = 2 * time.Millisecond
 	leaseCutFrom  = 4 * time.Second
 	leaseCutFor   = 20 * time.Second
-	leaseRecovery = 5 * time.Second // within which a member that was cut off is current again
-	leaseFresh    = relay.Stale     // age below which a member counts as current
-	leaseDrift    = 4000            // the clock of a relay is faster or slower by one part of this at most
+	leaseLongCut  = 40 * time.Second // some last as long
+	leaseRecovery = 5 * time.Second  // within which a member that was cut off is current again
+	leaseFresh    = relay.Stale      // age below which a member counts as current
+	leaseOldest   = 21 * time.Second // of an unproven state that a data node may start by, and a second
+	leaseTail     = 64               // entries in front of a snapshot, so that members that were away need one
+	leaseDrift    = 4000             // the clock of a relay is faster or slower by one part of this at most
 )
 
 // leaseMember is a member of the quorum, or a learner, with a clock of its own.
@@ -47,27 +50,6 @@
 	raft    *wire.Raft
 }
 
-// leaseRelay is a data node below a member or below another relay, with a clock of its own. It is driven by package
-// relay's own arithmetic.
-type leaseRelay struct {
-	offset       time.Duration
-	drift        float64 // of the rate of its clock
-	applied      uint64
-	contact      time.Duration // by its clock
-	subscription relay.Subscription
-	subscribedAt time.Duration // by the parent's clock; -1: the request is under way
-	requestAt    time.Duration // when the request arrives
-	parentLife   *Node         // the process that it has subscribed to
-	sentAt       time.Duration // of the newest feed
-	feeds        []leaseFeed
-	child        *leaseRelay
-}
-
-type leaseFeed struct {
-	arrives time.Duration
-	feed    *wire.Feed
-}
-
 // acknowledgement is a change that an operator was told is in force.
 type acknowledgement struct {
 	at    time.Duration
@@ -121,20 +103,11 @@
 	return w
 }
 
-func (w *leaseWorld) newRelay() *leaseRelay {
-	drift := (2*w.rng.Float64() - 1) / leaseDrift
-	return &leaseRelay{offset: w.span(0, time.Hour), drift: drift, contact: -MaxContactAge, subscribedAt: -1}
-}
-
-// relayClock is a relay's own.
-func (w *leaseWorld) relayClock(c *leaseRelay) time.Duration {
-	return w.now + c.offset + time.Duration(c.drift*float64(w.now))
-}
-
 func (w *leaseWorld) start(m *leaseMember) {
 	m.offset = w.span(0, 10*time.Second) - w.now // each process has a clock of its own
 	m.node = New(m.disk.ID, m.disk.Hard, m.disk.Snap, slices.Clone(m.disk.Entries), w.rng.Uint64(), w.clock(m))
 	m.applied = m.disk.Snap.GetIndex()
+	m.node.Retain(leaseTail, leaseTail)
 	m.contact = w.clock(m) - MaxContactAge
 	m.writes, m.reads, m.heard = map[uint64]uint64{}, map[uint64]uint64{}, map[uint64]time.Duration{}
 	if m.frozen < w.now {
@@ -287,56 +260,6 @@
 	}
 }
 
-// feed drives the two relays below a member.
-func (w *leaseWorld) feed(m *leaseMember) {
-	w.feedOne(m.child, m.node, w.clock(m), m.contact, m.applied)
-	c := m.child
-	if c.parentLife != nil {
-		w.feedOne(c.child, c.parentLife, w.relayClock(c), c.contact, c.applied)
-	}
-}
-
-// feedOne drives one child of a parent, whose clock, contact and state are given.
-func (w *leaseWorld) feedOne(c *leaseRelay, life *Node, parentNow, parentContact time.Duration, head uint64) {
-	own := w.relayClock(c)
-	delay := func() time.Duration { // now and then seconds, as of a machine that does not read
-		if w.rng.IntN(12) == 0 {
-			return w.span(0, 2*time.Second)
-		}
-		return w.span(time.Millisecond, 20*time.Millisecond)
-	}
-	subscribe := func() {
-		c.parentLife, c.subscription, c.subscribedAt = life, relay.Subscription{AskedAt: own}, -1
-		c.requestAt, c.feeds = w.now+delay(), nil
-	}
-	if c.parentLife != life {
-		subscribe()
-	}
-	if c.subscribedAt < 0 && w.now >= c.requestAt {
-		c.subscribedAt, c.sentAt = parentNow, -relay.Heartbeat
-	}
-	if c.subscribedAt >= 0 && w.now-c.sentAt >= relay.Heartbeat {
-		f := &wire.Feed{Latest: head}
-		relay.SetAge(f, parentNow, parentContact, c.subscribedAt)
-		arrives := w.now + delay()
-		if n := len(c.feeds); n > 0 {
-			arrives = max(arrives, c.feeds[n-1].arrives)
-		}
-		c.feeds, c.sentAt = append(c.feeds, leaseFeed{arrives, f}), w.now
-	}
-	for len(c.feeds) > 0 && c.feeds[0].arrives <= w.now {
-		f := c.feeds[0].feed
-		c.feeds = c.feeds[1:]
-		c.applied = max(c.applied, f.Latest)
-		if c.applied == f.Latest {
-			c.contact = max(c.contact, c.subscription.ContactAt(own, f))
-		}
-		if c.subscription.Outdated(own, f) {
-			subscribe()
-		}
-	}
-}
-
 // check sees that nobody's state is older than it says, and that nobody names a leader that it has not heard for an
 // election timeout.
 func (w *leaseWorld) check(m *leaseMember) {
@@ -400,6 +323,10 @@
 		clear(w.slow)
 	case 8, 9, 10:
 		w.quiet = w.now + w.span(200*time.Millisecond, 2*time.Second)
+	case 11, 12, 13, 14:
+		w.startRelay(m.child)
+	case 15, 16, 17, 18:
+		w.startRelay(m.child.child)
 	}
 }
 
@@ -430,7 +357,11 @@
 	restarts := shape.IntN(2) == 0
 	cutAt := w.now
 	w.cutOff(which, hear, send)
-	for w.now < cutAt+leaseCutFor {
+	lasts := leaseCutFor
+	if shape.IntN(4) == 0 {
+		lasts = leaseLongCut
+	}
+	for w.now < cutAt+lasts {
 		w.disturb(restarts)
 		w.turn()
 		if cutMember := w.members[which[0]]; !hear && w.now > cutAt+electionMax+leaseStep && w.now > cutMember.frozen &&
@@ -455,9 +386,9 @@
 	return w, recovered
 }
 
-// TestCutOffMembers cuts the leader, a follower or the learner off for twenty seconds, one way or both, with restarts,
+// TestCutOffMembers cuts the leader, a follower or the learner off for twenty seconds or forty, one way or both, with restarts,
 // pauses and slow links on both sides. At no moment is a state older than its holder says, down to the second relay below
-// each member; no read misses a change that was acknowledged before it; a member that hears nobody acknowledges nothing
+// each member, and no relay that starts meanwhile is ready by an older one than it may; no read misses a change that was acknowledged before it; a member that hears nobody acknowledges nothing
 // and no longer leads after an election timeout; and all are current again soon after the end.
 func TestCutOffMembers(t *testing.T) {
 	var recoveries []time.Duration
