--- a/internal/control/join_test.go
+++ b/internal/control/join_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"ivydeck/internal/nodefile"
+	"ivydeck/internal/raft"
 	"ivydeck/internal/rpc"
 	"ivydeck/internal/store"
 	"ivydeck/internal/wire"
@@ -148,7 +149,7 @@
 		index = attrs["index"].Uint64()
 		return index > 1 && attrs["bytes"].Uint64() > 2*pieceBytes
 	})
-	leader.until(t, "member.promoted", func(map[string]slog.Value) bool { return true })
+	leader.until(t, string(raft.MemberPromoted), func(map[string]slog.Value) bool { return true })
 	q.register(6000, 12000)
 	joining.until(t, "snapshot.taken", func(attrs map[string]slog.Value) bool { // of the state that it was given, and what came since
 		return attrs["bytes"].Int64() > 8*pieceBytes
