Let reads that come together share one round of contact

Cause: each read began a round of its own, with a heartbeat to every other member; a burst (a start of many nodes asks for the latest index) sent hundreds, and as only 64 rounds are remembered, answers to older ones confirmed no contact. Change: a read joins the newest round as long as its messages have not been handed to the driver: they go out after it.

--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -110,6 +110,7 @@
 	progress         map[uint64]*progress
 	heartbeatAt      time.Duration
 	round            uint64
+	roundUnsent      bool                     // the newest round's messages have not been taken by the driver
 	roundStartedAt   map[uint64]time.Duration // when the last rounds began
 	quorumContactAt  time.Duration            // begin of the newest round, or of the campaign, that a majority answered
 	leaderSince      time.Duration            // when it was elected
@@ -239,7 +240,7 @@
 	}
 	c.proposed = false
 	o := c.out
-	c.out = Output{}
+	c.out, c.roundUnsent = Output{}, false
 	o.Snapshot, c.pendingSnapshot = c.pendingSnapshot, nil
 	if c.hard.Term != c.saved.Term || c.hard.Vote != c.saved.Vote {
 		c.saved.Term, c.saved.Vote = c.hard.Term, c.hard.Vote
--- a/internal/raft/reads.go
+++ b/internal/raft/reads.go
@@ -31,6 +31,11 @@
 		c.out.Reads = append(c.out.Reads, Read{Token: token})
 		return
 	}
+	if c.roundUnsent { // its messages go out after this call
+		c.reads = append(c.reads, pendingRead{token, c.commit, c.round})
+		c.confirmContact()
+		return
+	}
 	c.reads = append(c.reads, pendingRead{token, c.commit, c.round + 1})
 	c.broadcastHeartbeat()
 }
--- /dev/null
+++ b/internal/raft/reads_test.go
@@ -0,0 +1,36 @@
+package raft
+
+import (
+	"testing"
+
+	"ivydeck/internal/wire"
+)
+
+// TestReadsShareARound: reads that come before a round's messages go out need no round of their own; one that comes
+// later does.
+func TestReadsShareARound(t *testing.T) {
+	c := leading(t)
+	answer := func(round uint64) {
+		c.Step(lateNow, &wire.Raft{Kind: wire.Raft_APPENDED, From: 2, To: 1, Term: 4, Index: 3, Round: round})
+	}
+	answer(c.round)
+	settle(c)
+	const burst = 200
+	for token := range uint64(burst) {
+		c.Read(lateNow, token)
+	}
+	round := c.round
+	if got := settle(c).Messages; len(got) != 2 {
+		t.Errorf("%d messages for reads that come together", len(got))
+	}
+	c.Read(lateNow, burst)
+	settle(c)
+	answer(round)
+	if got := settle(c).Reads; len(got) != burst {
+		t.Errorf("%d reads are confirmed by the round that began with the first, want %d", len(got), burst)
+	}
+	answer(c.round)
+	if got := settle(c).Reads; len(got) != 1 || got[0].Token != burst || !got[0].OK {
+		t.Errorf("%v is confirmed by the next round", got)
+	}
+}
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -52,6 +52,7 @@
 // broadcastHeartbeat begins a round of contact with all others.
 func (c *Node) broadcastHeartbeat() {
 	c.round++
+	c.roundUnsent = true
 	c.roundStartedAt[c.round] = c.now
 	delete(c.roundStartedAt, c.round-64)
 	c.heartbeatAt = c.now + Heartbeat
