Call a request unsent only where the peer can't have it whole

Cause: every error of a write counted as unsent, and numbers of streams wrap after 2^32 without a look at those in use. Change: after a failed write that took in the whole of the last frame the call may have arrived; numbers in use are passed over. Ruled out: package net returns no error with a full count today, so this was a matter of the interface's promise, not of a seen run; a torn frame is never handled by the peer, so a shorter write stays unsent.

--- a/internal/rpc/conn.go
+++ b/internal/rpc/conn.go
@@ -50,6 +50,9 @@
 // can have come of it.
 var ErrUnsent = errors.New("not sent")
 
+// errWholeFrame is a failed write after which the peer may have the frame whole all the same.
+var errWholeFrame = errors.New("the frame may have arrived whole")
+
 // ErrTooLarge says that a message, or all messages in the making together,
 // are over the bound.
 var ErrTooLarge = errors.New("message too large")
@@ -148,12 +151,16 @@
 	framesOut.Add(1)
 	wireBytesOut.Add(uint64(len(buf)))
 	c.nc.SetWriteDeadline(time.Now().Add(writeWait))
-	if _, err := c.nc.Write(buf); err != nil {
-		err = fmt.Errorf("writing to %s: %w", c.nc.RemoteAddr(), err)
-		c.fail(err)
-		return err
+	n, err := c.nc.Write(buf)
+	if err == nil {
+		return nil
 	}
-	return nil
+	err = fmt.Errorf("writing to %s: %w", c.nc.RemoteAddr(), err)
+	c.fail(err)
+	if n >= len(buf) {
+		return fmt.Errorf("%w: %w", errWholeFrame, err)
+	}
+	return err
 }
 
 // fail ends the connection and all of its streams.
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -419,9 +419,8 @@
 		c.mu.Unlock()
 		return nil, fmt.Errorf("%w: %s takes no stream", ErrUnsent, c.nc.RemoteAddr())
 	}
-	s := newStream(c, c.next, ctx, cancel)
+	s := newStream(c, c.freeStream(), ctx, cancel)
 	s.until, s.meter = until, meterOf(method)
-	c.next++
 	c.streams[s.id] = s
 	c.mu.Unlock()
 	var waitMs uint32
@@ -435,6 +434,17 @@
 	return s, nil
 }
 
+// freeStream returns the next stream's number. After four thousand million streams numbers begin anew, and some of the
+// first may still be in use: an answer must not reach another's stream. Called with mu held, with room for a stream.
+func (c *conn) freeStream() uint32 {
+	for c.next == 0 || c.streams[c.next] != nil {
+		c.next++
+	}
+	id := c.next
+	c.next++
+	return id
+}
+
 // Call is Peer.Call over the connection to an address, which is made where there
 // is none, until the context ends.
 func (p *Pool) Call(ctx context.Context, addr, method string, req, resp proto.Message) error {
--- a/internal/rpc/stream.go
+++ b/internal/rpc/stream.go
@@ -324,6 +324,9 @@
 			p.method, p.waitMs = method, waitMs
 		}
 		if err := s.c.writePart(p); err != nil {
+			if p.last && errors.Is(err, errWholeFrame) { // nothing is missing at the peer
+				return err
+			}
 			return fmt.Errorf("%w: %w", ErrUnsent, err)
 		}
 	}
--- /dev/null
+++ b/internal/rpc/unsent_test.go
@@ -0,0 +1,67 @@
+package rpc
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"math"
+	"net"
+	"testing"
+	"time"
+
+	"ivydeck/internal/wire"
+)
+
+// failingConn takes in a number of bytes, then every write fails.
+type failingConn struct {
+	net.Conn
+	left int
+	sent bytes.Buffer
+}
+
+func (c *failingConn) Write(b []byte) (int, error) {
+	n := min(c.left, len(b))
+	c.left -= n
+	c.sent.Write(b[:n])
+	return n, errors.New("reset") // also where all was taken in
+}
+
+func (c *failingConn) SetWriteDeadline(time.Time) error { return nil }
+
+// TestUnsentIsTrueAfterAFailedWrite fails the write of a request behind each of its bytes: where the caller is told
+// that it was not sent, the peer can't read it whole.
+func TestUnsentIsTrueAfterAFailedWrite(t *testing.T) {
+	unsent, perhaps := 0, 0
+	for left := range 200 {
+		a, b := net.Pipe()
+		nc := &failingConn{Conn: a, left: left}
+		c := newConn(context.Background(), nc, nil)
+		_, err := c.open(context.Background(), nil, time.Time{}, "forward", &wire.Forward{Attempt: "once", Body: make([]byte, 100)}, true)
+		sent := nc.sent.Bytes()
+		whole := len(sent) >= 4 && len(sent) >= 4+int(binary.BigEndian.Uint32(sent))
+		switch {
+		case err == nil:
+			t.Errorf("no error after %d bytes", left)
+		case errors.Is(err, ErrUnsent) && whole:
+			t.Errorf("told to be unsent, though the peer has all of it after %d bytes", left)
+		case errors.Is(err, ErrUnsent):
+			unsent++
+		default:
+			perhaps++
+		}
+		a.Close()
+		b.Close()
+	}
+	if unsent == 0 || perhaps == 0 {
+		t.Errorf("%d unsent and %d perhaps sent: the failures did not reach both", unsent, perhaps)
+	}
+}
+
+// TestStreamNumbersInUseAreNotGivenAgain: after the last number the first ones follow, but for those in use.
+func TestStreamNumbersInUseAreNotGivenAgain(t *testing.T) {
+	c := &conn{streams: map[uint32]*Stream{1: {}}, next: math.MaxUint32}
+	if a, b := c.freeStream(), c.freeStream(); a != math.MaxUint32 || b != 2 {
+		t.Errorf("streams %d and %d, want the last number and then the first that is free", a, b)
+	}
+}
