Keep a server's trial countable where two requests have one id

Cause: a second request with the id of one that is a trial took its place, so that trial never ended and the server got no other. Change: the one that is replaced ends as a trial.

--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -179,6 +179,9 @@
 	if len(s.running) >= mostRunning {
 		return
 	}
+	if twin := s.running[id]; twin != nil { // two clients have given their requests one id: only one of them is watched
+		twin.tried()
+	}
 	r := s.fresh()
 	r.Call, r.began, r.overdue = c, now, false
 	for _, rec := range []*record{&s.all, s.zones[c.Zone]} {
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -192,3 +192,28 @@
 		}
 	}
 }
+
+// TestTwoTrialsOfOneId: two clients give their requests one id, and both are trials of a server that is out. It is tried
+// again all the same once they have ended.
+func TestTwoTrialsOfOneId(t *testing.T) {
+	s := New(0)
+	call := Call{Usual: 100 * ms}
+	for i := range rowBad {
+		id := fmt.Sprint(i)
+		s.Begin(0, id, call)
+		s.End(0, id, Broken)
+	}
+	now := holdFirst + ms
+	if s.Judge(0, call) != Sick || s.Judge(now, call) != Fit {
+		t.Fatal("the server is not out, or gets no trial")
+	}
+	insists := call
+	insists.Insist = true
+	s.Begin(now, "one", call)
+	s.Begin(now, "one", insists)
+	s.End(now, "one", Void)
+	s.End(now, "one", Void)
+	if v := s.Judge(now+trialGap, call); v != Fit {
+		t.Errorf("no further trial: %v", v)
+	}
+}
