Count a client's idle time from its last answer, by the present bounds

Cause: the time ran from the end of the last request: a client that rests for four fifths of idle_timeout behind a slow answer met a connection that the node was closing; the same where a configuration had lengthened the time. Change: it runs from the answer on, and is looked at again when it is over.

--- a/internal/proxy/front.go
+++ b/internal/proxy/front.go
@@ -184,6 +184,8 @@
 	pending int
 	closing bool // no further request is begun
 	stopped bool // nothing more is read
+
+	answered time.Time // when the last answer was written
 }
 
 func (f *Front) serve(parent context.Context, nc net.Conn) {
@@ -343,18 +345,17 @@
 
 // await waits for the first byte of a request.
 func (c *client) await(r *bufio.Reader) error {
-	b := c.f.Bounds()
+	began := time.Now()
 	for {
-		c.readUntil(time.Now().Add(b.Idle))
+		until, _ := c.idleUntil(time.Now(), began)
+		c.readUntil(until)
 		_, err := r.Peek(1)
 		if err == nil {
 			return nil
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			c.mu.Lock()
-			more := c.pending > 0 && !c.stopped
-			c.mu.Unlock()
-			if more && c.ctx.Err() == nil {
+			now := time.Now()
+			if until, ok := c.idleUntil(now, began); ok && now.Before(until) && c.ctx.Err() == nil {
 				continue
 			}
 			return err
@@ -364,6 +365,23 @@
 	}
 }
 
+// idleUntil is when a connection that has waited for a request since a moment has been idle for too long, by the present
+// bounds. It is idle from its last answer on: from the last request on, a slow answer would leave its client less than
+// it was told. ok is false where nothing more is read.
+func (c *client) idleUntil(now, began time.Time) (until time.Time, ok bool) {
+	idle := c.f.Bounds().Idle
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	from := began
+	switch {
+	case c.pending > 0:
+		from = now
+	case c.answered.After(from):
+		from = c.answered
+	}
+	return from.Add(idle), !c.stopped
+}
+
 // take reads a request whose first byte is there.
 func (c *client) take(r *bufio.Reader) (*Call, error) {
 	b := c.f.Bounds()
@@ -417,6 +435,7 @@
 	<-turn
 	c.mu.Lock()
 	c.pending--
+	c.answered = time.Now() // and again once it is written
 	over := c.closing
 	if a.Close || c.f.leaving.Load() && c.pending == 0 {
 		a.Close, c.closing = true, true
@@ -435,5 +454,9 @@
 	if err != nil {
 		c.cancel()
 		c.nc.Close()
+		return
 	}
+	c.mu.Lock()
+	c.answered = time.Now()
+	c.mu.Unlock()
 }
