Say in the log why requests are refused, and conclude unsent at a call's beginning only

Change: admission.refusing (by service, every 2 s at most: counts, reading, pressure, servers, chances) and server.full (slots in use over the time, requests turned away). A call that was begun may have arrived, whatever its error says. Ruled out: a reading that stays (0.2 to 0.6, fresh), servers missing from the list (1 of 1), ejections (no server.sick), hedges.

--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -133,10 +133,29 @@
 
 // Reading is what a node knows of one service.
 type Reading struct {
-	Service string
-	R       float64 // in aims
-	Chances []float64
-	Left    float64 // repeats that the budget has left
+	Service  string
+	R        float64 // in aims
+	Pressure float64 // the same, or what stands in for it while requests find no room
+	Servers  int     // that may be sent to
+	Chances  []float64
+	Left     float64 // repeats that the budget has left
+}
+
+// Reading returns the state of one service; see Readings.
+func (t *Table) Reading(now time.Duration, service string, priorities int) (r Reading, ok bool) {
+	s := t.services[service]
+	if s == nil {
+		return r, false
+	}
+	return t.reading(now, service, s, priorities), true
+}
+
+func (t *Table) reading(now time.Duration, name string, s *service, priorities int) Reading {
+	r := Reading{Service: name, R: s.gate.Reading(), Pressure: s.gate.Pressure(now), Left: s.budget.Left(now), Servers: len(t.listed[name])}
+	for p := range priorities {
+		r.Chances = append(r.Chances, s.gate.Chance(now, p))
+	}
+	return r
 }
 
 // Readings returns the state of all services by name, with the chances of the
@@ -144,11 +163,7 @@
 func (t *Table) Readings(now time.Duration, priorities int) []Reading {
 	var list []Reading
 	for name, s := range t.services {
-		r := Reading{Service: name, R: s.gate.Reading(), Left: s.budget.Left(now)}
-		for p := range priorities {
-			r.Chances = append(r.Chances, s.gate.Chance(now, p))
-		}
-		list = append(list, r)
+		list = append(list, t.reading(now, name, s, priorities))
 	}
 	slices.SortFunc(list, func(a, b Reading) int {
 		if a.Service < b.Service {
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -58,6 +58,7 @@
 	slots   int
 	idle    []*appConn
 	closed  bool
+	load    serverLoad // guarded by in.mu
 }
 
 // NewInbound returns an Inbound without servers. After drain from the
@@ -265,7 +266,15 @@
 	}
 	tell(verdicts)
 	a := in.apps[q.Member]
+	var load serverLoad
+	due := false
+	if place == station.Full && a != nil {
+		load, due = a.load.turnAway(in.now())
+	}
 	in.mu.Unlock()
+	if due {
+		load.log(in.Log, in.now(), q.Member, a.slots)
+	}
 	switch place {
 	case station.Gone:
 		return unsent(true, "%s", why), nil
@@ -290,6 +299,7 @@
 	now := in.now()
 	f := in.station.Finish(now, q.Member, q.Attempt, end)
 	tell(f.Verdicts)
+	a.load.busy += now - began
 	in.mu.Unlock()
 	out.Waiting, out.Pace, out.Fill = f.Waiting, float32(f.Pace), float32(f.Fill)
 	out.TookMs = uint32((now - began).Milliseconds())
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -27,8 +27,9 @@
 	answerMargin = 15 * time.Millisecond // before its time is up a request gets its answer
 	mostBudgetMs = 3_600_000
 
-	mostPriorities = 16                     // that are shown
-	configWait     = 300 * time.Millisecond // for the first configuration of a process
+	mostPriorities   = 16                     // that are shown
+	loggedPriorities = 3                      // the highest, with a refusal
+	configWait       = 300 * time.Millisecond // for the first configuration of a process
 )
 
 // World is what a node has been told.
@@ -52,15 +53,17 @@
 	began               time.Time
 	ready               chan struct{} // closed with the first configuration
 
-	strays sync.WaitGroup // tries
-	mu     sync.Mutex
-	table  *entry.Table
+	strays   sync.WaitGroup // tries
+	mu       sync.Mutex
+	table    *entry.Table
+	refusing map[string]*refusals // by service; guarded by mu
 }
 
 // Start makes an Outbound ready for Update. The seed sets its random numbers.
 func (o *Outbound) Start(seed uint64) {
 	o.began = time.Now()
 	o.ready = make(chan struct{})
+	o.refusing = map[string]*refusals{}
 	o.table = entry.NewTable(entry.Options{Node: o.Node, Zone: o.Zone, Ratio: o.Ratio, Window: o.Window, Seed: seed})
 }
 
@@ -230,9 +233,13 @@
 	r, refused := o.table.Enter(o.now(), e)
 	o.mu.Unlock()
 	if refused != nil {
+		o.logRefusal(e.Service, false)
 		return say(refused)
 	}
 	a := o.serve(ctx, c, world, r)
+	if a.Back {
+		o.logRefusal(e.Service, true)
+	}
 	if e.Inner && o.CallFailed != nil && a.Status >= 400 {
 		o.CallFailed(c.Headers.Get("Attempt-Id"))
 	}
@@ -243,6 +250,25 @@
 	return a
 }
 
+// logRefusal counts a refusal, and logs how the service stands from time to time.
+func (o *Outbound) logRefusal(service string, admitted bool) {
+	o.mu.Lock()
+	r := o.refusing[service]
+	if r == nil {
+		r = new(refusals)
+		o.refusing[service] = r
+	}
+	counts, due := r.count(o.now(), admitted)
+	reading, known := entry.Reading{}, false
+	if due {
+		reading, known = o.table.Reading(o.now(), service, loggedPriorities)
+	}
+	o.mu.Unlock()
+	if known {
+		counts.log(o.Log, reading)
+	}
+}
+
 // try is one, with its end where it has ended.
 type try struct {
 	server string
@@ -437,6 +463,10 @@
 			return call, t
 		}
 	}
+	if errors.Is(err, rpc.ErrUnsent) { // only the beginning of a call can prove that
+		t.out, t.result = unsent(false, "%v", err), decide.Unconnected
+		return nil, t
+	}
 	return nil, o.lost(ctx, c, t, err)
 }
 
@@ -454,11 +484,10 @@
 	return &wire.Outcome{Fate: wire.Outcome_LATE, Why: "no answer in time"}
 }
 
-// lost is a try that has brought no word of what has become of it.
+// lost is a try that may have arrived and has brought no word of what has become of it: whatever the error says, it
+// may have run.
 func (o *Outbound) lost(ctx context.Context, c *Call, t try, err error) try {
 	switch {
-	case errors.Is(err, rpc.ErrUnsent):
-		t.out, t.result = unsent(false, "%v", err), decide.Unconnected
 	case ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded):
 		t.out, t.result = noAnswer(), decide.TimedOut
 	default:
