--- a/internal/raft/snapshot_sim_test.go
+++ b/internal/raft/snapshot_sim_test.go
@@ -233,6 +233,9 @@
 			continue
 		}
 		if t.snapshot == s {
+			if c.now-t.reportedAt < transferSilence {
+				c.fail("replica %d begins the snapshot at %d for %d again, %v after it was told of progress", from.n, s.Index, to.n, c.now-t.reportedAt)
+			}
 			return
 		}
 		if t.term == from.node.Term() { // a leader that was elected again knows nothing of its transfers
@@ -261,7 +264,7 @@
 			delete(to.partial, index)
 		}
 	}
-	to.begun = &inTransit{from: from, to: to, sender: from.node, term: from.node.Term(), receiver: to.node, snapshot: s}
+	to.begun = &inTransit{from: from, to: to, sender: from.node, term: from.node.Term(), receiver: to.node, snapshot: s, reportedAt: c.now}
 	c.transfers = append(c.transfers, to.begun)
 }
 
