--- a/internal/relay/search_test.go
+++ b/internal/relay/search_test.go
@@ -229,3 +229,64 @@
 		}
 	}
 }
+
+// TestSearchOfParents draws members, their zones and states: who follows the best parents ends at the quorum, and suspected
+// quorum members come behind all others.
+func TestSearchOfParents(t *testing.T) {
+	states := []wire.Member_State{wire.Member_ALIVE, wire.Member_ALIVE, wire.Member_SUSPECT}
+	for seed := range uint64(500) {
+		rng := rand.New(rand.NewPCG(seed, 0x9a7e))
+		all := members(1+rng.IntN(60), 1+rng.IntN(4))
+		byName := map[string]*wire.Member{}
+		for _, m := range all {
+			m.State = states[rng.IntN(len(states))]
+			byName[m.Name] = m
+		}
+		for _, m := range all {
+			if m.Core {
+				continue
+			}
+			suspected := false
+			for _, name := range Parents(m.Name, m.Zone, all) {
+				p := byName[name]
+				if p.Core && p.State == wire.Member_ALIVE && suspected {
+					t.Fatalf("seed %d: %s turns to a suspected quorum member before %s", seed, m.Name, name)
+				}
+				suspected = suspected || p.Core && p.State != wire.Member_ALIVE
+			}
+			at, hops := m, 0
+			for ; !at.Core && hops <= len(all); hops++ {
+				at = byName[Parents(at.Name, at.Zone, all)[0]]
+			}
+			if !at.Core {
+				t.Fatalf("seed %d: %s follows parents that follow each other", seed, m.Name)
+			}
+		}
+	}
+}
+
+// TestSearchOfAges draws clocks that differ in time and rate, and the time that a request and a feed are on their way: a
+// child never takes a contact for a later one than it was.
+func TestSearchOfAges(t *testing.T) {
+	for seed := range uint64(20_000) {
+		rng := rand.New(rand.NewPCG(seed, 0xa6e))
+		draw := func(most time.Duration) time.Duration { return time.Duration(rng.Int64N(int64(most))) }
+		clock := func() func(time.Duration) time.Duration {
+			offset, drift := draw(time.Hour), rng.Float64()*2-1
+			return func(at time.Duration) time.Duration {
+				return offset + at + time.Duration(drift*float64(at)/(2*driftShare))
+			}
+		}
+		parent, child := clock(), clock()
+		asked := draw(time.Minute)
+		received := asked + draw(2*time.Second)
+		contact := received - draw(time.Minute) + draw(3*time.Minute)
+		sent := max(received, contact) + draw(time.Second)
+		taken := sent + draw(5*time.Second)
+		f := &wire.Feed{}
+		SetAge(f, parent(sent), parent(contact), parent(received))
+		if got := (Subscription{AskedAt: child(asked)}).ContactAt(child(taken), f); got > child(contact)+time.Microsecond {
+			t.Fatalf("seed %d: a contact at %v of the child's clock is taken for one at %v", seed, child(contact), got)
+		}
+	}
+}
