--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -106,6 +106,7 @@
 	n.pool.Identity, n.transferPool.Identity = source, source
 	n.set.Store(set)
 	n.contactAt.Store(-int64(raft.MaxContactAge))
+	n.outOfTouch = true // a start is no loss of touch
 	n.hub = relay.NewHub(func() time.Duration { return n.now() - time.Duration(n.contactAt.Load()) })
 	if err := n.restore(rng.Uint64()); err != nil {
 		st.Close()
