Acknowledge nothing at the first start before the quorum has grown to the wanted size

Cause: the bound was lowered to one voter fewer than wanted, for the moment of a replacement; at the first start a loss between the second voter and the third would have left an acknowledged change on a member that can elect nobody. Change: ackGate asks for the wanted number until it was reached once, or the system has run before.

--- /dev/null
+++ b/internal/control/ack_gate.go
@@ -0,0 +1,25 @@
+package control
+
+import (
+	"ivydeck/internal/nodefile"
+	"ivydeck/internal/raft"
+)
+
+// ackGate says below how many voters nothing is acknowledged. At the first start of a system the quorum has to grow to the
+// wanted number first: a loss before then would leave a change on members that can elect nobody. Later it may be one
+// short of that, for the moment between the removal of a replaced voter and the promotion of its successor.
+type ackGate struct {
+	grown bool // the quorum had the wanted number of voters
+}
+
+// minVoters is that number, where the newest membership has so many voters.
+func (g *ackGate) minVoters(set *nodefile.Settings, voters int) int {
+	wanted := raft.WantedVoters(set.Tolerated, len(set.Seeds))
+	if !set.Bootstrap || voters >= wanted {
+		g.grown = true
+	}
+	if !g.grown {
+		return wanted
+	}
+	return raft.MinAckVoters(set.Tolerated, len(set.Seeds))
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -60,6 +60,7 @@
 	catalog     *catalog.Catalog
 	applied     uint64
 	requests    *requestQueue
+	ackGate     ackGate
 	operatorAPI operatorAPI
 	senders     map[uint64]*sender
 	managed     time.Duration
--- a/internal/control/node_api.go
+++ b/internal/control/node_api.go
@@ -63,11 +63,9 @@
 	return raft.WantedVoters(set.Tolerated, len(set.Seeds))
 }
 
-// minAckVoters is the number of voters below which nothing is acknowledged: with fewer, the losses that are to be borne
-// could take a change away.
+// minAckVoters is the number of voters below which nothing is acknowledged now; for the loop.
 func (n *Node) minAckVoters() int {
-	set := n.set.Load()
-	return raft.MinAckVoters(set.Tolerated, len(set.Seeds))
+	return n.ackGate.minVoters(n.set.Load(), raft.Voters(n.consensus.Peers()))
 }
 
 // propose takes a data node's change of the list of servers.
