Pass heartbeats down the relay tree as they come

Each relay sent heartbeats to its children by its own clock, so the age of the state grew by up to 400 ms a level: from five levels on it was over the 1.5 s at which a child leaves its parent for the quorum. Pacing, a pure state machine that the real relays and the lab share, sends a feed when the parent's has come, and by its own clock only after 500 ms without one. Why a subscription ended is typed (relay.EndReason) instead of a string.

Ruled out: a larger bound of age (cut-off parents would be kept for longer), shorter heartbeats (bytes grow with each).

--- a/cmd/meshlab/main.go
+++ b/cmd/meshlab/main.go
@@ -71,7 +71,7 @@
 		}
 	}
 	fmt.Printf("  repeats %d, at most %.2f of the shared budget\n", r.Repeats, r.Budget)
-	fmt.Printf("  updates: p50 %.1f ms, p99 %.1f ms, at most %.1f ms, %d deep\n", r.LagP50Ms, r.LagP99Ms, r.LagMaxMs, r.Depth)
+	fmt.Printf("  updates: p50 %.1f ms, p99 %.1f ms, at most %.1f ms, %d deep, %d parents left out of touch\n", r.LagP50Ms, r.LagP99Ms, r.LagMaxMs, r.Depth, r.OutOfTouch)
 	fmt.Printf("  changes: %d acknowledged, p50 %.1f ms, at most %.1f ms; %d elections, %.2f s without a leader; %d entries in the log\n", r.Acks, r.AckP50Ms, r.AckMaxMs, r.Elections, r.LeaderlessS, r.Entries)
 	fmt.Printf("  a node and second: %.1f probes, %.0f bytes of them, %.0f bytes of updates; the busiest machine sends %.0f bytes a second\n",
 		r.ProbesS, r.ProbeBytesS, r.FeedBytesS, r.BusiestBps)
--- a/internal/lab/core.go
+++ b/internal/lab/core.go
@@ -331,6 +331,7 @@
 	m        *machine
 	group    *membership.Group
 	hub      *relay.Hub
+	pacing   relay.Pacing
 	children []*child
 }
 
@@ -347,7 +348,7 @@
 }
 
 func (v *peerView) start(s *sim, m *machine) {
-	v.s, v.m, v.children = s, m, nil
+	v.s, v.m, v.children, v.pacing = s, m, nil, relay.Pacing{}
 	self := &wire.Member{Name: m.name, Address: m.name, Zone: m.zone, Core: m.core, Generation: m.life}
 	v.group = membership.New(self, s.rng.Uint64(), s.now)
 	if s.w.Steady && len(s.all) > 0 && s.now == 0 {
@@ -407,16 +408,17 @@
 	}, func(bool) { done(false) })
 }
 
-// beat is a sign of life to all children.
+// beat feeds all children where none was fed for as long as a heartbeat may take.
 func (v *peerView) beat(life uint64) {
 	if !v.m.up || v.m.life != life {
 		return
 	}
-	v.feed()
-	v.s.after(relay.Heartbeat, func() { v.beat(life) })
+	if v.s.now >= v.pacing.Due(v.hub.Depth()) {
+		v.feed()
+	}
+	v.s.at(v.pacing.Due(v.hub.Depth()), func() { v.beat(life) })
 }
 
-// feed sends each child what it lacks.
 // fed is the number of children that are still there.
 func (v *peerView) fed() int {
 	n := 0
@@ -428,7 +430,9 @@
 	return n
 }
 
+// feed sends each child what it lacks.
 func (v *peerView) feed() {
+	v.pacing.Sent(v.s.now)
 	keep := v.children[:0]
 	for _, c := range v.children {
 		if !c.gone && c.node.up && c.node.life == c.life {
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -64,7 +64,8 @@
 	LagP50Ms    float64                `json:"lag_p50_ms"`
 	LagP99Ms    float64                `json:"lag_p99_ms"`
 	LagMaxMs    float64                `json:"lag_max_ms"`
-	Depth       int                    `json:"depth"` // of the tree, at its deepest
+	Depth       int                    `json:"depth"`        // of the tree, at its deepest
+	OutOfTouch  int                    `json:"out_of_touch"` // times that a node left its parent for the age of what it sent
 	Elections   int                    `json:"elections"`
 	LeaderlessS float64                `json:"leaderless_s"`
 	AckP50Ms    float64                `json:"ack_p50_ms"`
@@ -104,6 +105,7 @@
 	repeats    int
 	budget     float64
 	depth      int
+	outOfTouch int
 	disk       int
 	entries    map[string]*sliding // requests of a service
 	again      map[string]*sliding // repeats of them
@@ -285,7 +287,7 @@
 	}
 	r := &Result{
 		Scenario: m.w.Name, Text: text, Seed: seed, Total: m.total, Routes: map[string]RouteResult{}, Seconds: m.seconds,
-		Repeats: m.repeats, Budget: m.budget, Depth: m.depth, Elections: m.elections, LeaderlessS: m.leaderless.Seconds(),
+		Repeats: m.repeats, Budget: m.budget, Depth: m.depth, OutOfTouch: m.outOfTouch, Elections: m.elections, LeaderlessS: m.leaderless.Seconds(),
 		LagP50Ms: float64(m.lag.ValueAtQuantile(50)) / 1000, LagP99Ms: float64(m.lag.ValueAtQuantile(99)) / 1000,
 		LagMaxMs: float64(m.lag.Max()) / 1000, Acks: len(m.acks), DiskBytes: m.disk, Faults: s.faults,
 		FaultAtS: s.faultAt.Seconds(), Fingerprint: fmt.Sprintf("%016x", s.fingerprint()),
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -157,14 +157,14 @@
 	to := n.s.views[addr]
 	n.s.call(&n.machine, to.m, rpcBytes, relay.Silence, func(answer func(int, func())) {
 		if to.fed() >= relay.MaxChildren {
-			answer(rpcBytes, func() { n.abandon(c, relay.ErrFull.Error()) })
+			answer(rpcBytes, func() { n.abandon(c, relay.Failed) })
 			return
 		}
 		c.subscribedAt = n.s.now
 		to.children = append(to.children, c)
 		answer(rpcBytes, func() {})
 		to.feedOne(c)
-	}, func(bool) { n.abandon(c, "no connection") })
+	}, func(bool) { n.abandon(c, relay.Failed) })
 	n.watch(c)
 }
 
@@ -174,14 +174,14 @@
 		return
 	}
 	if n.s.now-n.heardAt >= relay.Silence {
-		n.abandon(c, "silence")
+		n.abandon(c, relay.Failed)
 		return
 	}
 	n.s.at(n.heardAt+relay.Silence, func() { n.watch(c) })
 }
 
 // abandon leaves a parent, and looks for another.
-func (n *node) abandon(c *child, why string) {
+func (n *node) abandon(c *child, why relay.EndReason) {
 	if n.up && n.life == c.life && n.parent == c {
 		n.parent.gone, n.parent = true, nil
 		n.selector.Ended(n.s.now, why)
@@ -196,15 +196,13 @@
 	}
 	n.heardAt = n.s.now
 	contactAt := c.subscription.ContactAt(n.s.now, f)
-	if why := n.selector.Check(n.s.now, n.s.now-contactAt); why != "" {
+	if why := n.selector.Check(n.s.now, n.s.now-contactAt); why != relay.Continue {
+		n.s.m.outOfTouch++
 		n.abandon(c, why)
 		return
 	}
 	before := n.hub.Index()
-	current, ok := n.hub.Receive(f)
-	if current {
-		n.freshAt = max(n.freshAt, contactAt)
-	}
+	current, ok := n.hub.Receive(f, func() { n.freshAt = max(n.freshAt, contactAt) })
 	after := n.hub.Index()
 	if after < before {
 		n.s.broken("%s went back from update %d to %d", n.name, before, after)
@@ -212,6 +210,8 @@
 	if after > before {
 		n.s.m.heard(n.s.now, before, after)
 		n.s.m.depth = max(n.s.m.depth, int(n.hub.Depth()))
+	}
+	if current || after > before {
 		n.feed()
 	}
 	if !ok || n.selector.ShouldMove(n.s.now, n.parents()) || c.subscription.Outdated(n.s.now, f) {
--- a/internal/relay/failure_search_test.go
+++ b/internal/relay/failure_search_test.go
@@ -125,7 +125,7 @@
 			}
 			switch {
 			case silentSince >= 0 && now-silentSince >= Silence:
-				selector.Ended(now, "silence")
+				selector.Ended(now, Failed)
 				parent = ""
 			case parent != "" && silentSince < 0 && selector.ShouldMove(now, names):
 				selector.Ended(now, Renew)
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -51,9 +52,10 @@
 			pause(ctx, wait)
 			continue
 		}
-		why := f.follow(ctx, &selector, addr, began)
+		why, err := f.follow(ctx, &selector, addr, began)
+		selector.Ended(time.Since(began), why)
 		if ctx.Err() == nil {
-			f.Log.Debug("relay.parent", "address", addr, "why", why)
+			f.Log.Debug("relay.parent", "address", addr, "why", string(why), "err", err)
 		}
 	}
 }
@@ -68,44 +70,52 @@
 }
 
 // follow takes the updates of one parent until that fails, and says why it did.
-func (f *Follower) follow(ctx context.Context, selector *Selector, addr string, began time.Time) (why string) {
+func (f *Follower) follow(ctx context.Context, selector *Selector, addr string, began time.Time) (EndReason, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer func() { selector.Ended(time.Since(began), why) }()
 	// The stream has no deadline of its own: silence ends it.
 	watchdog := time.AfterFunc(Silence, cancel)
 	defer watchdog.Stop()
 	subscription := Subscription{AskedAt: time.Since(began)}
 	s, err := f.Pool.Open(ctx, addr, "subscribe", &wire.Subscribe{Have: f.Hub.Index(), Node: f.Node, Format: Format})
 	if err != nil {
-		return err.Error()
+		return Failed, err
 	}
 	defer s.Close()
 	for {
 		feed := new(wire.Feed)
 		if err := s.Recv(feed); err != nil {
-			return err.Error()
+			return Failed, err
 		}
 		watchdog.Reset(Silence)
-		if err := CheckFormat("the parent", feed.Format); err != nil {
-			f.Log.Error("relay.format", "address", addr, "err", err)
-			return err.Error()
-		}
-		if err := unpack(feed); err != nil {
-			f.Log.Error("relay.unreadable", "address", addr, "err", err)
-			return err.Error()
+		if err := readable(feed); err != nil {
+			f.Log.Error(unreadableEvent(err), "address", addr, "err", err)
+			return Failed, err
 		}
 		now := time.Since(began)
 		contactAt := subscription.ContactAt(now, feed)
-		if why := selector.Check(now, now-contactAt); why != "" {
-			return why
-		}
-		current, ok := f.Hub.Receive(feed)
-		if current {
-			f.confirmed(began.Add(contactAt))
+		if why := selector.Check(now, now-contactAt); why != Continue {
+			return why, nil
 		}
+		_, ok := f.Hub.Receive(feed, func() { f.confirmed(began.Add(contactAt)) })
 		if !ok || selector.ShouldMove(now, f.Parents()) || subscription.Outdated(now, feed) {
-			return Renew
+			return Renew, nil
 		}
 	}
 }
+
+// unreadableEvent names the log event of a feed that can't be read.
+func unreadableEvent(err error) string {
+	if errors.Is(err, ErrFormat) {
+		return "relay.format"
+	}
+	return "relay.unreadable"
+}
+
+// readable unpacks a feed of this node's format.
+func readable(feed *wire.Feed) error {
+	if err := CheckFormat("the parent", feed.Format); err != nil {
+		return err
+	}
+	return unpack(feed)
+}
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -14,10 +14,6 @@
 )
 
 const (
-	// feedEvery is the least time between two feeds to a child, so that updates that come faster share one. The first
-	// after a pause goes at once.
-	feedEvery = 25 * time.Millisecond
-
 	maxCached      = 16      // differences that are kept for the children that stand at the same index
 	maxCachedBytes = 1 << 20 // of one of them, encoded
 )
@@ -30,6 +26,7 @@
 	mu       sync.Mutex
 	view     *catalog.View
 	changed  chan struct{}          // closed and replaced at each change
+	renewed  chan struct{}          // closed and replaced when a feed without changes brings a newer contact with the quorum
 	cached   map[uint64]*difference // to the latest index, by where they begin
 	depth    uint32
 	children int
@@ -45,7 +42,7 @@
 
 // NewHub returns a hub that has been told nothing.
 func NewHub(age func() time.Duration) *Hub {
-	return &Hub{Age: age, view: catalog.NewView(), changed: make(chan struct{}), cached: map[uint64]*difference{}}
+	return &Hub{Age: age, view: catalog.NewView(), changed: make(chan struct{}), renewed: make(chan struct{}), cached: map[uint64]*difference{}}
 }
 
 // notify tells those who wait of a change; called with mu held.
@@ -55,6 +52,13 @@
 	h.changed = make(chan struct{})
 }
 
+// signals returns channels that are closed at the next change, and when the state here is next confirmed without one.
+func (h *Hub) signals() (changed, renewed <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.changed, h.renewed
+}
+
 // Changed returns a channel that is closed at the next change.
 func (h *Hub) Changed() <-chan struct{} {
 	h.mu.Lock()
@@ -95,10 +99,6 @@
 func (h *Hub) Apply(c *wire.Changes) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.apply(c)
-}
-
-func (h *Hub) apply(c *wire.Changes) bool {
 	if c == nil {
 		return true
 	}
@@ -112,13 +112,26 @@
 
 // Receive takes in what a parent has sent. It reports not ok where changes are missing:
 // the subscription has to be renewed. current tells that the parent knows nothing
-// newer than what is here, so that its age is the age of this node's state too.
-func (h *Hub) Receive(f *wire.Feed) (current, ok bool) {
+// newer than what is here, so that its age is the age of this node's state too; confirm
+// is called then, before the children are told, and raises the moment that Age counts from.
+func (h *Hub) Receive(f *wire.Feed, confirm func()) (current, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	ok = h.apply(f.Changes)
+	before := h.view.Index()
+	ok = f.Changes == nil || h.view.Apply(f.Changes)
 	h.depth = f.Depth + 1
-	return ok && f.Latest == h.view.Index(), ok
+	current = ok && f.Latest == h.view.Index()
+	if current {
+		confirm()
+	}
+	switch {
+	case h.view.Index() != before:
+		h.notify()
+	case current:
+		close(h.renewed)
+		h.renewed = make(chan struct{})
+	}
+	return current, ok
 }
 
 // Depth is this node's place below the quorum, whose members are at 0.
@@ -166,21 +179,20 @@
 
 // encodedFeed is Feed in bytes. The changes are encoded once for all children that stand at the same index, and while
 // that goes on nobody else waits.
-func (h *Hub) encodedFeed(have uint64, now, subscribedAt time.Duration) (data []byte, latest uint64, changed <-chan struct{}, err error) {
+func (h *Hub) encodedFeed(have uint64, now, subscribedAt time.Duration) (data []byte, latest uint64, err error) {
 	contactAt := now - h.Age()
 	h.mu.Lock()
 	f, d := h.heartbeat(), h.difference(have)
-	changed = h.changed
 	h.mu.Unlock()
 	SetAge(f, now, contactAt, subscribedAt)
 	if data, err = proto.Marshal(f); err != nil || d == nil {
-		return data, f.Latest, changed, err
+		return data, f.Latest, err
 	}
 	changes, err := d.encode()
 	if len(changes) > maxCachedBytes {
 		h.drop(have, d)
 	}
-	return append(data, changes...), f.Latest, changed, err // messages that follow each other are merged
+	return append(data, changes...), f.Latest, err // messages that follow each other are merged
 }
 
 // encode returns a difference as the bytes of a feed.
@@ -237,13 +249,17 @@
 		return ErrFull
 	}
 	defer h.exit()
-	have := ask.Have
-	heartbeat := time.NewTicker(Heartbeat)
-	defer heartbeat.Stop()
-	pause := time.NewTimer(feedEvery)
-	defer pause.Stop()
+	return h.feedChild(s, ask.Have, subscribedAt)
+}
+
+// feedChild sends feeds as Pacing says, until the child leaves.
+func (h *Hub) feedChild(s *rpc.Stream, have uint64, subscribedAt time.Time) error {
+	var pacing Pacing
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		data, latest, changed, err := h.encodedFeed(have, time.Since(subscribedAt), 0)
+		changed, renewed := h.signals() // before the feed: what comes after it is passed on by the next
+		data, latest, err := h.encodedFeed(have, time.Since(subscribedAt), 0)
 		if err != nil {
 			return err
 		}
@@ -251,17 +267,23 @@
 			return err
 		}
 		have = max(have, latest)
-		pause.Reset(feedEvery)
-		select {
-		case <-changed:
+		pacing.Sent(time.Since(subscribedAt))
+		timer.Reset(pacing.Due(h.Depth()) - time.Since(subscribedAt))
+		for waiting := true; waiting; {
 			select {
-			case <-pause.C:
+			case <-changed:
+				changed = nil
+				pacing.PassOn()
+				timer.Reset(pacing.Due(h.Depth()) - time.Since(subscribedAt))
+			case <-renewed:
+				renewed = nil
+				pacing.PassOn()
+				timer.Reset(pacing.Due(h.Depth()) - time.Since(subscribedAt))
+			case <-timer.C:
+				waiting = false
 			case <-s.Context().Done():
 				return s.Context().Err()
 			}
-		case <-heartbeat.C:
-		case <-s.Context().Done():
-			return s.Context().Err()
 		}
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -148,11 +148,11 @@
 	}
 	other := NewHub(func() time.Duration { return 0 })
 	f, _ := h.Feed(0, 0, 0)
-	if current, ok := other.Receive(f); !current || !ok || other.Index() != 9 || other.Depth() != 1 {
+	if current, ok := other.Receive(f, func() {}); !current || !ok || other.Index() != 9 || other.Depth() != 1 {
 		t.Errorf("a child is at %d", other.Index())
 	}
 	f.Latest, f.Changes = 12, nil
-	if current, ok := other.Receive(f); current || !ok {
+	if current, ok := other.Receive(f, func() {}); current || !ok {
 		t.Error("a child that lacks updates takes its state for the newest")
 	}
 }
@@ -172,7 +172,7 @@
 	h := NewHub(func() time.Duration { return 0 })
 	h.Apply(&wire.Changes{To: 7, Resources: []*wire.Resource{{Index: 7, Value: &wire.Resource_Server{Server: &wire.Server{Member: "i-1"}}}}})
 	for _, have := range []uint64{0, 3, 7} {
-		data, latest, _, err := h.encodedFeed(have, 9*time.Second, 5*time.Second)
+		data, latest, err := h.encodedFeed(have, 9*time.Second, 5*time.Second)
 		got := new(wire.Feed)
 		want, _ := h.Feed(have, 9*time.Second, 5*time.Second)
 		if err = errors.Join(err, proto.Unmarshal(data, got)); err != nil || latest != 7 || !proto.Equal(got, want) {
--- a/internal/relay/search_test.go
+++ b/internal/relay/search_test.go
@@ -140,7 +140,7 @@
 	h := copyHub(n.hubs[child])
 	n.hubs[child] = h
 	before := h.Index()
-	current, ok := h.Receive(f)
+	current, ok := h.Receive(f, func() {})
 	index := h.Index()
 	switch {
 	case index < before:
@@ -219,7 +219,7 @@
 			if c := f.Changes; c != nil && c.To != f.Latest {
 				t.Fatalf("seed %d: a parent at %d sends a difference up to %d", seed, f.Latest, c.To)
 			}
-			current, ok := hubs[child].Receive(f)
+			current, ok := hubs[child].Receive(f, func() {})
 			if index := hubs[child].Index(); !ok || index != max(have, f.Latest) || current != (index == f.Latest) {
 				t.Fatalf("seed %d: a child at %d is at %d behind a feed up to %d: ok %v, current %v", seed, have, index, f.Latest, ok, current)
 			}
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -8,8 +8,16 @@
 	roundPause = 100 * time.Millisecond
 )
 
-// Renew is the end of a subscription that is to be renewed at once.
-const Renew = "renew"
+// EndReason says why a subscription has ended.
+type EndReason string
+
+// The reasons.
+const (
+	Continue   EndReason = ""                           // it has not ended
+	Renew      EndReason = "renew"                      // it is to be renewed at once, or the node's place is elsewhere
+	OutOfTouch EndReason = "the parent is out of touch" // what the parent sends is too old
+	Failed     EndReason = "failed"                     // no connection, silence, a refusal, or a feed that can't be read
+)
 
 // Selector decides which parent a node subscribes to. It is a pure state machine: it takes the
 // time and an event, and says what to do. Times are durations since a moment of
@@ -39,12 +47,12 @@
 	return s.addr, 0
 }
 
-// Check says why a parent should be left for the age of what it has sent; empty: it should not.
-func (s *Selector) Check(now, age time.Duration) string {
+// Check says whether a parent should be left for the age of what it has sent.
+func (s *Selector) Check(now, age time.Duration) EndReason {
 	if age > Stale && now-s.began > Heartbeat {
-		return "the parent is out of touch"
+		return OutOfTouch
 	}
-	return ""
+	return Continue
 }
 
 // ShouldMove tells whether the node's place is elsewhere by now.
@@ -56,7 +64,7 @@
 }
 
 // Ended takes the end of a subscription.
-func (s *Selector) Ended(now time.Duration, why string) {
+func (s *Selector) Ended(now time.Duration, why EndReason) {
 	switch {
 	case why == Renew, now-s.began > settledFor && !s.best:
 		s.turn = 0
--- a/internal/relay/selector_test.go
+++ b/internal/relay/selector_test.go
@@ -15,11 +15,11 @@
 	for _, c := range []struct {
 		name   string
 		lasted time.Duration
-		why    string
+		why    EndReason
 		next   string
 	}{
-		{"silent after long", time.Minute, "silence", "second"},
-		{"silent at once", time.Second, "silence", "second"},
+		{"silent after long", time.Minute, Failed, "second"},
+		{"silent at once", time.Second, Failed, "second"},
 		{"renewed", time.Minute, Renew, "first"},
 	} {
 		var s Selector
@@ -35,7 +35,7 @@
 		addr, _ := s.Next(now, parents)
 		tried = append(tried, addr)
 		now += 20 * time.Second
-		s.Ended(now, "silence")
+		s.Ended(now, Failed)
 	}
 	if want := []string{"first", "second", "first", "second"}; !slices.Equal(tried, want) {
 		t.Errorf("parents that fail after long are tried in the order %v, want %v", tried, want)
