Compare views of the members by digests of ranges

Nodes compared their views by one digest of all members and then took the whole view from a quorum member: 1.33 MB an answer at 28,000 nodes, 414 MB/s at each seed. Now the answer to a question that differs brings the digests of up to 1,024 ranges of names, and the members of the ranges that differ are asked for. In meshes of over 100 nodes seven of eight comparisons are with a node drawn by lot, not with the seeds. Views of up to 64 members go whole as before, and nodes of the version before are answered as before.

Ruled out: exchanging members both ways (a node that was cut off for long would bring back the dead that others have forgotten).

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -84,7 +84,7 @@
 	g.mu.Unlock()
 	told := 0
 	for _, m := range members {
-		if m.Name != self.Name && told < 4 && g.exchange(ctx, m.Address, &wire.Probe{From: self, Updates: []*wire.Member{self}}, membership.ProbeTimeout) {
+		if m.Name != self.Name && told < 4 && g.exchange(ctx, m.Address, &wire.Probe{From: self, Updates: []*wire.Member{self}}, membership.ProbeTimeout) != nil {
 			told++
 		}
 	}
@@ -128,12 +128,12 @@
 
 func (g *Gossip) send(ctx context.Context, a membership.Action) {
 	g.start(func() {
-		reached := g.exchange(ctx, a.Address, a.Probe, a.Wait())
+		answer := g.exchange(ctx, a.Address, a.Probe, a.Wait())
 		if ctx.Err() != nil {
 			return
 		}
 		g.mu.Lock()
-		more := g.group.Probed(g.now(), a, reached)
+		more := g.group.Probed(g.now(), a, answer)
 		g.mu.Unlock()
 		for _, m := range more {
 			g.send(ctx, m)
@@ -141,17 +141,16 @@
 	})
 }
 
-// exchange sends a probe and takes in the answer. It reports whether the target
-// was reached.
-func (g *Gossip) exchange(ctx context.Context, addr string, p *wire.Probe, wait time.Duration) bool {
+// exchange sends a probe and takes in the answer; nil: none came.
+func (g *Gossip) exchange(ctx context.Context, addr string, p *wire.Probe, wait time.Duration) *wire.Probed {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	answer := new(wire.Probed)
 	if err := g.pool.Call(ctx, addr, "probe", p, answer); err != nil {
-		return false
+		return nil
 	}
 	g.hear(answer.Updates)
-	return answer.Reached
+	return answer
 }
 
 func (g *Gossip) hear(news []*wire.Member) {
@@ -182,9 +181,11 @@
 		g.mu.Lock()
 		self := g.group.Self()
 		g.mu.Unlock()
-		reached = g.exchange(ctx, p.Target.Address, &wire.Probe{From: self}, membership.ProbeTimeout)
+		reached = g.exchange(ctx, p.Target.Address, &wire.Probe{From: self}, membership.ProbeTimeout) != nil
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return &wire.Probed{Reached: reached, Updates: g.group.Answer(p)}, nil
+	answer := g.group.Answer(p)
+	answer.Reached = reached
+	return answer, nil
 }
--- a/internal/lab/core.go
+++ b/internal/lab/core.go
@@ -371,18 +371,18 @@
 }
 
 func (v *peerView) send(a membership.Action) {
-	v.exchange(a.Address, a.Probe, a.Wait(), func(reached bool) {
-		for _, more := range v.group.Probed(v.s.now, a, reached) {
+	v.exchange(a.Address, a.Probe, a.Wait(), func(answer *wire.Probed) {
+		for _, more := range v.group.Probed(v.s.now, a, answer) {
 			v.send(more)
 		}
 	})
 }
 
-// exchange sends a probe and takes in the answer.
-func (v *peerView) exchange(address string, p *wire.Probe, wait time.Duration, done func(reached bool)) {
+// exchange sends a probe and takes in the answer; nil: none came.
+func (v *peerView) exchange(address string, p *wire.Probe, wait time.Duration, done func(*wire.Probed)) {
 	to := v.s.views[address]
 	if to == nil {
-		done(false)
+		done(nil)
 		return
 	}
 	size := proto.Size(p)
@@ -392,20 +392,21 @@
 		to.group.Merge(v.s.now, p.From)
 		to.group.Merge(v.s.now, p.Updates...)
 		reply := func(reached bool) {
-			news := to.group.Answer(p)
-			size := proto.Size(&wire.Probed{Reached: reached, Updates: news})
+			probed := to.group.Answer(p)
+			probed.Reached = reached
+			size := proto.Size(probed)
 			v.s.m.probeBytes += int64(size + rpcBytes)
 			answer(size, func() {
-				v.group.Merge(v.s.now, news...)
-				done(reached)
+				v.group.Merge(v.s.now, probed.Updates...)
+				done(probed)
 			})
 		}
 		if p.Target == nil {
 			reply(true)
 			return
 		}
-		to.exchange(p.Target.Address, &wire.Probe{From: to.group.Self()}, membership.ProbeTimeout, reply)
-	}, func(bool) { done(false) })
+		to.exchange(p.Target.Address, &wire.Probe{From: to.group.Self()}, membership.ProbeTimeout, func(a *wire.Probed) { reply(a != nil) })
+	}, func(bool) { done(nil) })
 }
 
 // beat feeds all children where none was fed for as long as a heartbeat may take.
--- a/internal/membership/dissemination.go
+++ b/internal/membership/dissemination.go
@@ -25,11 +25,11 @@
 // set gives a member a state, which is to be passed on.
 func (g *Group) setState(m *member, state wire.Member_State) {
 	if m.State != state {
-		g.digest ^= digest(m.Member)
+		g.toggle(m.Member)
 		changed := proto.CloneOf(m.Member)
 		changed.State = state
 		m.Member = changed
-		g.digest ^= digest(m.Member)
+		g.toggle(m.Member)
 	}
 	m.since, m.transmits = g.now, 0
 	if !m.broadcasting {
@@ -59,10 +59,10 @@
 			if !reachable(n.State) || len(g.members) >= maxMembers {
 				continue
 			}
-			m = &member{Member: n}
+			m = &member{Member: n, finestRange: finestRange(nameHash(n.Name))}
 			g.members[n.Name] = m
 			g.all, g.unsorted = append(g.all, m), true
-			g.digest ^= digest(n)
+			g.toggle(n)
 			g.setState(m, n.State)
 			// Somewhere in what is left of the round, not always at its end.
 			at := g.rng.IntN(len(g.order) + 1)
@@ -75,8 +75,9 @@
 		if n.Generation > m.Generation {
 			m.probing = false
 		}
-		g.digest ^= digest(m.Member) ^ digest(n)
+		g.toggle(m.Member)
 		m.Member = n
+		g.toggle(m.Member)
 		g.setState(m, n.State)
 	}
 }
@@ -129,16 +130,3 @@
 	}
 	return out
 }
-
-// Answer returns the updates that go back with a probe's answer: all that is known,
-// where that is asked for and the one who asks does not know as much.
-func (g *Group) Answer(p *wire.Probe) []*wire.Member {
-	if !p.Whole || p.Digest == g.Digest() {
-		return g.updates()
-	}
-	out := []*wire.Member{g.self}
-	for _, m := range g.sorted() {
-		out = append(out, m.Member)
-	}
-	return out
-}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -7,7 +7,6 @@
 package membership
 
 import (
-	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -19,13 +18,14 @@
 
 // Timing and bounds of the protocol.
 const (
-	ProbeInterval    = 500 * time.Millisecond
-	ProbeTimeout     = 400 * time.Millisecond // of a probe, direct or by a third party
-	suspicionTimeout = 1800 * time.Millisecond
-	deadRetention    = 30 * time.Second // the dead are remembered for as long, lest late updates revive them
-	indirectProbes   = 2                // third parties asked
-	maxPiggyback     = 8                // updates sent along with a probe
-	maxMembers       = 65_536           // over twice the 28,000 nodes that a mesh is designed for
+	ProbeInterval     = 500 * time.Millisecond
+	ProbeTimeout      = 400 * time.Millisecond // of a probe, direct or by a third party
+	comparisonTimeout = 2 * time.Second        // of a comparison of views, which may bring a whole one
+	suspicionTimeout  = 1800 * time.Millisecond
+	deadRetention     = 30 * time.Second // the dead are remembered for as long, lest late updates revive them
+	indirectProbes    = 2                // third parties asked
+	maxPiggyback      = 8                // updates sent along with a probe
+	maxMembers        = 65_536           // over twice the 28,000 nodes that a mesh is designed for
 
 	lostAfter    = 1500 * time.Millisecond // of a node that is dead
 	unknownAfter = 10 * time.Second        // of one that was never heard of
@@ -33,7 +33,8 @@
 	joinInterval    = 300 * time.Millisecond // between questions to seeds while nobody is known
 	syncInterval    = 5 * time.Second        // between comparisons of whole views, which join what was partitioned ...
 	syncScale       = 100                    // ... longer in proportion with more nodes than this, ...
-	maxSyncInterval = time.Minute            // ... up to this: the seeds answer them all
+	maxSyncInterval = time.Minute            // ... up to this
+	seedComparisons = 8                      // one in so many is with seeds there, the others with any node
 )
 
 // member is one other node.
@@ -46,6 +47,7 @@
 	probing      bool
 	broadcasting bool // it stands in Group.broadcasts
 	unreachable  bool // it stands in Group.unreachable
+	finestRange  uint16
 }
 
 // Group is one node's view of all others. With many nodes, what it does for a
@@ -63,6 +65,8 @@
 	syncAt      time.Duration
 	version     uint64
 	digest      uint64 // of the members that are not dead, without this one
+	ranges      rangeDigests
+	comparisons int // that were begun
 
 	unsorted bool
 	list     []*wire.Member // what Members returned at version listed
@@ -114,15 +118,6 @@
 // Digest is alike at two nodes that know the same others, in the same generations.
 func (g *Group) Digest() uint64 { return g.digest ^ digest(g.self) }
 
-func digest(m *wire.Member) uint64 {
-	if !reachable(m.State) {
-		return 0
-	}
-	h := fnv.New64a()
-	h.Write([]byte(m.Name))
-	return (h.Sum64() ^ m.Generation*0x9e3779b97f4a7c15) * 0xff51afd7ed558ccd
-}
-
 // Load takes nodes as known and alive, as from a view that all have: none of it is passed on.
 func (g *Group) Load(now time.Duration, all []*wire.Member) {
 	g.now = now
@@ -134,10 +129,10 @@
 		if n.Name == g.self.Name || g.members[n.Name] != nil {
 			continue
 		}
-		slab = append(slab, member{Member: n, since: now, transmits: 255})
+		slab = append(slab, member{Member: n, since: now, transmits: 255, finestRange: finestRange(nameHash(n.Name))})
 		g.members[n.Name] = &slab[len(slab)-1]
 		g.all = append(g.all, &slab[len(slab)-1])
-		g.digest ^= digest(n)
+		g.toggle(n)
 	}
 	g.unsorted = true
 	g.version++
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -23,19 +23,21 @@
 	return f.groups[to] != nil && (f.cut == nil || !f.cut(from, to)) && f.rng.Float64() >= f.loss
 }
 
-func (f *fleet) exchange(from, to string, p *wire.Probe) bool {
+func (f *fleet) exchange(from, to string, p *wire.Probe) *wire.Probed {
 	if !f.reach(from, to) {
-		return false
+		return nil
 	}
 	g := f.groups[to]
 	g.Merge(f.now, p.From)
 	g.Merge(f.now, p.Updates...)
 	reached := true
 	if p.Target != nil {
-		reached = f.exchange(to, p.Target.Name, &wire.Probe{From: g.Self()})
+		reached = f.exchange(to, p.Target.Name, &wire.Probe{From: g.Self()}) != nil
 	}
-	f.groups[from].Merge(f.now, g.Answer(p)...)
-	return reached
+	answer := g.Answer(p)
+	answer.Reached = reached
+	f.groups[from].Merge(f.now, answer.Updates...)
+	return answer
 }
 
 func (f *fleet) run(d time.Duration) {
--- a/internal/membership/probing.go
+++ b/internal/membership/probing.go
@@ -8,8 +8,8 @@
 )
 
 // Action is a probe to send: to Helper about Target where a helper is set, to
-// Target itself, or with neither only to compare views with a seed. The driver
-// answers with Probed.
+// Target itself, or with neither only to compare views. The driver answers with
+// Probed.
 type Action struct {
 	Target  string
 	Helper  string
@@ -19,7 +19,10 @@
 
 // Wait is how long the driver waits for the answer.
 func (a Action) Wait() time.Duration {
-	if a.Helper != "" {
+	switch {
+	case a.Target == "":
+		return comparisonTimeout
+	case a.Helper != "":
 		return 2 * ProbeTimeout
 	}
 	return ProbeTimeout
@@ -62,7 +65,7 @@
 	return append(out, g.sync(seeds)...)
 }
 
-// sync asks two of the seeds, drawn by lot, to compare views: one may be unreachable.
+// sync begins to compare views, once it is time.
 func (g *Group) sync(seeds []string) (out []Action) {
 	alone := len(g.members) == 0
 	if alone {
@@ -71,14 +74,8 @@
 		return nil
 	}
 	g.syncAt = g.now + min(maxSyncInterval, syncInterval*time.Duration(1+len(g.members)/syncScale))
-	if len(seeds) == 0 {
-		return nil
-	}
-	at := g.rng.IntN(len(seeds))
-	for i := range seeds {
-		if addr := seeds[(at+i)%len(seeds)]; addr != g.self.Address && len(out) < 2 {
-			out = append(out, Action{Address: addr, Probe: &wire.Probe{From: g.self, Whole: true, Digest: g.Digest()}})
-		}
+	for _, address := range g.comparisonTargets(seeds) {
+		out = append(out, g.comparison(address, rangesFor(len(g.members))))
 	}
 	return out
 }
@@ -99,10 +96,14 @@
 	return nil
 }
 
-// Probed takes the result of an action: whether its target was reached. What
-// the answer says of others goes to Merge first.
-func (g *Group) Probed(now time.Duration, a Action, reached bool) []Action {
+// Probed takes the answer to an action; nil: none came. What it says of others goes to
+// Merge first.
+func (g *Group) Probed(now time.Duration, a Action, answer *wire.Probed) []Action {
 	g.now = now
+	if a.Target == "" {
+		return g.compared(a, answer)
+	}
+	reached := answer != nil && answer.Reached
 	m := g.members[a.Target]
 	if m == nil || !m.probing {
 		return nil
--- /dev/null
+++ b/internal/membership/ranges.go
@@ -0,0 +1,178 @@
+package membership
+
+import (
+	"hash/fnv"
+	"slices"
+
+	"ivydeck/internal/wire"
+)
+
+// Two nodes compare their views by digests of ranges, so that what a comparison costs follows what differs and not how many
+// nodes there are: the one that asks gets the digests of the other's ranges, and then the members of the ranges that differ. It
+// sends none of its own: one that was cut off would bring back the dead that all others have forgotten. A member belongs to a range by the hash of its name. A range of many is the union of neighbouring ones of more.
+const (
+	maxRanges       = 1024 // a power of two
+	membersOfRange  = 16   // some as many are wanted in each
+	comparedAsWhole = 64   // views of so few members are sent whole, which saves a round trip
+)
+
+// rangeDigests are the digests of the members that are not dead, by their range of maxRanges.
+type rangeDigests [maxRanges]uint64
+
+// nameHash is alike on all nodes.
+func nameHash(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// digestOfHash mixes a name's hash with a generation.
+func digestOfHash(hash, generation uint64) uint64 {
+	return (hash ^ generation*0x9e3779b97f4a7c15) * 0xff51afd7ed558ccd
+}
+
+// finestRange is a member's range of maxRanges, by the hash of its name.
+func finestRange(hash uint64) uint16 {
+	return uint16(digestOfHash(hash, 0) >> 54) // the upper ten bits
+}
+
+// digest of a member; 0: it is dead or has left.
+func digest(m *wire.Member) uint64 {
+	if !reachable(m.State) {
+		return 0
+	}
+	return digestOfHash(nameHash(m.Name), m.Generation)
+}
+
+// toggle takes a member into the digests, or out of them.
+func (g *Group) toggle(m *wire.Member) {
+	if !reachable(m.State) {
+		return
+	}
+	hash := nameHash(m.Name)
+	d := digestOfHash(hash, m.Generation)
+	g.digest ^= d
+	g.ranges[finestRange(hash)] ^= d
+}
+
+// rangesFor returns into how many ranges a view of so many members is divided for a comparison; 0: it is sent whole.
+func rangesFor(members int) uint32 {
+	if members <= comparedAsWhole {
+		return 0
+	}
+	n := uint32(1)
+	for int(n)*membersOfRange < members && n < maxRanges {
+		n *= 2
+	}
+	return n
+}
+
+// validRanges tells whether another node may ask for so many.
+func validRanges(n uint32) bool { return n > 0 && n <= maxRanges && n&(n-1) == 0 }
+
+// digestsOf returns the digests of n ranges, this node's own entry among them.
+func (g *Group) digestsOf(n uint32) []uint64 {
+	merged := make([]uint64, n)
+	width := maxRanges / n
+	for i, d := range g.ranges {
+		merged[uint32(i)/width] ^= d
+	}
+	merged[uint32(finestRange(nameHash(g.self.Name)))/width] ^= digest(g.self)
+	return merged
+}
+
+// membersOf returns what is known of the members of some of n ranges, the dead among them.
+func (g *Group) membersOf(n uint32, wanted []uint32) (list []*wire.Member) {
+	width := uint16(maxRanges / n)
+	var in [maxRanges]bool
+	for _, r := range wanted {
+		if r < n {
+			in[r] = true
+		}
+	}
+	for _, m := range g.sorted() {
+		if in[m.finestRange/width] {
+			list = append(list, m.Member)
+		}
+	}
+	return list
+}
+
+// Answer returns what goes back to a node that has sent a probe: updates, or what it needs to compare its view with this
+// one, where that is asked for and the two differ. What the probe says of others goes to Merge first.
+func (g *Group) Answer(p *wire.Probe) *wire.Probed {
+	switch {
+	case !p.Whole || p.Digest == g.Digest():
+		return &wire.Probed{Updates: g.updates()}
+	case !validRanges(p.Ranges):
+		return &wire.Probed{Updates: g.wholeView()}
+	case len(p.Differing) == 0:
+		return &wire.Probed{Updates: g.updates(), RangeDigests: g.digestsOf(p.Ranges)}
+	}
+	return &wire.Probed{Updates: append([]*wire.Member{g.self}, g.membersOf(p.Ranges, p.Differing)...)}
+}
+
+// wholeView is all that is known.
+func (g *Group) wholeView() []*wire.Member {
+	out := []*wire.Member{g.self}
+	for _, m := range g.sorted() {
+		out = append(out, m.Member)
+	}
+	return out
+}
+
+// compared takes the answer to a comparison: where it brings digests of ranges, the members of those that differ are
+// asked for next, or the whole view, if most do.
+func (g *Group) compared(a Action, answer *wire.Probed) []Action {
+	n := a.Probe.Ranges
+	if answer == nil || !validRanges(n) || len(answer.RangeDigests) != int(n) {
+		return nil
+	}
+	var differing []uint32
+	for i, d := range g.digestsOf(n) {
+		if d != answer.RangeDigests[i] {
+			differing = append(differing, uint32(i))
+		}
+	}
+	switch {
+	case len(differing) == 0:
+		return nil
+	case len(differing) > int(n/2):
+		return []Action{g.comparison(a.Address, 0)}
+	}
+	next := g.comparison(a.Address, n)
+	next.Probe.Differing = differing
+	return []Action{next}
+}
+
+// comparison is the question that begins to compare views by so many ranges; 0: it asks for the whole view.
+func (g *Group) comparison(address string, ranges uint32) Action {
+	return Action{Address: address, Probe: &wire.Probe{From: g.self, Whole: true, Digest: g.Digest(), Ranges: ranges}}
+}
+
+// comparisonTargets returns the addresses of those with whom this node compares its view now. In a large mesh that is most
+// often another node, drawn by lot: the seeds, which join what was partitioned, would have to answer all of them.
+func (g *Group) comparisonTargets(seeds []string) []string {
+	g.comparisons++
+	if len(g.members) > syncScale && g.comparisons%seedComparisons != 1 {
+		if helpers := g.drawHelpers(""); len(helpers) > 0 {
+			return []string{helpers[0].Address}
+		}
+	}
+	return g.drawSeeds(seeds)
+}
+
+// drawSeeds returns two of the seeds, drawn by lot: one may be unreachable.
+func (g *Group) drawSeeds(seeds []string) (drawn []string) {
+	if len(seeds) == 0 {
+		return nil
+	}
+	at := g.rng.IntN(len(seeds))
+	for i := range seeds {
+		address := seeds[(at+i)%len(seeds)]
+		if address != g.self.Address && len(drawn) < 2 && !slices.Contains(drawn, address) {
+			drawn = append(drawn, address)
+		}
+	}
+	return drawn
+}
--- a/internal/scale/state.go
+++ b/internal/scale/state.go
@@ -268,7 +268,7 @@
 	}
 	size.MembersHeapMB = megabytes(liveHeap() - before)
 	began := time.Now()
-	answer, err := proto.Marshal(&wire.Probed{Updates: n.group.Answer(&wire.Probe{Whole: true})})
+	answer, err := proto.Marshal(n.group.Answer(&wire.Probe{Whole: true}))
 	if err != nil {
 		return err
 	}
