--- a/cmd/ivydeckctl/main.go
+++ b/cmd/ivydeckctl/main.go
@@ -21,7 +21,7 @@
 		Read  readCmd  `cmd:"" help:"Print the configuration in force."`
 		Apply applyCmd `cmd:"" help:"Send a configuration to the core."`
 	} `cmd:"" help:"Configurations: .toml, .yaml, .json, or MessagePack."`
-	Status  statusCmd  `cmd:"" help:"Print what core machines say of themselves, their members and the servers."`
+	Status  statusCmd  `cmd:"" help:"Print what quorum members say of themselves, their members and the servers."`
 	Members membersCmd `cmd:"" help:"Print the members of the core, as its leader knows them."`
 	Member  struct {
 		Remove memberRemoveCmd `cmd:"" help:"Remove a member that is gone for good and has no successor; refused where the quorum needs it."`
@@ -30,13 +30,13 @@
 	Top     topCmd     `cmd:"" help:"Show what the nodes are doing, again and again."`
 	Trace   traceCmd   `cmd:"" help:"Print the way of a request through the mesh, and of the calls that it made."`
 	Store   struct {
-		Inspect inspectCmd `cmd:"" help:"Print what the folder of a stopped core machine holds; nothing is changed."`
-		Verify  verifyCmd  `cmd:"" help:"Check the folder of a stopped core machine, entry by entry; nothing is changed."`
+		Inspect inspectCmd `cmd:"" help:"Print what the folder of a stopped quorum member holds; nothing is changed."`
+		Verify  verifyCmd  `cmd:"" help:"Check the folder of a stopped quorum member, entry by entry; nothing is changed."`
 		Backup  backupCmd  `cmd:"" help:"Write all that a running core has acknowledged to a file."`
-		Export  exportCmd  `cmd:"" help:"The same out of the folder of a stopped core machine; nothing in it is changed."`
+		Export  exportCmd  `cmd:"" help:"The same out of the folder of a stopped quorum member; nothing in it is changed."`
 		Show    showCmd    `cmd:"" help:"Print what a backup holds."`
 		Restore restoreCmd `cmd:"" help:"Make an empty folder the first machine of a new core, out of a backup."`
-	} `cmd:"" help:"The disk of a core machine, and backups."`
+	} `cmd:"" help:"The disk of a quorum member, and backups."`
 	CA struct {
 		Init   caInitCmd   `cmd:"" help:"Make an authority: a key, its certificate, and a bundle for all processes."`
 		Issue  caIssueCmd  `cmd:"" help:"Make a key and a certificate for a machine or an operator."`
@@ -47,7 +47,7 @@
 }
 
 type coreFlags struct {
-	Core   []string `help:"Addresses of core machines." required:"" placeholder:"HOST:PORT"`
+	Core   []string `help:"Addresses of quorum members." required:"" placeholder:"HOST:PORT"`
 	Cert   string   `help:"Certificate of an operator, where the core asks for one." type:"existingfile" group:"Identity" and:"identity"`
 	Key    string   `help:"Its private key." type:"existingfile" group:"Identity" and:"identity"`
 	Bundle string   `help:"The authorities that it trusts." type:"existingfile" group:"Identity" and:"identity"`
--- a/decide/api.go
+++ b/decide/api.go
@@ -171,7 +171,7 @@
 	Broken      // connection lost while waiting
 	Cancelled
 	NotSent
-	Sick // turned away unseen by who stands before a server that fails too many
+	Unhealthy // turned away unseen by who stands before a server that fails too many
 )
 
 // Outcome ends one attempt.
--- a/decide/gate.go
+++ b/decide/gate.go
@@ -28,11 +28,11 @@
 	restFor    = 60 * time.Millisecond  // a server without room is left alone for so long ...
 	busyFor    = 200 * time.Millisecond // how long word of a queue counts
 	goneFor    = time.Second            // ... and one that takes nothing any more for so long
-	sickFor    = 600 * time.Millisecond // ... and one that fails too many, unless too many are sick
+	failingFor = 600 * time.Millisecond // ... and one that fails too many, unless too many are unhealthy
 	fillFor    = 400 * time.Millisecond // after which word of a server's load counts for a third
 	paceFor    = 5 * time.Second        // the same of its pace
 	untold     = 2                      // time that a server of which nothing is known is taken to need
-	sickMost   = 0.4                    // part of the subset that is left alone as sick, at most
+	maxFailing = 0.4                    // part of the subset that is left alone as unhealthy, at most
 )
 
 // Gate gives the verdict on new call graphs for one service. Its r is the period average of this node's own
--- a/decide/gate_test.go
+++ b/decide/gate_test.go
@@ -168,11 +168,11 @@
 	}
 }
 
-// TestSickAreLeftAlone: unless too many are, which no server of them is to blame for, or no other is left.
-func TestSickAreLeftAlone(t *testing.T) {
+// TestUnhealthyAreLeftAlone: unless too many are, which no server of them is to blame for, or no other is left.
+func TestUnhealthyAreLeftAlone(t *testing.T) {
 	for _, c := range []struct {
-		all, sick int
-		avoided   bool
+		all, unhealthy int
+		avoided        bool
 	}{{8, 1, true}, {8, 3, true}, {8, 4, false}, {8, 8, false}, {2, 1, true}, {2, 2, false}, {1, 1, false}, {3, 2, false}} {
 		p := NewPicker(1)
 		var list []Target
@@ -180,29 +180,29 @@
 			list = append(list, Target{ID: fmt.Sprint(i), Near: true})
 		}
 		p.List(0, list, 0)
-		for i := range c.sick {
-			p.End(0, fmt.Sprint(i), Sick, Word{})
+		for i := range c.unhealthy {
+			p.End(0, fmt.Sprint(i), Unhealthy, Word{})
 		}
 		met := 0
 		for range 400 {
-			if id, sick, ok := p.Pick(0, nil); !ok || sick != (id < fmt.Sprint(c.sick)) {
-				t.Fatalf("%+v: picked %q, sick %v", c, id, sick)
-			} else if sick {
+			if id, unhealthy, ok := p.Pick(0, nil); !ok || unhealthy != (id < fmt.Sprint(c.unhealthy)) {
+				t.Fatalf("%+v: picked %q, unhealthy %v", c, id, unhealthy)
+			} else if unhealthy {
 				met++
 			}
 		}
 		if (met == 0) != c.avoided {
-			t.Errorf("%+v: %d of 400 went to sick ones", c, met)
+			t.Errorf("%+v: %d of 400 went to unhealthy ones", c, met)
 		}
-		if id, _, _ := p.Pick(sickFor, nil); id == "" {
+		if id, _, _ := p.Pick(failingFor, nil); id == "" {
 			t.Errorf("%+v: none later", c)
 		}
 	}
 	p := NewPicker(1)
 	p.List(0, []Target{{ID: "a", Near: true}, {ID: "b", Near: true}, {ID: "c", Near: true}}, 0)
-	p.End(0, "c", Sick, Word{})
-	if id, sick, ok := p.Pick(0, []string{"a", "b"}); !ok || id != "c" || !sick {
-		t.Errorf("the last that is left: %q, %v, %v", id, sick, ok)
+	p.End(0, "c", Unhealthy, Word{})
+	if id, unhealthy, ok := p.Pick(0, []string{"a", "b"}); !ok || id != "c" || !unhealthy {
+		t.Errorf("the last that is left: %q, %v, %v", id, unhealthy, ok)
 	}
 }
 
--- a/decide/picker.go
+++ b/decide/picker.go
@@ -28,13 +28,13 @@
 type target struct {
 	Target
 	health
-	rank   uint64
-	rest   time.Duration // left alone until then
-	busy   time.Duration // requests wait there, until then as far as is known
-	sick   time.Duration // it fails too many, the same
-	pace   float64       // time that a request takes there against others; 0: not known
-	fill   float64       // its slots that were taken, as last heard ...
-	toldAt time.Duration // ... then
+	rank      uint64
+	rest      time.Duration // left alone until then
+	busy      time.Duration // requests wait there, until then as far as is known
+	unhealthy time.Duration // it fails too many, the same
+	pace      float64       // time that a request takes there against others; 0: not known
+	fill      float64       // its slots that were taken, as last heard ...
+	toldAt    time.Duration // ... then
 }
 
 // Picker picks the servers for one service's calls.
@@ -93,46 +93,46 @@
 
 // Pick returns the server for a call: of two random members of the subset the one with fewer own calls in
 // flight, in this zone where that is not much busier. Servers before which requests wait come after those of
-// any zone that have room. Those in tried are left out, and those that are sick, unless so many are that the
-// cause must lie elsewhere. Where none of the subset is left, any other server is better than no answer.
-func (p *Picker) Pick(now time.Duration, tried []string) (id string, sick, ok bool) {
+// any zone that have room. Those in tried are left out, and those that are unhealthy, unless so many are that
+// the cause must lie elsewhere. Where none of the subset is left, any other server is better than no answer.
+func (p *Picker) Pick(now time.Duration, tried []string) (id string, unhealthy, ok bool) {
 	wave, load := p.wave(now), p.load(now)
 	for _, room := range []bool{true, false} {
 		near := lesser(p.rng, p.usable(now, p.near, tried, room, wave), load)
 		far := lesser(p.rng, p.usable(now, p.far, tried, room, wave), load)
 		switch {
 		case near != nil && (far == nil || near.inflight < far.inflight+farStep || near.roomy(now)):
-			return near.ID, near.sick > now, true
+			return near.ID, near.unhealthy > now, true
 		case far != nil:
-			return far.ID, far.sick > now, true
+			return far.ID, far.unhealthy > now, true
 		}
 	}
 	for _, wave := range []bool{wave, true} {
 		p.scratch = p.scratch[:0]
 		for _, t := range p.targets {
-			if !slices.Contains(tried, t.ID) && t.rest <= now && (wave || t.sick <= now) {
+			if !slices.Contains(tried, t.ID) && t.rest <= now && (wave || t.unhealthy <= now) {
 				p.scratch = append(p.scratch, t)
 			}
 		}
 		slices.SortFunc(p.scratch, func(a, b *target) int { return strings.Compare(a.ID, b.ID) })
 		if t := lesser(p.rng, p.scratch, load); t != nil {
-			return t.ID, t.sick > now, true
+			return t.ID, t.unhealthy > now, true
 		}
 	}
 	return "", false, false
 }
 
-// wave tells whether too many of the subset are sick.
+// wave tells whether too many of the subset are unhealthy.
 func (p *Picker) wave(now time.Duration) bool {
-	sick, all := 0, len(p.near)+len(p.far)
+	unhealthy, all := 0, len(p.near)+len(p.far)
 	for _, list := range [][]*target{p.near, p.far} {
 		for _, t := range list {
-			if t.sick > now {
-				sick++
+			if t.unhealthy > now {
+				unhealthy++
 			}
 		}
 	}
-	return sick == all || float64(sick) > max(1, sickMost*float64(all))
+	return unhealthy == all || float64(unhealthy) > max(1, maxFailing*float64(all))
 }
 
 // load is the own calls in flight, weighed by what the node beside the server says of its pace and its load,
@@ -152,7 +152,7 @@
 func (p *Picker) usable(now time.Duration, list []*target, tried []string, room, wave bool) []*target {
 	p.scratch = p.scratch[:0]
 	for _, t := range list {
-		fit := !t.out(now) && t.rest <= now && !(room && t.busy > now) && (wave || t.sick <= now)
+		fit := !t.out(now) && t.rest <= now && !(room && t.busy > now) && (wave || t.unhealthy <= now)
 		if fit && !slices.Contains(tried, t.ID) {
 			p.scratch = append(p.scratch, t)
 		}
@@ -183,8 +183,8 @@
 		t.pace, t.fill, t.toldAt = word.Pace, word.Fill, now
 	}
 	switch r {
-	case Sick:
-		t.sick = now + sickFor
+	case Unhealthy:
+		t.unhealthy = now + failingFor
 	case Served, Errored:
 		t.served()
 	case Full:
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"ivydeck/internal/gossip"
+	"ivydeck/internal/localserver"
 	"ivydeck/internal/nodefile"
 	"ivydeck/internal/relay"
 	"ivydeck/internal/rpc"
-	"ivydeck/internal/station"
 	"ivydeck/internal/wire"
 )
 
@@ -25,9 +25,9 @@
 	Seed     uint64 // of random numbers
 	Log      *slog.Logger
 
-	Servers        func() []station.Beat // of this machine, as they should be listed
-	ServersChanged <-chan struct{}       // tells when Servers may return something else
-	Leaving        func() bool           // the machine's servers take nothing new, as the node is about to end
+	Servers        func() []localserver.Heartbeat // of this machine, as they should be listed
+	ServersChanged <-chan struct{}                // tells when Servers may return something else
+	Leaving        func() bool                    // the machine's servers take nothing new, as the node is about to end
 }
 
 // Agent is one node's part.
--- a/internal/agent/leader_test.go
+++ b/internal/agent/leader_test.go
@@ -5,9 +5,9 @@
 	"log/slog"
 	"testing"
 
+	"ivydeck/internal/localserver"
 	"ivydeck/internal/nodefile"
 	"ivydeck/internal/rpc"
-	"ivydeck/internal/station"
 )
 
 // newAgent returns an agent of three seeds that does not run.
@@ -16,7 +16,7 @@
 		Seeds: []string{"127.7.0.1:2", "127.7.0.2:2", "127.7.0.3:2"}}
 	a = New(Options{
 		Settings: func() *nodefile.Settings { return set }, Pool: rpc.NewPool(ctx), Seed: 1, Log: slog.New(slog.DiscardHandler),
-		Servers: func() []station.Beat { return nil }, Leaving: func() bool { return false },
+		Servers: func() []localserver.Heartbeat { return nil }, Leaving: func() bool { return false },
 	})
 	return a, set.SeedNodes()
 }
--- a/internal/agent/register.go
+++ b/internal/agent/register.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"ivydeck/internal/catalog"
-	"ivydeck/internal/station"
+	"ivydeck/internal/localserver"
 	"ivydeck/internal/wire"
 )
 
@@ -46,8 +46,8 @@
 // difference is what has to change in the list.
 func (a *Agent) difference(listed []*wire.Server) []*wire.Command {
 	set := a.options.Settings()
-	m := station.Machine{Node: set.Node, Address: set.Internal(), Zone: set.Zone, Leaving: a.options.Leaving()}
-	return station.Difference(m, a.options.Servers(), listed, time.Since(a.began) < 2*set.Heartbeat)
+	m := localserver.Machine{Node: set.Node, Address: set.Internal(), Zone: set.Zone, Leaving: a.options.Leaving()}
+	return localserver.Difference(m, a.options.Servers(), listed, time.Since(a.began) < 2*set.Heartbeat)
 }
 
 func (a *Agent) propose(ctx context.Context, cmd *wire.Command) bool {
--- a/internal/backup/backup.go
+++ b/internal/backup/backup.go
@@ -1,4 +1,4 @@
-// Package backup keeps the control plane's state in a file, and makes a core machine's folder of one again when all that
+// Package backup keeps the control plane's state in a file, and makes a quorum member's folder of one again when all that
 // the core had is gone. A restore never happens by itself: it begins a new core, of one machine that all others join, and
 // takes back whatever was acknowledged after the backup.
 package backup
--- a/internal/control/ask.go
+++ b/internal/control/ask.go
@@ -15,7 +15,7 @@
 	askAtOnce = 32              // nodes that are asked at a time
 )
 
-// askAll makes a call to each living node, some at a time, and takes the answers one after another. Any core machine can:
+// askAll makes a call to each living node, some at a time, and takes the answers one after another. Any quorum member can:
 // nodes are known by the members.
 func askAll[T any, P interface {
 	*T
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,4 +1,4 @@
-// Package control is the program of the core machines: it drives the consensus
+// Package control is the program of the quorum members: it drives the consensus
 // on its disk, answers the operator, and is where the tree of relays begins.
 package control
 
@@ -32,12 +32,12 @@
 const (
 	manageEvery  = 250 * time.Millisecond
 	answerWithin = 900 * time.Millisecond // operators move on after a second of silence
-	mostHeard    = 64
+	maxHeard     = 64
 	diskPause    = 200 * time.Millisecond
 	lastWords    = 50 * time.Millisecond // for its vote to go out
 )
 
-// Node is a core machine.
+// Node is a quorum member.
 type Node struct {
 	set     atomic.Pointer[nodefile.Settings]
 	log     *slog.Logger
@@ -82,7 +82,7 @@
 	outOfTouch bool // as last logged; the loop's
 }
 
-// Run is the whole life of a core machine. It returns soon after the context ends: a leader gives the lead to another
+// Run is the whole life of a quorum member. It returns soon after the context ends: a leader gives the lead to another
 // first.
 func Run(stop context.Context, set *nodefile.Settings, reload func() *nodefile.Settings, log *slog.Logger) error {
 	ctx, end := context.WithCancel(context.WithoutCancel(stop))
@@ -158,7 +158,7 @@
 			n.set.Store(s)
 		}
 	})
-	log.Info("core.start", "node", set.Node, "identity", fmt.Sprintf("%016x", st.ID), "entries", n.consensus.Backlog(), "empty", st.Fresh)
+	log.Info("control.started", "node", set.Node, "identity", fmt.Sprintf("%016x", st.ID), "entries", n.consensus.Backlog(), "empty", st.Fresh)
 	n.loop(stop.Done())
 	end()
 	shut, done := context.WithTimeout(context.Background(), 500*time.Millisecond)
--- a/internal/control/join_test.go
+++ b/internal/control/join_test.go
@@ -141,7 +141,7 @@
 func TestAnEmptyMemberIsFed(t *testing.T) {
 	q := newQuorum(t, 2)
 	leader, _ := q.start(0)
-	leader.until(t, "core.leads", func(map[string]slog.Value) bool { return true })
+	leader.until(t, "leadership.acquired", func(map[string]slog.Value) bool { return true })
 	q.register(0, 6000)
 	joining, stopJoining := q.start(1)
 	var index uint64
@@ -166,5 +166,5 @@
 		t.Errorf("pieces are left: %v", names)
 	}
 	again, _ := q.start(1)
-	again.until(t, "core.start", func(attrs map[string]slog.Value) bool { return !attrs["empty"].Bool() })
+	again.until(t, "control.started", func(attrs map[string]slog.Value) bool { return !attrs["empty"].Bool() })
 }
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -48,17 +48,17 @@
 func (n *Node) manage() {
 	if !n.consensus.Leads() {
 		if n.wasLead {
-			n.log.Info("core.follows", "term", n.consensus.Term())
+			n.log.Info("leadership.lost", "term", n.consensus.Term())
 		}
 		n.wasLead = false
 		return
 	}
 	if !n.wasLead {
 		n.wasLead, n.ledSince = true, n.now()
-		n.log.Info("core.leads", "term", n.consensus.Term(), "members", len(n.consensus.Peers()))
+		n.log.Info("leadership.acquired", "term", n.consensus.Term(), "members", len(n.consensus.Peers()))
 	}
 	if n.consensus.Ill() && n.consensus.HandOver(n.now()) {
-		n.log.Warn("core.hands", "term", n.consensus.Term(), "why", "the disk is far slower than another's")
+		n.log.Warn("leadership.transferring", "term", n.consensus.Term(), "why", "the disk is far slower than another's")
 		return
 	}
 	n.manageServers()
--- a/internal/control/trace.go
+++ b/internal/control/trace.go
@@ -9,7 +9,7 @@
 	"ivydeck/internal/wire"
 )
 
-const mostTraces = 10_000
+const maxTraces = 10_000
 
 // Trace is what the mesh has kept of a request.
 type Trace struct {
@@ -37,7 +37,7 @@
 func (n *Node) trace(w http.ResponseWriter, r *http.Request) {
 	var all Trace
 	all.Asked, all.Silent = askAll(r.Context(), n, "trace", &wire.Trace{Attempt: r.PathValue("attempt")}, func(answer *wire.Traces) {
-		for _, t := range answer.Traces[:min(len(answer.Traces), mostTraces-len(all.Parts))] {
+		for _, t := range answer.Traces[:min(len(answer.Traces), maxTraces-len(all.Parts))] {
 			all.Parts = append(all.Parts, Part{t.Attempt, t.Node, t.Entry, t.Route, t.Service, t.Server, t.Status, t.Why, t.Tries, t.AgoMs, t.TookMs})
 		}
 	})
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -91,7 +91,7 @@
 			return err
 		}
 		if !n.do(func() {
-			if len(n.heard) >= mostHeard {
+			if len(n.heard) >= maxHeard {
 				clear(n.heard)
 			}
 			n.heard[m.From] = m.Address
--- a/internal/control/web.go
+++ b/internal/control/web.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// Status is what a core machine says of itself and the core, as it knows it: only
+// Status is what a quorum member says of itself and the core, as it knows it: only
 // the leader's word on members and servers is sure to be the newest.
 type Status struct {
 	Node     string   `json:"node"`
--- a/internal/data/look.go
+++ b/internal/data/look.go
@@ -18,11 +18,11 @@
 	for _, r := range n.outbound.Readings(n.outbound.Priorities()) {
 		l.Services = append(l.Services, &wire.LookedService{Service: r.Service, R: r.R, Chances: r.Chances, Left: r.Left})
 	}
-	sick := n.inbound.Sick()
+	unhealthy := n.inbound.Unhealthy()
 	servers, running, waiting := n.inbound.Load()
 	for i, b := range servers {
 		l.Servers = append(l.Servers, &wire.LookedServer{Member: b.ID, Service: b.Service, Running: uint32(running[i]), Waiting: uint32(waiting[i]),
-			Slots: uint32(b.Slots), Out: sick[b.ID], Draining: b.Draining})
+			Slots: uint32(b.Slots), Out: unhealthy[b.ID], Draining: b.Draining})
 	}
 	return l, nil
 }
--- a/internal/data/mesh_test.go
+++ b/internal/data/mesh_test.go
@@ -144,8 +144,8 @@
 	return body
 }
 
-// TestWholeMesh starts three core machines and one sidecar, serves a request, loses
-// the disk of one core machine and then the leader, and finds all that was acknowledged.
+// TestWholeMesh starts three quorum members and one sidecar, serves a request, loses
+// the disk of one quorum member and then the leader, and finds all that was acknowledged.
 func TestWholeMesh(t *testing.T) {
 	t.Run("plain", func(t *testing.T) { wholeMesh(t, nil) })
 	t.Run("secured", func(t *testing.T) {
@@ -236,7 +236,7 @@
 	for n := range core.Addresses { // calls may be answered by any of them
 		one := *core
 		one.Addresses = core.Addresses[n : n+1]
-		m.until("a core machine that knows of the node", func() bool { all, err := one.Look(ctx); return err == nil && all.Asked > 0 })
+		m.until("a quorum member that knows of the node", func() bool { all, err := one.Look(ctx); return err == nil && all.Asked > 0 })
 	}
 	if all, err := core.Look(ctx); err != nil || all.Asked != 1 || all.Silent != 0 || len(all.Nodes) != 1 || all.Nodes[0].Served == 0 ||
 		len(all.Nodes[0].Services) != 1 || len(all.Nodes[0].Servers) != 1 || all.Nodes[0].Servers[0].Server != "i-1" {
--- a/internal/data/metrics.go
+++ b/internal/data/metrics.go
@@ -48,9 +48,9 @@
 					emit(float64(waiting[i]), b.ID, "waiting")
 				}
 			})},
-		metrics.Gauge{Name: "ivydeck_server_out", Help: "1 for callers of a zone (* is all) to whom a server beside this node is out for its failures.",
+		metrics.Gauge{Name: "ivydeck_server_ejected", Help: "1 for callers of a zone (* is all) to whom a server beside this node is ejected for its failures.",
 			Labels: []string{"server", "zone"}, Read: ofServices(func(emit func(float64, ...string)) {
-				for id, zones := range n.inbound.Sick() {
+				for id, zones := range n.inbound.Unhealthy() {
 					for _, zone := range zones {
 						emit(1, id, zone)
 					}
--- a/internal/data/servers.go
+++ b/internal/data/servers.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	mostBeat   = 4 << 10
-	mostWarmMs = 600_000                // a server that says it is slow for longer is taken to be so for this
-	markWait   = 800 * time.Millisecond // for a drain mark to come back as an update; a heartbeat waits for a second
+	maxBeat   = 4 << 10
+	maxWarmMs = 600_000                // a server that says it is slow for longer is taken to be so for this
+	markWait  = 800 * time.Millisecond // for a draining status to come back as an update; a heartbeat waits for a second
 )
 
 // beatBody is a server's beat as it is sent.
@@ -44,7 +44,7 @@
 		http.Error(w, "POST only", http.StatusMethodNotAllowed)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostBeat))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBeat))
 	if err != nil {
 		http.Error(w, "the body is too large or did not come", http.StatusBadRequest)
 		return
@@ -71,7 +71,7 @@
 	n.acknowledge(w)
 }
 
-// marked waits until the core's list has a drain mark. What is acknowledged must hold also after this process has
+// marked waits until the core's list has a draining status. What is acknowledged must hold also after this process has
 // died, and the next one begins by the list. Here the mark binds at once, acknowledged or not.
 func (n *Node) marked(ctx context.Context, id string) bool {
 	ctx, cancel := context.WithTimeout(ctx, markWait)
@@ -111,6 +111,6 @@
 	}
 	return proxy.Beat{
 		Service: b.Backend, Address: b.Address, Zone: b.Zone, Slots: b.Slots, Draining: b.Status == "draining", Seq: b.Seq,
-		Warm: time.Duration(max(0, min(b.WarmupMs, mostWarmMs)) * float64(time.Millisecond)),
+		Warm: time.Duration(max(0, min(b.WarmupMs, maxWarmMs)) * float64(time.Millisecond)),
 	}, nil
 }
--- a/internal/data/shutdown.go
+++ b/internal/data/shutdown.go
@@ -27,7 +27,7 @@
 		// Clients take two seconds to go elsewhere, in which the server's work may go on. In a roll of many nodes
 		// that is a good part of the capacity.
 		if time.Since(began) >= min(serverLeaves, grace/4) && !n.emptying.Swap(true) {
-			n.inbound.Poke() // the list has to say so
+			n.inbound.Wake() // the list has to say so
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -34,7 +34,7 @@
 	host      = "demo.example"
 	startWait = 20 * time.Second
 	stopWait  = 8 * time.Second
-	mostAway  = 512 // requests under way
+	maxAway   = 512 // requests under way
 )
 
 // Options say what to show.
@@ -335,7 +335,7 @@
 				return err
 			}
 		}
-		if away.Load() >= mostAway {
+		if away.Load() >= maxAway {
 			continue
 		}
 		away.Add(1)
@@ -350,7 +350,7 @@
 	}
 }
 
-// endLeader kills the core machine that leads.
+// endLeader kills the quorum member that leads.
 func (m *mesh) endLeader(ctx context.Context, core *operator.Client) error {
 	states, err := core.Status(ctx)
 	for _, s := range states {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -219,7 +219,7 @@
 		for range c.requests {
 			r := tab.enter(t, "/safe/")
 			for range c.turned {
-				r.Done(0, r.Next(0).Server, &wire.Outcome{Fate: wire.Outcome_UNSENT, Waiting: true}, decide.Sick)
+				r.Done(0, r.Next(0).Server, &wire.Outcome{Fate: wire.Outcome_UNSENT, Waiting: true}, decide.Unhealthy)
 			}
 			step := r.Next(0)
 			if queue := c.turned >= looks; step.Queue != queue && tab.services["s"].gate.Calm(0) {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -10,13 +10,13 @@
 )
 
 const (
-	fullPause     = 15 * time.Millisecond // between looks for a server with room
-	patiencePart  = 5                     // a request without a server is given up after this part of its aim
-	leastPatience = 30 * time.Millisecond
-	heeded        = 3     // a client heeds a Retry-After up to this part of the time that it has left
-	mostTurned    = 12    // servers asked that turned one request away
-	looks         = 2     // servers asked for a slot at once before one is asked to let it wait, while there is work to spare
-	repeatFrom    = 0.999 // chance of a request's like to be admitted, below which it is not repeated
+	fullPause    = 15 * time.Millisecond // between looks for a server with room
+	patiencePart = 5                     // a request without a server is given up after this part of its aim
+	minPatience  = 30 * time.Millisecond
+	heeded       = 3     // a client heeds a Retry-After up to this part of the time that it has left
+	maxTurned    = 12    // servers asked that turned one request away
+	looks        = 2     // servers asked for a slot at once before one is asked to let it wait, while there is work to spare
+	repeatFrom   = 0.999 // chance of a request's like to be admitted, below which it is not repeated
 
 	hedgeX       = 2                     // usual times after which one that may run again is sent to a second server ...
 	hedgeLeastX  = 1.4                   // ... or sooner, where it would be late then, but not before this
@@ -48,17 +48,17 @@
 	Entrant
 	Rank uint32 // its place in the queues of servers; 0 is the highest
 
-	table   *Table
-	service *service
-	since   time.Duration // of the wait for a server
-	open    []string      // servers that are asked at this moment
-	reached []string      // servers that it has arrived at
-	ran     bool          // it may have run
-	tried   []string      // servers not to be asked again
-	room    [3][2]string  // for the three lists: most requests need no more
-	turned  int
-	sick    bool // a server has turned it away for failing too many
-	crowded bool // it has looked for a free slot in vain
+	table     *Table
+	service   *service
+	since     time.Duration // of the wait for a server
+	open      []string      // servers that are asked at this moment
+	reached   []string      // servers that it has arrived at
+	ran       bool          // it may have run
+	tried     []string      // servers not to be asked again
+	room      [3][2]string  // for the three lists: most requests need no more
+	turned    int
+	unhealthy bool // a server has turned it away for failing too many
+	crowded   bool // it has looked for a free slot in vain
 }
 
 // Choose draws the service for a request among those that share its route.
@@ -102,7 +102,7 @@
 type Step struct {
 	Final  *Final
 	Server string
-	Insist bool          // it may be sick: there is no better one
+	Insist bool          // it may be unhealthy: there is no better one
 	Repeat bool          // another server may run it, or may have
 	Queue  bool          // it may wait there for a slot
 	Usual  time.Duration // see Request.Usual
@@ -138,8 +138,8 @@
 		return Step{Final: r.giveUp(now, "no server in time")}
 	}
 	step, ok := r.pick(now)
-	if !ok && r.sick { // a sick server is better than none
-		r.sick = false
+	if !ok && r.unhealthy { // a unhealthy server is better than none
+		r.unhealthy = false
 		r.again()
 		step, ok = r.pick(now)
 	}
@@ -169,12 +169,12 @@
 
 // pick begins a try, where there is a server for it.
 func (r *Request) pick(now time.Duration) (Step, bool) {
-	id, sick, ok := r.service.picker.Pick(now, r.tried)
+	id, unhealthy, ok := r.service.picker.Pick(now, r.tried)
 	if !ok {
 		return Step{}, false
 	}
 	r.service.picker.Begin(id)
-	step := Step{Server: id, Insist: sick, Repeat: r.ran || len(r.open) > 0, Queue: r.turned >= looks || !r.service.gate.Calm(now), Usual: r.Usual()}
+	step := Step{Server: id, Insist: unhealthy, Repeat: r.ran || len(r.open) > 0, Queue: r.turned >= looks || !r.service.gate.Calm(now), Usual: r.Usual()}
 	if r.turned >= looks {
 		r.waits(now)
 	}
@@ -211,7 +211,7 @@
 // patience is how long a request waits for a server. A call of a graph has no more
 // of it: its graph is lost with it, but while it waits it holds a slot of its caller.
 func (r *Request) patience() time.Duration {
-	return max(leastPatience, r.Route.Aim()/patiencePart)
+	return max(minPatience, r.Route.Aim()/patiencePart)
 }
 
 // Done takes what came of a try. It returns the final answer, or none; pass: the server's own answer is the final
@@ -224,11 +224,11 @@
 	}
 	if out.Fate == wire.Outcome_UNSENT {
 		r.turned++
-		r.sick = r.sick || out.Sick
+		r.unhealthy = r.unhealthy || out.Unhealthy
 		if len(r.open) > 0 {
 			return nil, false
 		}
-		if now-r.since > r.patience() && r.turned >= mostTurned {
+		if now-r.since > r.patience() && r.turned >= maxTurned {
 			return r.giveUp(now, "no server has room"), false
 		}
 		return nil, false
@@ -319,8 +319,8 @@
 		switch {
 		case out.Gone:
 			return decide.NotSent
-		case out.Sick:
-			return decide.Sick
+		case out.Unhealthy:
+			return decide.Unhealthy
 		}
 		return decide.Full
 	case wire.Outcome_UNRUN:
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -15,7 +15,7 @@
 	"ivydeck/internal/wire"
 )
 
-const mostAway = 32 // probes under way
+const maxAway = 32 // probes under way
 
 // Gossip is one node's part in knowing all others.
 type Gossip struct {
@@ -35,7 +35,7 @@
 func New(self *wire.Member, seed uint64, pool *rpc.Pool, seeds func() []string, log *slog.Logger) *Gossip {
 	return &Gossip{
 		pool: pool, log: log, seeds: seeds, began: time.Now(), group: membership.New(self, seed, 0),
-		wake: make(chan struct{}, 1), away: make(chan struct{}, mostAway),
+		wake: make(chan struct{}, 1), away: make(chan struct{}, maxAway),
 	}
 }
 
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -16,30 +16,30 @@
 const (
 	memory     = 2 * time.Second // after which what was seen counts for a third
 	confidence = 1.64            // one-sided 95 %: how sure a share of failures has to be ...
-	limit      = 0.1             // ... before one over this takes a server out
-	leastBad   = 1.5             // failures, fading, below which none is taken out: two of late, never one
-	rowBad     = 3               // failures in a row that take one out, whatever was before
+	limit      = 0.1             // ... before one over this ejects a server
+	minBad     = 1.5             // failures, fading, below which none is ejected: two of late, never one
+	rowBad     = 3               // failures in a row that eject one, whatever was before
 
-	holdFirst = 800 * time.Millisecond // out for so long at first, doubled each time it is out again ...
+	holdFirst = 800 * time.Millisecond // ejected for so long at first, doubled each time it is ejected again ...
 	holdMost  = 6 * time.Second
-	calmFor   = 20 * time.Second        // ... until it has been well for so long
-	trialGap  = 120 * time.Millisecond  // between trials of one that is out
-	trialsDue = 4                       // good ones in a row that bring it back
-	onceAfter = 1500 * time.Millisecond // a request that may run once is a trial only where no other has come for so long
+	calmFor   = 20 * time.Second        // ... until it has been healthy for so long
+	probeGap  = 120 * time.Millisecond  // between probes of one that is ejected
+	probesDue = 4                       // good ones in a row that bring it back
+	onceAfter = 1500 * time.Millisecond // a request that may run once is a probe only where no other has come for so long
 
 	stallAfter = 700 * time.Millisecond // without any answer, with several under way, a server hangs
 	stallCalls = 3
-	stallTrial = 500 * time.Millisecond
+	stallProbe = 500 * time.Millisecond
 
-	overdueX    = 6 // usual times after which a request that still runs counts as failed
-	overdueMin  = 600 * time.Millisecond
-	lateX       = 3    // usual times that a server must have had for what is late to be its doing
-	paceGain    = 0.05 // of the newest run; the first count for more
-	relearn     = 3    // runs that its pace counts for, once it is warm
-	paceLeast   = 0.4
-	paceMost    = 4
-	mostZones   = 16
-	mostRunning = 4096
+	overdueX   = 6 // usual times after which a request that still runs counts as failed
+	overdueMin = 600 * time.Millisecond
+	lateX      = 3    // usual times that a server must have had for what is late to be its doing
+	paceGain   = 0.05 // of the newest run; the first count for more
+	relearn    = 3    // runs that its pace counts for, once it is warm
+	paceLeast  = 0.4
+	paceMost   = 4
+	maxZones   = 16
+	maxRunning = 4096
 )
 
 // Call is a request for a server.
@@ -55,9 +55,9 @@
 
 // The verdicts.
 const (
-	Fit   Verdict = iota
-	Sick          // it fails too many
-	Hangs         // it answers nothing
+	Healthy   Verdict = iota
+	Unhealthy         // it fails too many
+	Hangs             // it answers nothing
 )
 
 // End is how a request came out.
@@ -72,7 +72,7 @@
 	Void              // called off, or full: it says nothing of the server
 )
 
-// Server is what is known of one life of a server.
+// Server is what is known of one incarnation of a server.
 type Server struct {
 	all      record
 	zones    map[string]*record
@@ -83,7 +83,7 @@
 	warm     time.Duration // until then it is slow from its start
 	answered time.Duration // when it last answered anything
 	many     time.Duration // since when several are under way
-	trialAt  time.Duration // of one that hangs
+	probedAt time.Duration // of one that hangs
 	looked   time.Duration // when overdue ones were last looked for
 }
 
@@ -92,7 +92,7 @@
 	Call
 	began   time.Duration
 	overdue bool      // it has been counted
-	trial   []*record // for which it is one
+	probes  []*record // for which it is one
 }
 
 // record is what was seen of a server by some callers.
@@ -100,11 +100,11 @@
 	bad, total float64 // fading
 	row        int     // failures since one that was none
 	at         time.Duration
-	out        bool
-	until      time.Duration // no trial before
-	trialAt    time.Duration // of the last
-	trying     int           // trials under way
-	good       int           // trials in a row
+	ejected    bool
+	until      time.Duration // no probe before
+	probedAt   time.Duration // of the last
+	probing    int           // probes under way
+	good       int           // probes in a row
 	outs       int
 	backAt     time.Duration
 }
@@ -112,7 +112,7 @@
 // New returns a server of which nothing is known.
 func New(now time.Duration) *Server {
 	return &Server{
-		zones: map[string]*record{}, running: map[string]*run{}, pace: 1, answered: now, trialAt: now - stallTrial,
+		zones: map[string]*record{}, running: map[string]*run{}, pace: 1, answered: now, probedAt: now - stallProbe,
 	}
 }
 
@@ -128,16 +128,16 @@
 // Pace is how long the server takes for a request, in the time that others take for its like.
 func (s *Server) Pace() float64 { return s.pace }
 
-// Everywhere stands for all zones in what Out returns.
+// Everywhere stands for all zones in what Ejected returns.
 const Everywhere = "*"
 
-// Out tells for the callers of which zones the server is out, in order.
-func (s *Server) Out() (zones []string) {
-	if s.all.out {
+// Ejected tells for the callers of which zones the server is ejected, in order.
+func (s *Server) Ejected() (zones []string) {
+	if s.all.ejected {
 		return []string{Everywhere}
 	}
 	for name, r := range s.zones {
-		if r.out {
+		if r.ejected {
 			zones = append(zones, name)
 		}
 	}
@@ -145,28 +145,28 @@
 	return zones
 }
 
-// Judge says whether the server may have a request. A Fit one that is given to it is told with Begin.
+// Judge says whether the server may have a request. A Healthy one that is given to it is told with Begin.
 func (s *Server) Judge(now time.Duration, c Call) Verdict {
 	s.overdue(now)
 	if s.Hangs(now) {
-		if now-s.trialAt < stallTrial {
+		if now-s.probedAt < stallProbe {
 			return Hangs
 		}
-		s.trialAt = now
-		return Fit
+		s.probedAt = now
+		return Healthy
 	}
 	if c.Insist {
-		return Fit
+		return Healthy
 	}
 	zone := s.zones[c.Zone]
 	if !s.all.takes(now, c) || !zone.takes(now, c) {
-		return Sick
+		return Unhealthy
 	}
-	s.all.trialAt = now
+	s.all.probedAt = now
 	if zone != nil {
-		zone.trialAt = now
+		zone.probedAt = now
 	}
-	return Fit
+	return Healthy
 }
 
 // Hangs tells whether the server has stopped answering.
@@ -176,7 +176,7 @@
 
 // Begin notes a request that is given to the server, by its id.
 func (s *Server) Begin(now time.Duration, id string, c Call) {
-	if len(s.running) >= mostRunning {
+	if len(s.running) >= maxRunning {
 		return
 	}
 	if twin := s.running[id]; twin != nil { // two clients have given their requests one id: only one of them is watched
@@ -185,9 +185,9 @@
 	r := s.fresh()
 	r.Call, r.began, r.overdue = c, now, false
 	for _, rec := range []*record{&s.all, s.zones[c.Zone]} {
-		if rec != nil && rec.out && now >= rec.until {
-			rec.trying++
-			r.trial = append(r.trial, rec)
+		if rec != nil && rec.ejected && now >= rec.until {
+			rec.probing++
+			r.probes = append(r.probes, rec)
 		}
 	}
 	s.running[id] = r
@@ -196,8 +196,8 @@
 	}
 }
 
-// End takes the end of a request. It reports whether the server was taken out by it, or has come back.
-func (s *Server) End(now time.Duration, id string, how End) (out, back bool) {
+// End takes the end of a request. It reports whether the server was ejected by it, or has come back.
+func (s *Server) End(now time.Duration, id string, how End) (ejected, restored bool) {
 	r := s.running[id]
 	delete(s.running, id)
 	if how == Served || how == Erred {
@@ -223,12 +223,12 @@
 	return s.note(now, r, how == Served)
 }
 
-// tried ends a trial.
+// tried ends a probe.
 func (r *run) tried() {
-	for _, rec := range r.trial {
-		rec.trying--
+	for _, rec := range r.probes {
+		rec.probing--
 	}
-	r.trial = r.trial[:0]
+	r.probes = r.probes[:0]
 }
 
 // fresh returns room for a request. What is kept is no more than what has run at once.
@@ -243,24 +243,24 @@
 }
 
 // note books what one request has shown: for the callers of its zone, and for all unless it is that zone's affair.
-func (s *Server) note(now time.Duration, r *run, good bool) (out, back bool) {
-	if !s.all.out {
+func (s *Server) note(now time.Duration, r *run, good bool) (ejected, restored bool) {
+	if !s.all.ejected {
 		z := s.zones[r.Zone]
-		if z == nil && len(s.zones) < mostZones {
+		if z == nil && len(s.zones) < maxZones {
 			z = &record{}
 			s.zones[r.Zone] = z
 		}
 		if z != nil {
-			if out, back = z.note(now, r.began, good); z.out || back {
-				return out, back
+			if ejected, restored = z.note(now, r.began, good); z.ejected || restored {
+				return ejected, restored
 			}
 		}
 	}
-	out, back = s.all.note(now, r.began, good)
-	if out {
+	ejected, restored = s.all.note(now, r.began, good)
+	if ejected {
 		clear(s.zones) // it is everybody's
 	}
-	return out, back
+	return ejected, restored
 }
 
 // overdue counts requests that run for too long as failed, before their end: one that hangs ends with its caller's
@@ -279,16 +279,16 @@
 	}
 }
 
-// takes tells whether a request may go; of those to a server that is out, a few are trials.
+// takes tells whether a request may go; of those to a server that is ejected, a few are probes.
 func (r *record) takes(now time.Duration, c Call) bool {
-	if r == nil || !r.out {
+	if r == nil || !r.ejected {
 		return true
 	}
-	return r.trying == 0 && now >= r.until && now-r.trialAt >= trialGap && !(c.Once && now-max(r.until, r.trialAt) < onceAfter)
+	return r.probing == 0 && now >= r.until && now-r.probedAt >= probeGap && !(c.Once && now-max(r.until, r.probedAt) < onceAfter)
 }
 
 // note books one end.
-func (r *record) note(now, began time.Duration, good bool) (out, back bool) {
+func (r *record) note(now, began time.Duration, good bool) (ejected, restored bool) {
 	fade := math.Exp(-float64(now-r.at) / float64(memory))
 	r.bad, r.total, r.at = r.bad*fade, r.total*fade+1, now
 	r.row++
@@ -297,11 +297,11 @@
 	} else {
 		r.bad++
 	}
-	if !r.out {
+	if !r.ejected {
 		if now-r.backAt > calmFor {
 			r.outs = 0
 		}
-		if !good && (r.row >= rowBad || r.bad > leastBad && low(r.bad, r.total) > limit) {
+		if !good && (r.row >= rowBad || r.bad > minBad && low(r.bad, r.total) > limit) {
 			r.leave(now)
 			return true, false
 		}
@@ -312,17 +312,17 @@
 	case !good:
 		r.leave(now)
 	default:
-		if r.good++; r.good >= trialsDue {
-			r.out, r.backAt, r.bad, r.total, r.row = false, now, 0, 0, 0
+		if r.good++; r.good >= probesDue {
+			r.ejected, r.backAt, r.bad, r.total, r.row = false, now, 0, 0, 0
 			return false, true
 		}
 	}
 	return false, false
 }
 
-// leave takes the server out for the callers of this record, each time for longer.
+// leave ejects the server for the callers of this record, each time for longer.
 func (r *record) leave(now time.Duration) {
-	r.out, r.good = true, 0
+	r.ejected, r.good = true, 0
 	r.until = now + min(holdMost, holdFirst<<min(r.outs, 4))
 	r.outs++
 }
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -47,7 +47,7 @@
 		open = keep
 		w.n++
 		c := Call{Zone: fmt.Sprint("z", w.n%4), Usual: 100 * ms, Once: once}
-		if w.s.Judge(w.now, c) != Fit {
+		if w.s.Judge(w.now, c) != Healthy {
 			continue
 		}
 		id := fmt.Sprint(w.n)
@@ -84,12 +84,12 @@
 	}
 }
 
-// TestSickServers: what fails is out soon, for those whom it fails, and is back soon after it is well.
-func TestSickServers(t *testing.T) {
+// TestUnhealthyServers: what fails is ejected soon, for those whom it fails, and is back soon after it is healthy.
+func TestUnhealthyServers(t *testing.T) {
 	for _, c := range []struct {
 		name, zone string
 		x          float64
-		mostFailed int // of those 2,000 that it would get in ten seconds
+		maxFailed  int // of those 2,000 that it would get in ten seconds
 	}{
 		{"some for all", "", 0.4, 60},
 		{"all for all", "", 1, 40},
@@ -100,10 +100,10 @@
 			w.run(5*time.Second, false, w.share(0, ""))
 			before := w.given["z2"]
 			w.run(10*time.Second, false, w.share(c.x, c.zone))
-			if out := w.s.Out(); c.x == 1 && !slices.Equal(out, []string{Everywhere}) || c.zone != "" && slices.Contains(out, "z2") {
+			if out := w.s.Ejected(); c.x == 1 && !slices.Equal(out, []string{Everywhere}) || c.zone != "" && slices.Contains(out, "z2") {
 				t.Errorf("%s, seed %d: out for %v", c.name, seed, out)
 			}
-			if w.failed > c.mostFailed {
+			if w.failed > c.maxFailed {
 				t.Errorf("%s, seed %d: %d requests failed", c.name, seed, w.failed)
 			}
 			if other := w.given["z2"] - before; c.zone != "" && other < 240 {
@@ -113,26 +113,26 @@
 			before = w.given["z1"]
 			w.run(5*time.Second, false, w.share(0, ""))
 			if back := w.given["z1"] - before; back < 120 {
-				t.Errorf("%s, seed %d: 15 s after it was well it had %d of 125 requests", c.name, seed, back)
+				t.Errorf("%s, seed %d: 15 s after it was healthy it had %d of 125 requests", c.name, seed, back)
 			}
 		}
 	}
 }
 
-// TestTrials: requests that may run once are trials only where no others come.
-func TestTrials(t *testing.T) {
+// TestProbes: requests that may run once are probes only where no others come.
+func TestProbes(t *testing.T) {
 	for once, most := range map[bool]int{false: 60, true: 20} {
 		w := play(1)
 		w.run(time.Second, once, w.share(1, ""))
 		before := w.failed
 		w.run(20*time.Second, once, w.share(1, ""))
 		if n := w.failed - before; n == 0 || n > most {
-			t.Errorf("once %v: %d trials in 20 s", once, n)
+			t.Errorf("once %v: %d probes in 20 s", once, n)
 		}
 	}
 }
 
-// TestHanging: requests that hang are counted while they do, and a server that answers nothing has a trial now and then.
+// TestHanging: requests that hang are counted while they do, and a server that answers nothing has a probe now and then.
 func TestHanging(t *testing.T) {
 	w := play(3)
 	w.run(5*time.Second, false, w.share(0, ""))
@@ -152,14 +152,14 @@
 		s.Begin(0, fmt.Sprint(i), Call{})
 	}
 	now := stallAfter + ms
-	if got := s.Judge(now, Call{Insist: true}); got != Fit {
-		t.Errorf("the trial: %v", got)
+	if got := s.Judge(now, Call{Insist: true}); got != Healthy {
+		t.Errorf("the probe: %v", got)
 	}
 	if got := s.Judge(now+ms, Call{Insist: true}); got != Hangs {
-		t.Errorf("right behind the trial: %v", got)
+		t.Errorf("right behind the probe: %v", got)
 	}
 	s.End(now+2*ms, "0", Served)
-	if got := s.Judge(now+3*ms, Call{}); got != Fit {
+	if got := s.Judge(now+3*ms, Call{}); got != Healthy {
 		t.Errorf("after an answer: %v", got)
 	}
 }
@@ -174,7 +174,7 @@
 			s.Begin(now, id, Call{Usual: 100 * ms})
 			s.End(now+took, id, Late)
 		}
-		if zones := s.Out(); (len(zones) > 0) != out {
+		if zones := s.Ejected(); (len(zones) > 0) != out {
 			t.Errorf("late after %v: out for %v", took, zones)
 		}
 	}
@@ -193,9 +193,9 @@
 	}
 }
 
-// TestTwoTrialsOfOneId: two clients give their requests one id, and both are trials of a server that is out. It is tried
+// TestTwoProbesOfOneId: two clients give their requests one id, and both are probes of a server that is ejected. It is tried
 // again all the same once they have ended.
-func TestTwoTrialsOfOneId(t *testing.T) {
+func TestTwoProbesOfOneId(t *testing.T) {
 	s := New(0)
 	call := Call{Usual: 100 * ms}
 	for i := range rowBad {
@@ -204,8 +204,8 @@
 		s.End(0, id, Broken)
 	}
 	now := holdFirst + ms
-	if s.Judge(0, call) != Sick || s.Judge(now, call) != Fit {
-		t.Fatal("the server is not out, or gets no trial")
+	if s.Judge(0, call) != Unhealthy || s.Judge(now, call) != Healthy {
+		t.Fatal("the server is not ejected, or gets no probe")
 	}
 	insists := call
 	insists.Insist = true
@@ -213,7 +213,7 @@
 	s.Begin(now, "one", insists)
 	s.End(now, "one", Void)
 	s.End(now, "one", Void)
-	if v := s.Judge(now+trialGap, call); v != Fit {
-		t.Errorf("no further trial: %v", v)
+	if v := s.Judge(now+probeGap, call); v != Healthy {
+		t.Errorf("no further probe: %v", v)
 	}
 }
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -22,7 +22,7 @@
 
 // The roles. A certificate has exactly one.
 const (
-	Core     Role = "core"     // a core machine
+	Core     Role = "core"     // a quorum member
 	Node     Role = "node"     // a sidecar machine
 	Operator Role = "operator" // who may change the configuration and read backups
 )
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"ivydeck/internal/entry"
+	"ivydeck/internal/localserver"
 	"ivydeck/internal/relay"
-	"ivydeck/internal/station"
 )
 
 func town(t *testing.T) *Scenario {
@@ -84,7 +84,7 @@
 		"after the acknowledgement of its drain": func(s *sim) {
 			v := s.servers[0]
 			v.acked, v.drainAt = true, s.now-ms(w.DrainMs)-time.Millisecond
-			v.run(&try{id: "a", req: &request{s: s, route: s.route("browse")}}, station.Ask{Member: v.id, Service: v.kind.Name, Attempt: "a"}, s.now+time.Second, 0, nil)
+			v.run(&try{id: "a", req: &request{s: s, route: s.route("browse")}}, localserver.Ask{Member: v.id, Service: v.kind.Name, Attempt: "a"}, s.now+time.Second, 0, nil)
 		},
 		"was acknowledged": func(s *sim) {
 			s.acked = 99
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -77,7 +77,7 @@
 	FeedBytesS  float64                `json:"feed_bytes_s"`
 	BusiestBps  float64                `json:"busiest_bytes_s"` // out of the machine that sends most
 	CrossedBps  float64                `json:"crossed_bytes_s"` // between zones, all together
-	DiskBytes   int                    `json:"disk_bytes"`      // at one core machine, at its most
+	DiskBytes   int                    `json:"disk_bytes"`      // at one quorum member, at its most
 	Faults      []string               `json:"faults"`
 	FaultAtS    float64                `json:"fault_at_s"`
 	Recent      []string               `json:"recent"` // before the first fault
@@ -220,7 +220,7 @@
 	m.second(now).Budget = max(m.second(now).Budget, used)
 }
 
-// committed notes when an update was first applied by a core machine.
+// committed notes when an update was first applied by a quorum member.
 func (m *measures) committed(now time.Duration, number uint64) {
 	if number > m.newest {
 		m.newest = number
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -11,9 +11,9 @@
 	"ivydeck/internal/catalog"
 	"ivydeck/internal/entry"
 	"ivydeck/internal/health"
+	"ivydeck/internal/localserver"
 	"ivydeck/internal/meshconfig"
 	"ivydeck/internal/relay"
-	"ivydeck/internal/station"
 	"ivydeck/internal/wire"
 )
 
@@ -41,17 +41,17 @@
 	freshAt  time.Duration
 	fence    relay.Fence
 
-	table    *entry.Table
-	station  *station.Station[*ticket]
-	shares   budget.Shares
-	server   *server
-	began    time.Duration
-	world    entry.WorldBuilder
-	listed   catalog.Local
-	members  uint64 // the version of them that the table has been told
-	proposes bool
-	ready    bool   // it takes clients: its state is as new as what had been acknowledged when it started
-	owed     uint64 // the revision that had been
+	table     *entry.Table
+	admission *localserver.Admission[*ticket]
+	shares    budget.Shares
+	server    *server
+	began     time.Duration
+	world     entry.WorldBuilder
+	listed    catalog.Local
+	members   uint64 // the version of them that the table has been told
+	proposes  bool
+	ready     bool   // it takes clients: its state is as new as what had been acknowledged when it started
+	owed      uint64 // the revision that had been
 }
 
 // ticket is a request that waits for a slot at a server.
@@ -66,7 +66,7 @@
 	n.world, n.listed, n.members = entry.WorldBuilder{}, catalog.Local{Node: n.name}, 0
 	n.hub = relay.NewHub(func() time.Duration { return s.now - n.freshAt })
 	n.table = entry.NewTable(entry.Options{Node: n.name, Zone: n.zone, Ratio: s.w.Retry.Ratio, Window: sec(s.w.Retry.WindowS), Seed: s.rng.Uint64()})
-	n.station = station.New[*ticket](ms(s.w.DrainMs), ms(s.w.BeatMs))
+	n.admission = localserver.New[*ticket](ms(s.w.DrainMs), ms(s.w.BeatMs))
 	n.shares = budget.Shares{Slack: s.w.Retry.Slack, Window: sec(s.w.Retry.WindowS), Known: s.now == 0}
 	n.peerView.start(s, &n.machine)
 	n.ready, n.owed = false, s.acked
@@ -224,7 +224,7 @@
 	if !n.up || n.life != life {
 		return
 	}
-	_, v := n.station.Sweep(n.s.now)
+	_, v := n.admission.Sweep(n.s.now)
 	n.tell(v)
 	nodes := len(n.group.Members()) - len(n.s.cores)
 	n.table.Share(n.shares.Part(n.s.now-n.began, nodes))
@@ -235,10 +235,10 @@
 }
 
 func (n *node) register() {
-	m := station.Machine{Node: n.name, Address: n.name, Zone: n.zone}
+	m := localserver.Machine{Node: n.name, Address: n.name, Zone: n.zone}
 	changes, _ := n.hub.State(n.listed.Index())
 	n.listed.Apply(changes)
-	todo := station.Difference(m, n.station.Servers(), n.listed.Servers(), n.s.now-n.began < ms(2*n.s.w.BeatMs))
+	todo := localserver.Difference(m, n.admission.Servers(), n.listed.Servers(), n.s.now-n.began < ms(2*n.s.w.BeatMs))
 	if len(todo) == 0 {
 		return
 	}
@@ -248,7 +248,7 @@
 	})
 }
 
-func (n *node) tell(verdicts []station.Verdict[*ticket]) {
+func (n *node) tell(verdicts []localserver.Verdict[*ticket]) {
 	for _, v := range verdicts {
 		v.Ticket.verdict(v.Go)
 	}
@@ -284,7 +284,7 @@
 	}
 	e := entry.Entrant{Route: route, Service: n.table.Choose(route), Arrived: s.now}
 	e.Until = s.now + min(route.Timeout(), t.until-s.now) - answerMargin
-	e.Inner, e.Again = n.station.Graph(t.id, e.Service)
+	e.Inner, e.Again = n.admission.Graph(t.id, e.Service)
 	s.m.entered(s.now, e.Service)
 	if e.Again {
 		s.m.repeated(s.now, e.Service)
@@ -300,7 +300,7 @@
 		over = true
 		r.Leave(s.now)
 		if e.Inner && f.Status >= 400 {
-			n.station.CallFailed(t.id)
+			n.admission.CallFailed(t.id)
 		}
 		done(f)
 	}
@@ -360,7 +360,7 @@
 		return
 	}
 	to := s.nodes[s.index[listed.Node]]
-	ask := station.Ask{Member: id, Service: r.Service, Attempt: t.id, Priority: r.Rank, Repeat: step.Repeat, Wait: step.Queue,
+	ask := localserver.Ask{Member: id, Service: r.Service, Attempt: t.id, Priority: r.Rank, Repeat: step.Repeat, Wait: step.Queue,
 		Call: health.Call{Zone: n.zone, Usual: step.Usual, Once: r.Once(), Insist: step.Insist}}
 	until := r.Until
 	tries := r.Tries()
@@ -381,12 +381,12 @@
 }
 
 // forward passes a request to the server here, or turns it away.
-func (n *node) forward(t *try, ask station.Ask, until time.Duration, tries int, done func(*wire.Outcome)) {
+func (n *node) forward(t *try, ask localserver.Ask, until time.Duration, tries int, done func(*wire.Outcome)) {
 	s, life := n.s, n.life
 	unsent := func(gone, waiting bool) { done(&wire.Outcome{Fate: wire.Outcome_UNSENT, Gone: gone, Waiting: waiting}) }
 	begin := func() {
 		if n.server == nil || n.server.id != ask.Member || !n.server.up {
-			f := n.station.Finish(s.now, ask.Member, ask.Attempt, health.Broken)
+			f := n.admission.Finish(s.now, ask.Member, ask.Attempt, health.Broken)
 			n.tell(f.Verdicts)
 			unsent(false, f.Waiting)
 			return
@@ -397,7 +397,7 @@
 				return
 			}
 			out := &wire.Outcome{Fate: fate, Status: status, TookMs: uint32((s.now - began).Milliseconds())}
-			f := n.station.Finish(s.now, ask.Member, ask.Attempt, station.EndOf(out))
+			f := n.admission.Finish(s.now, ask.Member, ask.Attempt, localserver.EndOf(out))
 			n.tell(f.Verdicts)
 			out.Waiting, out.Pace, out.Fill = f.Waiting, float32(f.Pace), float32(f.Fill)
 			for _, c := range f.Called {
@@ -415,28 +415,28 @@
 			switch {
 			case !n.up || n.life != life:
 			case pass:
-				n.station.Run(s.now, ask)
+				n.admission.Run(s.now, ask)
 				begin()
 			default:
 				unsent(false, false)
 			}
 		})
 	}
-	place, _, v := n.station.Arrive(s.now, ask, tk)
+	place, _, v := n.admission.Arrive(s.now, ask, tk)
 	n.tell(v)
 	switch place {
-	case station.Slot:
+	case localserver.Slot:
 		begin()
-	case station.Queue:
+	case localserver.Queue:
 		s.at(until-5*time.Millisecond, func() {
-			if !over && n.up && n.life == life && n.station.Leave(ask.Member, tk) {
+			if !over && n.up && n.life == life && n.admission.Leave(ask.Member, tk) {
 				over = true
 				unsent(false, true)
 			}
 		})
 	default:
 		done(&wire.Outcome{
-			Fate: wire.Outcome_UNSENT, Gone: place == station.Gone, Sick: place == station.Sick, Waiting: place == station.Full,
+			Fate: wire.Outcome_UNSENT, Gone: place == localserver.Gone, Unhealthy: place == localserver.Unhealthy, Waiting: place == localserver.Full,
 		})
 	}
 }
--- /dev/null
+++ b/internal/lab/peerview.go
@@ -0,0 +1,139 @@
+package lab
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"ivydeck/internal/membership"
+	"ivydeck/internal/relay"
+	"ivydeck/internal/wire"
+)
+
+// peerView is what every machine has: a view of the others, and a place in the tree.
+type peerView struct {
+	s        *sim
+	m        *machine
+	group    *membership.Group
+	hub      *relay.Hub
+	pacing   relay.Pacing
+	children []*child
+}
+
+// child is a subscriber of a machine's updates.
+type child struct {
+	node *node
+	life uint64
+	have uint64
+	last time.Duration // when the newest message to it arrives
+	gone bool
+
+	subscription relay.Subscription // of the node
+	subscribedAt time.Duration      // when the parent had it
+}
+
+func (v *peerView) start(s *sim, m *machine) {
+	v.s, v.m, v.children, v.pacing = s, m, nil, relay.Pacing{}
+	self := &wire.Member{Name: m.name, Address: m.name, Zone: m.zone, Core: m.core, Generation: m.life}
+	v.group = membership.New(self, s.rng.Uint64(), s.now)
+	if s.w.Steady && len(s.all) > 0 && s.now == 0 {
+		v.group.Load(s.now, s.all)
+	}
+	// Machines do not start in the same moment.
+	s.after(time.Duration(s.rng.Int64N(int64(membership.ProbeInterval))), func() { v.probe(m.life) })
+	s.after(time.Duration(s.rng.Int64N(int64(relay.Heartbeat))), func() { v.beat(m.life) })
+}
+
+// probe is the driver of membership.
+func (v *peerView) probe(life uint64) {
+	if !v.m.up || v.m.life != life {
+		return
+	}
+	for _, a := range v.group.Tick(v.s.now, v.s.seeds) {
+		v.send(a)
+	}
+	v.s.at(max(v.group.Next(), v.s.now+10*time.Millisecond), func() { v.probe(life) })
+}
+
+func (v *peerView) send(a membership.Action) {
+	v.exchange(a.Address, a.Probe, a.Wait(), func(answer *wire.Probed) {
+		for _, more := range v.group.Probed(v.s.now, a, answer) {
+			v.send(more)
+		}
+	})
+}
+
+// exchange sends a probe and takes in the answer; nil: none came.
+func (v *peerView) exchange(address string, p *wire.Probe, wait time.Duration, done func(*wire.Probed)) {
+	to := v.s.views[address]
+	if to == nil {
+		done(nil)
+		return
+	}
+	size := proto.Size(p)
+	v.s.m.probes++
+	v.s.m.probeBytes += int64(size + rpcBytes)
+	v.s.call(v.m, to.m, size, wait, func(answer func(int, func())) {
+		to.group.Merge(v.s.now, p.From)
+		to.group.Merge(v.s.now, p.Updates...)
+		reply := func(reached bool) {
+			probed := to.group.Answer(p)
+			probed.Reached = reached
+			size := proto.Size(probed)
+			v.s.m.probeBytes += int64(size + rpcBytes)
+			answer(size, func() {
+				v.group.Merge(v.s.now, probed.Updates...)
+				done(probed)
+			})
+		}
+		if p.Target == nil {
+			reply(true)
+			return
+		}
+		to.exchange(p.Target.Address, &wire.Probe{From: to.group.Self()}, membership.ProbeTimeout, func(a *wire.Probed) { reply(a != nil) })
+	}, func(bool) { done(nil) })
+}
+
+// beat feeds all children where none was fed for as long as a heartbeat may take.
+func (v *peerView) beat(life uint64) {
+	if !v.m.up || v.m.life != life {
+		return
+	}
+	if v.s.now >= v.pacing.Due(v.hub.Depth()) {
+		v.feed()
+	}
+	v.s.at(v.pacing.Due(v.hub.Depth()), func() { v.beat(life) })
+}
+
+// fed is the number of children that are still there.
+func (v *peerView) fed() int {
+	n := 0
+	for _, c := range v.children {
+		if !c.gone && c.node.up && c.node.life == c.life {
+			n++
+		}
+	}
+	return n
+}
+
+// feed sends each child what it lacks.
+func (v *peerView) feed() {
+	v.pacing.Sent(v.s.now)
+	keep := v.children[:0]
+	for _, c := range v.children {
+		if !c.gone && c.node.up && c.node.life == c.life {
+			keep = append(keep, c)
+			v.feedOne(c)
+		}
+	}
+	clear(v.children[len(keep):])
+	v.children = keep
+}
+
+func (v *peerView) feedOne(c *child) {
+	f, _ := v.hub.Feed(c.have, v.s.now, c.subscribedAt)
+	c.have = max(c.have, f.Latest)
+	size := proto.Size(f)
+	v.s.m.feedBytes += int64(size + rpcBytes)
+	v.s.stream(v.m, &c.node.machine, size+rpcBytes, &c.last, func() { c.node.hear(c, f) })
+}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -24,7 +24,7 @@
 	Name    string  `toml:"name"`
 	Seconds float64 `toml:"seconds"` // of simulated time
 	Zones   int     `toml:"zones"`
-	Cores   int     `toml:"cores"`  // core machines, in zones by turns
+	Cores   int     `toml:"cores"`  // quorum members, in zones by turns
 	Nodes   int     `toml:"nodes"`  // sidecar machines, the same; the first have a server each
 	Steady  bool    `toml:"steady"` // the nodes know each other from the start
 	SyncMs  float64 `toml:"sync_ms"`
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"ivydeck/internal/entry"
-	"ivydeck/internal/station"
+	"ivydeck/internal/localserver"
 	"ivydeck/internal/wire"
 )
 
@@ -79,7 +79,7 @@
 		return
 	}
 	v.seq++
-	h := v.node.station.Beat(v.s.now, station.Beat{
+	h := v.node.admission.Heartbeat(v.s.now, localserver.Heartbeat{
 		ID: v.id, Service: v.kind.Name, Address: v.node.name, Zone: v.node.zone, Slots: v.kind.Slots, Draining: v.drains, Seq: v.seq,
 		Warm: max(0, v.cold-v.s.now),
 	})
@@ -92,7 +92,7 @@
 	}
 }
 
-// drain marks the server, and ends it once nobody can have business with it; a new
+// draining statuses the server, and ends it once nobody can have business with it; a new
 // life follows after back.
 func (v *server) drain(back time.Duration) {
 	v.drains = true
@@ -101,7 +101,7 @@
 	v.s.after(2*ms(v.s.w.DrainMs), func() {
 		if v.id == id && v.up {
 			v.stop()
-			v.node.station.Deregister(id)
+			v.node.admission.Deregister(id)
 			v.s.at(back, func() { v.s.startServer(v) })
 		}
 	})
@@ -118,7 +118,7 @@
 }
 
 // run takes a request in, and calls end with what became of it.
-func (v *server) run(t *try, ask station.Ask, until time.Duration, tries int, end func(int32, wire.Outcome_Fate)) {
+func (v *server) run(t *try, ask localserver.Ask, until time.Duration, tries int, end func(int32, wire.Outcome_Fate)) {
 	s := v.s
 	begun := s.now
 	r := &runOf{end: func(status int32, fate wire.Outcome_Fate) {
@@ -126,7 +126,7 @@
 		end(status, fate)
 	}}
 	if v.acked && s.now > v.drainAt+ms(s.w.DrainMs) {
-		s.broken("%s was sent a request %v after the acknowledgement of its drain mark", v.id, s.now-v.drainAt)
+		s.broken("%s was sent a request %v after the acknowledgement of its draining status", v.id, s.now-v.drainAt)
 	}
 	if tries > 0 {
 		s.m.repeated(s.now, v.kind.Name)
--- a/internal/lab/sim.go
+++ b/internal/lab/sim.go
@@ -41,13 +41,13 @@
 }
 
 const (
-	mostRecent = 40
-	calmEnd    = 8 * time.Second // of a scenario with chaos, in which all has to come back
+	maxRecent = 40
+	calmEnd   = 8 * time.Second // of a scenario with chaos, in which all has to come back
 )
 
 // note keeps an event for the report of a fault.
 func (s *sim) note(format string, args ...any) {
-	if len(s.recent) >= mostRecent {
+	if len(s.recent) >= maxRecent {
 		s.recent = append(s.recent[:0], s.recent[1:]...)
 	}
 	s.recent = append(s.recent, fmt.Sprintf("%9.3f s  ", s.now.Seconds())+fmt.Sprintf(format, args...))
@@ -296,7 +296,7 @@
 	}
 }
 
-// chaos lets a drawn trouble begin now and then. What takes a core machine or its
+// chaos lets a drawn trouble begin now and then. What takes a quorum member or its
 // disk away waits until the core has borne the one before: its word is for one
 // loss at a time.
 func (s *sim) chaos() {
@@ -350,7 +350,7 @@
 	return t, true
 }
 
-// whole tells whether all core machines are voters that have all that was taken.
+// whole tells whether all quorum members are voters that have all that was taken.
 func (s *sim) whole() bool {
 	newest := uint64(0)
 	for _, c := range s.cores {
--- a/internal/station/station_test.go
+++ b/internal/localserver/localserver_test.go
@@ -1,4 +1,4 @@
-package station
+package localserver
 
 import (
 	"fmt"
@@ -12,9 +12,9 @@
 
 const ms = time.Millisecond
 
-func with(slots int, drain time.Duration) *Station[string] {
+func with(slots int, drain time.Duration) *Admission[string] {
 	s := New[string](drain, time.Second)
-	s.Beat(0, Beat{ID: "i", Service: "s", Address: "a", Slots: slots})
+	s.Heartbeat(0, Heartbeat{ID: "i", Service: "s", Address: "a", Slots: slots})
 	return s
 }
 
@@ -53,10 +53,10 @@
 	s := with(1, 100*ms)
 	s.Arrive(0, ask("runs", 0), "runs")
 	s.Arrive(0, ask("waits", 0), "waits")
-	if h := s.Beat(10*ms, Beat{ID: "i", Service: "s", Address: "a", Slots: 1, Draining: true, Seq: 1}); !h.Drains {
+	if h := s.Heartbeat(10*ms, Heartbeat{ID: "i", Service: "s", Address: "a", Slots: 1, Draining: true, Seq: 1}); !h.Drains {
 		t.Error("the mark was not taken")
 	}
-	s.Beat(20*ms, Beat{ID: "i", Service: "s", Address: "a", Slots: 1, Seq: 2}) // it never comes back from that
+	s.Heartbeat(20*ms, Heartbeat{ID: "i", Service: "s", Address: "a", Slots: 1, Seq: 2}) // it never comes back from that
 	if place, _, _ := s.Arrive(70*ms, ask("late", 0), "late"); place != Gone {
 		t.Errorf("past half of the bound: %v", place)
 	}
@@ -66,17 +66,17 @@
 }
 
 // TestDrainMarkOutlivesTheProcess: a mark was acknowledged, the process ended and came back at once with a list that
-// does not have it yet. Only the server's next beat tells, and nothing may go to it from then on.
+// does not have it yet. Only the server's next heartbeat tells, and nothing may go to it from then on.
 func TestDrainMarkOutlivesTheProcess(t *testing.T) {
-	marked := Beat{ID: "i", Service: "s", Address: "a", Slots: 1, Draining: true, Seq: 7}
+	marked := Heartbeat{ID: "i", Service: "s", Address: "a", Slots: 1, Draining: true, Seq: 7}
 	for _, adopted := range []bool{true, false} {
 		s := New[string](4*time.Second, 1500*ms)
 		if adopted {
-			s.Adopt(0, Beat{ID: "i", Service: "s", Address: "a", Slots: 1})
+			s.Adopt(0, Heartbeat{ID: "i", Service: "s", Address: "a", Slots: 1})
 			s.Arrive(ms, ask("runs", 0), "runs")
 			s.Arrive(ms, ask("waits", 0), "waits")
 		}
-		s.Beat(1500*ms, marked)
+		s.Heartbeat(1500*ms, marked)
 		if place, _, _ := s.Arrive(1501*ms, ask("late", 0), "late"); place != Gone {
 			t.Errorf("adopted %v: a request got %v", adopted, place)
 		}
@@ -86,7 +86,7 @@
 	}
 }
 
-// TestSick: a server that is taken out sends those who wait elsewhere, and one whose run failed for a call that it
+// TestUnhealthy: a server that is taken out sends those who wait elsewhere, and one whose run failed for a call that it
 // made is not blamed for it.
 func TestSick(t *testing.T) {
 	s := with(2, time.Hour)
@@ -94,20 +94,20 @@
 		s.Arrive(0, ask(fmt.Sprint(i), 0), fmt.Sprint(i))
 	}
 	s.CallFailed("0.1")
-	if f := s.Finish(ms, "i", "0", health.Erred); f.Out || !slices.Equal(f.Verdicts, []Verdict[string]{{"2", true}}) {
+	if f := s.Finish(ms, "i", "0", health.Erred); f.Ejected || !slices.Equal(f.Verdicts, []Verdict[string]{{"2", true}}) {
 		t.Errorf("a run with a failed call: %+v", f)
 	}
 	s.Run(ms, ask("2", 0))
-	if f := s.Finish(2*ms, "i", "1", health.Broken); f.Out {
+	if f := s.Finish(2*ms, "i", "1", health.Broken); f.Ejected {
 		t.Errorf("one failure: %+v", f)
 	}
 	s.Run(2*ms, ask("3", 0))
 	s.Arrive(2*ms, ask("5", 0), "5")
-	if f := s.Finish(3*ms, "i", "2", health.Erred); !f.Out || !slices.Equal(f.Verdicts, []Verdict[string]{{"5", true}}) {
+	if f := s.Finish(3*ms, "i", "2", health.Erred); !f.Ejected || !slices.Equal(f.Verdicts, []Verdict[string]{{"5", true}}) {
 		t.Errorf("the second failure: %+v", f)
 	}
-	if place, _, _ := s.Arrive(4*ms, ask("x", 0), "x"); place != Sick {
-		t.Errorf("a sick server: %v", place)
+	if place, _, _ := s.Arrive(4*ms, ask("x", 0), "x"); place != Unhealthy {
+		t.Errorf("a unhealthy server: %v", place)
 	}
 	insists := ask("y", 0)
 	insists.Insist = true
@@ -118,35 +118,35 @@
 
 func TestLives(t *testing.T) {
 	s := New[string](time.Hour, time.Second)
-	if !s.Adopt(0, Beat{ID: "old", Service: "s", Address: "a", Slots: 1}) || s.Adopt(0, Beat{ID: "x", Service: "s", Address: "a", Slots: 1}) {
-		t.Error("adopting works once, and only before any beat")
+	if !s.Adopt(0, Heartbeat{ID: "old", Service: "s", Address: "a", Slots: 1}) || s.Adopt(0, Heartbeat{ID: "x", Service: "s", Address: "a", Slots: 1}) {
+		t.Error("adopting works once, and only before any heartbeat")
 	}
 	s.Arrive(0, Ask{Member: "old", Service: "s", Attempt: "1", Wait: true}, "1")
 	s.Arrive(0, Ask{Member: "old", Service: "s", Attempt: "2", Wait: true}, "2")
-	h := s.Beat(ms, Beat{ID: "new", Service: "s", Address: "a", Slots: 1})
+	h := s.Heartbeat(ms, Heartbeat{ID: "new", Service: "s", Address: "a", Slots: 1})
 	if !slices.Equal(h.Ended, []string{"old"}) || !slices.Equal(h.Verdicts, []Verdict[string]{{"2", false}}) {
-		t.Errorf("a new life at the address: %+v", h)
+		t.Errorf("a new incarnation at the address: %+v", h)
 	}
 	if place, _, _ := s.Arrive(ms, Ask{Member: "old", Service: "s"}, "3"); place != Gone {
-		t.Errorf("the old life: %v", place)
+		t.Errorf("the old incarnation: %v", place)
 	}
 	if place, _, _ := s.Arrive(ms, Ask{Member: "new", Service: "other"}, "4"); place != Gone {
 		t.Errorf("another service: %v", place)
 	}
-	if h := s.Beat(2*ms, Beat{ID: "old", Seq: 9}); h.OK {
-		t.Error("a life that has ended was taken back")
+	if h := s.Heartbeat(2*ms, Heartbeat{ID: "old", Seq: 9}); h.OK {
+		t.Error("an incarnation that has ended was taken back")
 	}
 	if silent, _ := s.Sweep(10 * time.Second); !slices.Equal(silent, []string{"new"}) || len(s.Servers()) != 0 {
 		t.Errorf("after ten seconds of silence: %v, %v", silent, s.Servers())
 	}
-	// It was only held up: its beat brings it back, unless another has its address.
-	if h := s.Beat(11*time.Second, Beat{ID: "new", Service: "s", Address: "a", Slots: 1, Seq: 5}); !h.OK || !h.Back || len(s.Servers()) != 1 {
-		t.Errorf("the beat after a long silence: %+v, %v", h, s.Servers())
+	// It was only held up: its heartbeat brings it back, unless another has its address.
+	if h := s.Heartbeat(11*time.Second, Heartbeat{ID: "new", Service: "s", Address: "a", Slots: 1, Seq: 5}); !h.OK || !h.Back || len(s.Servers()) != 1 {
+		t.Errorf("the heartbeat after a long silence: %+v, %v", h, s.Servers())
 	}
 	s.Sweep(20 * time.Second)
-	s.Beat(21*time.Second, Beat{ID: "newer", Service: "s", Address: "a", Slots: 1})
-	if h := s.Beat(22*time.Second, Beat{ID: "new", Service: "s", Address: "a", Slots: 1, Seq: 9}); h.OK {
-		t.Error("a life came back whose address another has")
+	s.Heartbeat(21*time.Second, Heartbeat{ID: "newer", Service: "s", Address: "a", Slots: 1})
+	if h := s.Heartbeat(22*time.Second, Heartbeat{ID: "new", Service: "s", Address: "a", Slots: 1, Seq: 9}); h.OK {
+		t.Error("an incarnation came back whose address another has")
 	}
 }
 
@@ -201,7 +201,7 @@
 				if id := any(waiting); id != "~" && s.Leave("i", id) {
 					delete(waiting, id)
 				} else if rng.IntN(40) == 0 {
-					s.Beat(now, Beat{ID: "i", Service: "s", Address: "a", Slots: 3, Draining: true, Seq: uint64(i)})
+					s.Heartbeat(now, Heartbeat{ID: "i", Service: "s", Address: "a", Slots: 3, Draining: true, Seq: uint64(i)})
 				}
 			}
 			if inflight, queued := s.Load("i"); inflight != len(running) || queued != len(waiting) || inflight > 3 {
--- a/internal/station/register.go
+++ b/internal/localserver/register.go
@@ -1,4 +1,4 @@
-package station
+package localserver
 
 import (
 	"slices"
@@ -8,7 +8,7 @@
 	"ivydeck/internal/wire"
 )
 
-// Machine is where the servers of a station are registered.
+// Machine is where the servers of a admission are registered.
 type Machine struct {
 	Node, Address, Zone string // Address: where the node beside them listens
 	Leaving             bool   // the node goes, so its servers take nothing new
@@ -23,7 +23,7 @@
 // Difference is what has to change in the core's list, so that it says of a
 // machine what stands there. A node that has just started keeps what is listed
 // until its server has called: then whatever else is listed was before it.
-func Difference(m Machine, servers []Beat, listed []*wire.Server, started bool) []*wire.Command {
+func Difference(m Machine, servers []Heartbeat, listed []*wire.Server, started bool) []*wire.Command {
 	old := map[string]*wire.Server{}
 	for _, s := range listed {
 		if s.Node == m.Node {
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -18,12 +18,12 @@
 )
 
 const (
-	mostHeader    = 16 << 10
-	requestWait   = 2500 * time.Millisecond // for a request to come whole: a peer that sends none has 3 s
-	mostRemaining = 10 * time.Minute        // longer waits are taken for nonsense
-	writeGrace    = time.Second             // after its deadline a client that does not read is cut off
-	writeWait     = 10 * time.Second        // the same where no deadline is known
-	leastIdle     = 2 * time.Second         // a connection with no request open may be closed then
+	maxHeader    = 16 << 10
+	requestWait  = 2500 * time.Millisecond // for a request to come whole: a peer that sends none has 3 s
+	maxRemaining = 10 * time.Minute        // longer waits are taken for nonsense
+	writeGrace   = time.Second             // after its deadline a client that does not read is cut off
+	writeWait    = 10 * time.Second        // the same where no deadline is known
+	minIdle      = 2 * time.Second         // a connection with no request open may be closed then
 )
 
 // callers answers the clients.
@@ -61,7 +61,7 @@
 		ReadHeaderTimeout: requestWait,
 		IdleTimeout:       5 * time.Minute, // clients keep their connections
 		WriteTimeout:      writeWait,       // counted anew with each request
-		MaxHeaderBytes:    mostHeader,
+		MaxHeaderBytes:    maxHeader,
 		// An answer of its own to OPTIONS * would stand for a server's.
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     slog.NewLogLogger(log.Handler(), slog.LevelWarn),
@@ -103,7 +103,7 @@
 		return false
 	}
 	c := oldest.Value.(*clientConn)
-	if now-c.idleSince < leastIdle {
+	if now-c.idleSince < minIdle {
 		return false
 	}
 	s.idle.Remove(oldest)
@@ -246,7 +246,7 @@
 		return nil, http.StatusBadRequest, "no X-Txn"
 	}
 	ms, err := strconv.ParseInt(r.Header.Get("X-Remaining-Ms"), 10, 64)
-	if err != nil || ms < 0 || ms > mostRemaining.Milliseconds() {
+	if err != nil || ms < 0 || ms > maxRemaining.Milliseconds() {
 		return nil, http.StatusBadRequest, "X-Remaining-Ms is missing or odd"
 	}
 	wait := time.Duration(ms) * time.Millisecond
@@ -263,7 +263,7 @@
 	}
 	if text := r.Header.Get("X-Estimate"); text != "" {
 		us, err := strconv.ParseInt(text, 10, 64)
-		if err != nil || us < 0 || us > mostRemaining.Microseconds() {
+		if err != nil || us < 0 || us > maxRemaining.Microseconds() {
 			return nil, http.StatusBadRequest, "X-Estimate is odd"
 		}
 		p.request.Work = time.Duration(us) * time.Microsecond
@@ -285,7 +285,7 @@
 	// claim a lot.
 	control := http.NewResponseController(w)
 	control.SetReadDeadline(s.clock.wall(min(p.deadline, conn.bodyUntil(now))))
-	p.call.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
+	p.call.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return nil, http.StatusRequestEntityTooLarge, "the body is too large"
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	leastSockets  = 64 // file descriptors below which a node can't work
-	leastMemoryMB = 32
+	minSockets  = 64 // file descriptors below which a node can't work
+	minMemoryMB = 32
 )
 
 // Config is what a node is told at its start.
@@ -69,11 +69,11 @@
 	if _, _, err := net.SplitHostPort(raw.Discovery); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
-	if raw.Limits.Sockets < leastSockets {
-		return nil, fmt.Errorf("limits: %d sockets, at least %d are needed", raw.Limits.Sockets, leastSockets)
+	if raw.Limits.Sockets < minSockets {
+		return nil, fmt.Errorf("limits: %d sockets, at least %d are needed", raw.Limits.Sockets, minSockets)
 	}
-	if raw.Limits.MemoryMB < leastMemoryMB {
-		return nil, fmt.Errorf("limits: %d MB of memory, at least %d are needed", raw.Limits.MemoryMB, leastMemoryMB)
+	if raw.Limits.MemoryMB < minMemoryMB {
+		return nil, fmt.Errorf("limits: %d MB of memory, at least %d are needed", raw.Limits.MemoryMB, minMemoryMB)
 	}
 	if raw.Settings == nil {
 		return nil, errors.New("no settings")
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -24,10 +24,10 @@
 	watchSpread = 10 // up to one part in so many
 	// A call is worked through in turn; one that has had no answer by now is lost.
 	// What there is to tell counts as told after 6 s, or 2 s after a watch's wait.
-	callWait     = 5 * time.Second
-	watchLate    = 1500 * time.Millisecond
-	callConnect  = time.Second
-	mostListSize = 16 << 20
+	callWait    = 5 * time.Second
+	watchLate   = 1500 * time.Millisecond
+	callConnect = time.Second
+	maxListSize = 16 << 20
 )
 
 // entry is a server in a list: what the module is told, and where to dial it.
@@ -266,7 +266,7 @@
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, mostListSize))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxListSize))
 	if err != nil {
 		return nil, fmt.Errorf("discovery: reading the list: %w", err)
 	}
--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -54,7 +54,7 @@
 // connections to servers go first, and then requests are refused.
 func TestSocketBudget(t *testing.T) {
 	s := newServer(t, say("fine"))
-	n := startNode(t, testConfig(t, deadAddress(t), listOf(1, true, s.addr()), leastSockets))
+	n := startNode(t, testConfig(t, deadAddress(t), listOf(1, true, s.addr()), minSockets))
 	most := int(n.callers.sockets.most)
 	first := dialRaw(t, n)
 	first.send(t, rawLook)
@@ -92,7 +92,7 @@
 		}
 		io.WriteString(w, "fine")
 	})
-	n := startNode(t, testConfig(t, deadAddress(t), listOf(1, true, s.addr()), leastSockets))
+	n := startNode(t, testConfig(t, deadAddress(t), listOf(1, true, s.addr()), minSockets))
 	busy := dialRaw(t, n)
 	busy.send(t, rawLook)
 	waitFor(t, "the attempt is out", func() bool { return s.seen() == 1 })
@@ -111,11 +111,11 @@
 	first := n.callers.idle.Front().Value.(*clientConn).idleSince
 	last := n.callers.idle.Back().Value.(*clientConn).idleSince
 	n.callers.mu.Unlock()
-	if n.callers.relieve(first + leastIdle - 1) {
+	if n.callers.relieve(first + minIdle - 1) {
 		t.Error("a connection was closed before its two seconds")
 	}
 	for i, c := range []*rawConn{silent, asked} {
-		if !n.callers.relieve(last + leastIdle) {
+		if !n.callers.relieve(last + minIdle) {
 			t.Errorf("connection %d was kept", i)
 		}
 		if rest, err := io.ReadAll(c.reader); err != nil || len(rest) > 0 {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -22,7 +22,7 @@
 	"ivydeck/internal/sock"
 )
 
-const mostBody = 64 << 10
+const maxBody = 64 << 10
 
 // peer is a server as the loop knows it, for the attempts that are on their way
 // to it.
@@ -322,7 +322,7 @@
 // large as soon as that shows: a server that goes on sending would else keep
 // the attempt to its time-out, and fill the memory.
 func (c *conn) read(method string) (*http.Response, []byte, error) {
-	c.incoming.N = mostHeader // with the interim answers' heads
+	c.incoming.N = maxHeader // with the interim answers' heads
 	c.incoming.head = make([]byte, 0, 512)
 	defer func() { c.incoming.head = nil }()
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
@@ -338,16 +338,16 @@
 	c.incoming.head = nil
 	// The body is not closed: that would first read it to its end, however far,
 	// and it holds nothing that needs it.
-	if resp.ContentLength > mostBody {
-		return nil, nil, fmt.Errorf("the answer has %d bytes, more than %d", resp.ContentLength, mostBody)
+	if resp.ContentLength > maxBody {
+		return nil, nil, fmt.Errorf("the answer has %d bytes, more than %d", resp.ContentLength, maxBody)
 	}
 	c.incoming.N = math.MaxInt64 // the limit of the body, and net/http's for chunks, serve from here
-	body, err := io.ReadAll(io.LimitReader(resp.Body, mostBody+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	if err != nil {
 		return nil, nil, fmt.Errorf("reading the answer: %w", err)
 	}
-	if len(body) > mostBody {
-		return nil, nil, fmt.Errorf("the answer is larger than %d bytes", mostBody)
+	if len(body) > maxBody {
+		return nil, nil, fmt.Errorf("the answer is larger than %d bytes", maxBody)
 	}
 	return resp, body, nil
 }
--- a/internal/nodefile/nodefile.go
+++ b/internal/nodefile/nodefile.go
@@ -16,10 +16,10 @@
 // Variable names the environment variable that holds the file's path.
 const Variable = "IVYDECK_NODE_FILE"
 
-// mostBytes bounds the file.
-const mostBytes = 1 << 20
+// maxBytes bounds the file.
+const maxBytes = 1 << 20
 
-const mostTrace = 1 << 20
+const maxTrace = 1 << 20
 
 // Class is a kind of machine.
 type Class string
@@ -43,7 +43,7 @@
 	// Where the process finds its identity, in PEM; empty: connections between nodes are not secured. The operator's
 	// own keys, as that for figures is.
 	Cert, Key, Bundle string
-	SecureOperator    bool // the operator's interface of a core machine asks for an identity, too
+	SecureOperator    bool // the operator's interface of a quorum member asks for an identity, too
 	SecureMetrics     bool // and so do the figures
 
 	Trace     int     // requests of which a node keeps its part, to be asked for; 0: none
@@ -92,8 +92,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	if info.Size() > mostBytes {
-		return nil, fmt.Errorf("settings: %s has %d bytes, at most %d are allowed", path, info.Size(), mostBytes)
+	if info.Size() > maxBytes {
+		return nil, fmt.Errorf("settings: %s has %d bytes, at most %d are allowed", path, info.Size(), maxBytes)
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -210,8 +210,8 @@
 	}
 	s.Metrics = r.address("metrics.address", false)
 	s.Trace, s.LogPart = int(r.number("trace.keep", 0, 0)), r.number("access.part", 0, 0)
-	if s.Trace > mostTrace {
-		r.fault("trace.keep is %d, at most %d are kept", s.Trace, mostTrace)
+	if s.Trace > maxTrace {
+		r.fault("trace.keep is %d, at most %d are kept", s.Trace, maxTrace)
 	}
 	if s.LogPart > 1 {
 		r.fault("access.part is %g, at most 1 is a part", s.LogPart)
--- a/internal/proxy/appconn.go
+++ b/internal/proxy/appconn.go
@@ -17,7 +17,7 @@
 	idleUsual  = 9 * time.Second        // a server keeps an idle connection for at least this
 	idleMargin = 400 * time.Millisecond // before the server's own time is over a connection is given up
 
-	mostSurplus = 4 // answers to other requests that are passed over before one gives up
+	maxSurplus = 4 // answers to other requests that are passed over before one gives up
 )
 
 // appConn is a connection to the server of this machine. It carries one request
@@ -99,7 +99,7 @@
 			return nil, err
 		}
 		id := c.resp.Headers.Get("Attempt-Id")
-		if id == "" || id == attempt || c.resp.Close || n >= mostSurplus {
+		if id == "" || id == attempt || c.resp.Close || n >= maxSurplus {
 			return body, nil
 		}
 		c.surplus = true
--- a/internal/proxy/bed_test.go
+++ b/internal/proxy/bed_test.go
@@ -16,9 +16,9 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"ivydeck/internal/cowmap"
 	"ivydeck/internal/identity"
+	"ivydeck/internal/localserver"
 	"ivydeck/internal/meshconfig"
 	"ivydeck/internal/rpc"
-	"ivydeck/internal/station"
 	"ivydeck/internal/wire"
 )
 
@@ -150,7 +150,7 @@
 	edit := list.Edit()
 	for _, id := range []string{"i-1", "i-2"} {
 		b.in.Beat(Beat{ID: id, Service: "s", Address: b.app(id, gate), Zone: "z", Slots: 8}, time.Now())
-		edit.Set(id, &wire.Server{Member: id, Service: "s", Address: nodes.Addr().String(), Zone: "z", Speaks: station.SpeaksFields})
+		edit.Set(id, &wire.Server{Member: id, Service: "s", Address: nodes.Addr().String(), Zone: "z", Speaks: localserver.SpeaksFields})
 	}
 	w := &World{Config: config, Servers: edit.Map()}
 	b.out.Update(w)
--- a/internal/proxy/fields.go
+++ b/internal/proxy/fields.go
@@ -8,15 +8,15 @@
 	"ivydeck/internal/wire"
 )
 
-// mostRecycled is the size up to which a message's buffer is used again.
-const mostRecycled = 64 << 10
+// maxRecycled is the size up to which a message's buffer is used again.
+const maxRecycled = 64 << 10
 
 // messages has buffers for what is written to a client or a server.
 var messages = sync.Pool{New: func() any { return new([]byte) }}
 
 // recycle gives a buffer back with what it has grown to.
 func recycle(buf *[]byte, message []byte) {
-	if cap(message) <= mostRecycled {
+	if cap(message) <= maxRecycled {
 		*buf = message
 		messages.Put(buf)
 	}
--- /dev/null
+++ b/internal/proxy/forward.go
@@ -0,0 +1,231 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"ivydeck/internal/health"
+	"ivydeck/internal/http1"
+	"ivydeck/internal/localserver"
+	"ivydeck/internal/rpc"
+	"ivydeck/internal/timerpool"
+	"ivydeck/internal/trace"
+	"ivydeck/internal/wire"
+)
+
+func unsent(gone bool, format string, args ...any) *wire.Outcome {
+	return &wire.Outcome{Fate: wire.Outcome_UNSENT, Gone: gone, Why: fmt.Sprintf(format, args...)}
+}
+
+// Forward passes a request to the server that it names, or turns it away.
+func (in *Inbound) Forward(ctx context.Context, q *wire.Forward) (*wire.Outcome, error) {
+	until := time.Now().Add(time.Duration(q.LeftMs) * time.Millisecond)
+	ask := localserver.Ask{
+		Member: q.Member, Service: q.Service, Attempt: q.Attempt, Priority: q.Priority, Repeat: q.Repeat, Wait: q.Wait,
+		Call: health.Call{Zone: q.Zone, Usual: time.Duration(q.UsualMs) * time.Millisecond, Once: q.Once, Insist: q.Insist},
+	}
+	in.mu.Lock()
+	t := in.spare
+	if in.spare = nil; t == nil {
+		t = new(ticket)
+	}
+	place, why, verdicts := in.admission.Arrive(in.now(), ask, t)
+	if place == localserver.Queue { // the verdict can't come before mu is free again
+		t.verdict = make(chan bool, 1)
+	} else {
+		in.spare = t
+	}
+	tell(verdicts)
+	a := in.apps[q.Member]
+	var load serverLoad
+	due := false
+	if place == localserver.Full && a != nil {
+		load, due = a.load.turnAway(in.now())
+	}
+	in.mu.Unlock()
+	if due {
+		load.log(in.Log, in.now(), q.Member, a.slots)
+	}
+	switch place {
+	case localserver.Gone:
+		return unsent(true, "%s", why), nil
+	case localserver.Hangs:
+		return unsent(false, "%s", why), nil
+	case localserver.Unhealthy:
+		return &wire.Outcome{Fate: wire.Outcome_UNSENT, Why: why, Unhealthy: true}, nil
+	case localserver.Full:
+		return &wire.Outcome{Fate: wire.Outcome_UNSENT, Why: why, Waiting: true}, nil
+	case localserver.Queue:
+		if why := in.await(ctx, ask, t, until); why != "" {
+			return unsent(false, "%s", why), nil
+		}
+	}
+	began := in.now()
+	out := a.send(ctx, q, until)
+	end := localserver.EndOf(out)
+	if out.Why == calledOff {
+		end = health.Void
+	}
+	in.mu.Lock()
+	now := in.now()
+	f := in.admission.Finish(now, q.Member, q.Attempt, end)
+	tell(f.Verdicts)
+	a.load.busy += now - began
+	in.mu.Unlock()
+	out.Waiting, out.Pace, out.Fill = f.Waiting, float32(f.Pace), float32(f.Fill)
+	out.TookMs = uint32((now - began).Milliseconds())
+	if in.Trace != nil {
+		in.Trace(trace.Record{Attempt: q.Attempt, Began: began, Took: now - began, Service: q.Service, Server: q.Member, Status: int(out.Status), Why: out.Why})
+	}
+	if f.Ejected {
+		in.Log.Warn("server.ejected", "member", q.Member, "zone", q.Zone, "last", out.Fate.String(), "status", out.Status, "why", out.Why)
+	}
+	if f.Restored {
+		in.Log.Info("server.restored", "member", q.Member, "zone", q.Zone)
+	}
+	for _, c := range f.Called {
+		w := &wire.Called{Service: c.Service, Times: c.Times}
+		if in.Pressure != nil {
+			w.Pressure = in.Pressure(c.Service)
+		}
+		out.Called = append(out.Called, w)
+	}
+	return out, nil
+}
+
+// calledOff is the end of a request that its sender no longer wants.
+const calledOff = "called off"
+
+// await waits for a slot; it says why there is none.
+func (in *Inbound) await(ctx context.Context, ask localserver.Ask, t *ticket, until time.Time) (why string) {
+	timer := timerpool.Get(time.Until(until) - minLeft)
+	defer timerpool.Put(timer)
+	select {
+	case ok := <-t.verdict:
+		if !ok {
+			return "no room"
+		}
+		in.mu.Lock()
+		defer in.mu.Unlock()
+		in.admission.Run(in.now(), ask)
+		return ""
+	case <-ctx.Done():
+		why = calledOff
+	case <-timer.C:
+		why = "no slot in time"
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if !in.admission.Leave(ask.Member, t) && <-t.verdict { // the slot came at the same moment
+		tell(in.admission.Release(in.now(), ask.Member))
+	}
+	return why
+}
+
+// send makes one attempt at the server.
+func (a *app) send(ctx context.Context, q *wire.Forward, until time.Time) *wire.Outcome {
+	c, err := a.connect(ctx, until)
+	left := time.Until(until)
+	if left < minLeft || ctx.Err() != nil {
+		if err == nil {
+			a.keep(c)
+		}
+		return unsent(false, calledOff)
+	}
+	if err != nil {
+		return unsent(false, "connecting: %v", err)
+	}
+	buf := messages.Get().(*[]byte)
+	message := appendForward((*buf)[:0], q, left)
+	whole := len(message)
+	c.nc.SetDeadline(until)
+	stop := atEnd(ctx, c.interrupt)
+	n, err := c.nc.Write(message)
+	recycle(buf, message)
+	if err != nil {
+		stop()
+		c.nc.Close()
+		if n < whole {
+			// Its end never left, but what a server makes of a part is its own affair.
+			return &wire.Outcome{Fate: wire.Outcome_BROKEN, Why: "writing: " + err.Error()}
+		}
+	}
+	body, err := c.read(q.Method, q.Attempt)
+	clean := stop()
+	if err != nil {
+		c.nc.Close()
+		out := &wire.Outcome{Fate: wire.Outcome_BROKEN, Why: err.Error()}
+		switch {
+		case ctx.Err() != nil:
+			out.Why = calledOff
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			out.Fate = wire.Outcome_LATE
+		}
+		return out
+	}
+	out := judge(q, &c.resp, body, c.used)
+	if clean && !c.resp.Close && !c.surplus && c.r.Buffered() == 0 {
+		c.answered()
+		a.keep(c) // nothing of it is ours any more
+	} else {
+		c.nc.Close()
+	}
+	return out
+}
+
+// atEnd has f called at the end of a context, unless the stop that it returns comes before: then that reports true.
+// A call's own context is a stream, which needs no help for it.
+func atEnd(ctx context.Context, f func()) (stop func() bool) {
+	if s, ok := ctx.(*rpc.Stream); ok {
+		s.OnEnd(f)
+		return s.Clear
+	}
+	return context.AfterFunc(ctx, f)
+}
+
+// appendForward writes a request as its server gets it.
+func appendForward(dst []byte, q *wire.Forward, left time.Duration) []byte {
+	dst = http1.AppendRequestLine(dst, q.Method, q.Target)
+	if len(q.Headers) > 0 {
+		dst = append(dst, lines(q.Headers)...)
+	} else {
+		dst = append(dst, q.Fields...)
+	}
+	dst = http1.AppendField(dst, "Attempt-Id", q.Attempt)
+	dst = append(dst, "Time-Budget: "...)
+	dst = strconv.AppendInt(dst, max(1, left.Milliseconds()), 10)
+	dst = append(dst, "\r\n"...)
+	dst = http1.AppendField(dst, "Target-Instance", q.Member)
+	dst = http1.AppendField(dst, "Caller-Service", q.Caller)
+	return http1.AppendRequestBody(dst, q.Method, q.Body)
+}
+
+// judge tells what an answer means. used says that the connection has carried a request before, so that an answer
+// may be a surplus one to it. Only its id tells whose an answer is, and nothing that it says is believed before
+// that: a promise that another request has not run, or another's body, must not become this one's.
+func judge(q *wire.Forward, resp *http1.Response, body []byte, used bool) *wire.Outcome {
+	unrun := resp.Headers.Count("Not-Executed") > 0 || resp.Status == 421
+	switch id := resp.Headers.Get("Attempt-Id"); {
+	case id == q.Attempt:
+	case id != "":
+		return &wire.Outcome{Fate: wire.Outcome_BROKEN, Why: "the answer to another request"}
+	case !unrun || used: // a server may turn a request away before it has read whose it is
+		return &wire.Outcome{Fate: wire.Outcome_BROKEN, Why: "an answer without an id"}
+	}
+	if unrun {
+		return &wire.Outcome{Fate: wire.Outcome_UNRUN, Status: int32(resp.Status), Gone: resp.Status == 421}
+	}
+	if resp.Status/100 == 2 && (resp.Headers.Get("Server-Seal") == "" || resp.Headers.Count("Content-Encoding") > 0) {
+		return &wire.Outcome{Fate: wire.Outcome_BROKEN, Why: "not the server's own body"}
+	}
+	out := &wire.Outcome{Fate: wire.Outcome_ANSWERED, Status: int32(resp.Status), Body: body}
+	out.Fields = http1.AppendEndToEnd(make([]byte, 0, 256), resp.Headers, "Attempt-Id")
+	if len(q.Headers) > 0 {
+		out.Headers, out.Fields = spell(out.Fields, q.Attempt), nil
+	}
+	return out
+}
--- a/internal/proxy/schedule_test.go
+++ b/internal/proxy/schedule_test.go
@@ -16,8 +16,8 @@
 	"time"
 
 	"ivydeck/internal/http1"
+	"ivydeck/internal/localserver"
 	"ivydeck/internal/rpc"
-	"ivydeck/internal/station"
 	"ivydeck/internal/wire"
 )
 
@@ -276,7 +276,7 @@
 	cut := newCutter(t, address(&world), address(successor.out.world()))
 	edit := world.Servers.Edit()
 	for _, id := range []string{"i-1", "i-2"} {
-		edit.Set(id, &wire.Server{Member: id, Service: "s", Address: cut.l.Addr().String(), Zone: "z", Speaks: station.SpeaksFields})
+		edit.Set(id, &wire.Server{Member: id, Service: "s", Address: cut.l.Addr().String(), Zone: "z", Speaks: localserver.SpeaksFields})
 	}
 	world.Servers = edit.Map()
 	statuses := map[int]int{}
--- a/internal/rpc/fuzz_test.go
+++ b/internal/rpc/fuzz_test.go
@@ -10,8 +10,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"ivydeck/internal/crew"
 	"ivydeck/internal/wire"
+	"ivydeck/internal/workerpool"
 )
 
 // framed puts frames behind each other as they go over a connection.
@@ -46,7 +46,7 @@
 		s.Handle("echo", Unary(func(ctx context.Context, p *wire.Propose) (*wire.Propose, error) { return p, nil }))
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		s.crew = crew.New(ctx)
+		s.workers = workerpool.New(ctx)
 		here, there := net.Pipe()
 		before := held.Load()
 		c := newConn(context.Background(), there, s)
--- a/internal/rpc/identity_test.go
+++ b/internal/rpc/identity_test.go
@@ -69,8 +69,8 @@
 		taken        bool
 	}{
 		{"a node", "all", source(ours, identity.Node, ""), true},
-		{"a core machine", "core", source(ours, identity.Core, ""), true},
-		{"a node for what core machines may", "core", source(ours, identity.Node, ""), false},
+		{"a quorum member", "core", source(ours, identity.Core, ""), true},
+		{"a node for what quorum members may", "core", source(ours, identity.Node, ""), false},
 		{"an operator", "all", source(ours, identity.Operator, ""), false},
 		{"a stranger that trusts us", "all", source(other, identity.Core, ours.Bundle()), false},
 		{"one that does not trust us", "all", source(ours, identity.Node, other.Bundle()), false},
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -14,16 +14,16 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"ivydeck/internal/crew"
 	"ivydeck/internal/identity"
 	"ivydeck/internal/wire"
+	"ivydeck/internal/workerpool"
 )
 
 const (
 	dialWait   = 800 * time.Millisecond
 	dialOnce   = 250 * time.Millisecond // of it for one try: the kernel repeats a lost SYN after a second
 	dialPause  = 150 * time.Millisecond // no new try sooner after one that failed
-	mostConns  = 1024                   // accepted at a time
+	maxConns   = 1024                   // accepted at a time
 	closeGrace = time.Second
 )
 
@@ -39,7 +39,7 @@
 	handlers map[string]method
 	log      *slog.Logger
 	running  sync.WaitGroup
-	crew     *crew.Crew // runs the handlers; made by Serve
+	workers  *workerpool.Pool // runs the handlers; made by Serve
 	watch    watcher
 }
 
@@ -55,7 +55,7 @@
 }
 
 // Handle names a method. Where identities are known only these roles may call it;
-// without any, each core machine and node. All methods are named before Serve.
+// without any, each quorum member and node. All methods are named before Serve.
 func (s *Server) Handle(name string, h Handler, roles ...identity.Role) {
 	if len(roles) == 0 {
 		roles = []identity.Role{identity.Core, identity.Node}
@@ -120,16 +120,16 @@
 // Serve accepts until the context ends, and then waits for the handlers.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
-	s.crew = crew.New(ctx)
+	s.workers = workerpool.New(ctx)
 	var conns sync.WaitGroup
 	defer func() {
 		cancel()
 		conns.Wait()
-		s.crew.Wait()
+		s.workers.Wait()
 	}()
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
-	places := make(chan struct{}, mostConns)
+	places := make(chan struct{}, maxConns)
 	for {
 		nc, err := l.Accept()
 		if err != nil {
@@ -186,272 +186,3 @@
 	defer cancel()
 	return c.HandshakeContext(ctx)
 }
-
-// Pool makes calls, over one connection for each address.
-type Pool struct {
-	Identity *identity.Source // nil: connections are not secured
-	// Dial makes a connection for the pool; nil: a plain TCP connection. To be set before the first call.
-	Dial func(ctx context.Context, address string) (net.Conn, error)
-
-	ctx context.Context
-	mu  sync.Mutex
-	// by address; entries of addresses that are not used go with Sweep
-	conns map[string]*dialed
-	watch watcher
-}
-
-// dialed is a connection, or the attempt to make one.
-type dialed struct {
-	ready  chan struct{} // closed once c or err is set
-	c      *conn
-	err    error
-	failed time.Time
-	used   time.Time
-}
-
-// NewPool returns a pool whose connections end with the context.
-func NewPool(ctx context.Context) *Pool {
-	return &Pool{ctx: ctx, conns: map[string]*dialed{}}
-}
-
-// get returns the connection to an address, and makes it where there is none.
-func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
-	p.mu.Lock()
-	d := p.conns[addr]
-	stale := d == nil
-	if d != nil {
-		select {
-		case <-d.ready:
-			stale = d.err != nil && time.Since(d.failed) >= dialPause || d.err == nil && d.c.ctx.Err() != nil
-		default:
-		}
-	}
-	if stale {
-		p.sweep()
-		d = &dialed{ready: make(chan struct{})}
-		p.conns[addr] = d
-		go p.dial(d, addr)
-	}
-	d.used = time.Now()
-	p.mu.Unlock()
-	select {
-	case <-d.ready:
-		return d.c, d.err
-	case <-ctx.Done():
-		return nil, context.Cause(ctx)
-	}
-}
-
-// sweep forgets addresses that have not been used for long; called with mu held.
-func (p *Pool) sweep() {
-	for addr, d := range p.conns {
-		select {
-		case <-d.ready:
-		default:
-			continue
-		}
-		if time.Since(d.used) > time.Minute {
-			if d.c != nil {
-				go d.c.fail(errors.New("unused"))
-			}
-			delete(p.conns, addr)
-		}
-	}
-}
-
-func timedOut(err error) bool {
-	var ne net.Error
-	return errors.As(err, &ne) && ne.Timeout()
-}
-
-// dialTCP makes one try of a connection.
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialOnce, KeepAlive: -1}
-	return dialer.DialContext(ctx, "tcp", address)
-}
-
-func (p *Pool) dial(d *dialed, addr string) {
-	defer close(d.ready)
-	connect := p.Dial
-	if connect == nil {
-		connect = dialTCP
-	}
-	began := time.Now()
-	nc, err := connect(p.ctx, addr)
-	for timedOut(err) && time.Since(began) < dialWait && p.ctx.Err() == nil { // the machine may be there by now
-		nc, err = connect(p.ctx, addr)
-	}
-	if err != nil {
-		d.err, d.failed = fmt.Errorf("dialing %s: %w", addr, err), time.Now()
-		return
-	}
-	if p.Identity != nil {
-		secure := tls.Client(nc, p.Identity.Client())
-		if err := shake(p.ctx, secure); err != nil {
-			nc.Close()
-			d.err, d.failed = fmt.Errorf("dialing %s: %w", addr, err), time.Now()
-			return
-		}
-		nc = secure
-	}
-	c := newConn(p.ctx, nc, nil)
-	d.c = c
-	p.watch.add(c)
-	go func() { c.fail(c.read()) }()
-	context.AfterFunc(c.ctx, func() { nc.Close() })
-}
-
-// Peer is a connection to a node that has lately given a sign of life.
-type Peer struct{ c *conn }
-
-// Live returns the connection to a node that has given a sign of life within the
-// last moments, or an error that is ErrUnsent: what may not be sent twice is better
-// not sent at all to a machine that has just lost its power. It waits until a time
-// at the latest.
-func (p *Pool) Live(ctx context.Context, until time.Time, addr string) (Peer, error) {
-	if c := p.up(addr); c != nil && c.fresh() {
-		return Peer{c}, nil
-	}
-	ctx, cancel := context.WithDeadline(ctx, until)
-	defer cancel()
-	c, err := p.get(ctx, addr)
-	if err != nil {
-		return Peer{}, fmt.Errorf("%w: %w", ErrUnsent, err)
-	}
-	if !c.live(ctx) {
-		return Peer{}, fmt.Errorf("%w: no sign of life from %s", ErrUnsent, addr)
-	}
-	return Peer{c}, nil
-}
-
-// Up tells whether there is a connection to an address.
-func (p *Pool) Up(addr string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	d := p.conns[addr]
-	return d != nil && d.up()
-}
-
-// up tells whether the connection stands.
-func (d *dialed) up() bool {
-	select {
-	case <-d.ready:
-		return d.err == nil && d.c.ctx.Err() == nil
-	default:
-		return false
-	}
-}
-
-// up returns the connection to an address, where there is one, for use.
-func (p *Pool) up(addr string) *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	d := p.conns[addr]
-	if d == nil || !d.up() {
-		return nil
-	}
-	d.used = time.Now()
-	return d.c
-}
-
-// Call sends one message and waits for the one that answers it, until a time at
-// the latest: context.DeadlineExceeded is an answer that has not come. An error
-// that is ErrUnsent means that the peer has not had the message.
-func (p Peer) Call(ctx context.Context, until time.Time, method string, req, resp proto.Message) error {
-	s, err := p.Begin(ctx, until, method, req)
-	if err != nil {
-		return err
-	}
-	return s.Answer(resp)
-}
-
-// Begin is the first half of Call. Answer is the other half, and comes at once where
-// Woken has told. One of Answer and Close has to follow.
-func (p Peer) Begin(ctx context.Context, until time.Time, method string, req proto.Message) (*Stream, error) {
-	// The caller's context is the stream's: what ends the stream before it wakes Recv by itself.
-	return p.c.open(ctx, nil, until, method, req, true)
-}
-
-// Answer waits for the only message of a stream from Begin, and ends it.
-func (s *Stream) Answer(resp proto.Message) error {
-	defer s.Close()
-	if err := s.Recv(resp); err != nil {
-		return fmt.Errorf("calling %s: %w", s.c.nc.RemoteAddr(), err)
-	}
-	return nil
-}
-
-// Woken tells once when Recv would return at once, but for the end of the stream's
-// time and context; before the first Recv only.
-func (s *Stream) Woken() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.wake == nil {
-		s.wake = make(chan struct{}, 1)
-		if s.fin || len(s.messages) > 0 {
-			s.wake <- struct{}{}
-		}
-	}
-	return s.wake
-}
-
-// Open begins a stream with its first message. An error that is ErrUnsent
-// means that the peer has not had the message.
-func (p *Pool) Open(ctx context.Context, addr, method string, req proto.Message) (*Stream, error) {
-	c, err := p.get(ctx, addr)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	until, _ := ctx.Deadline()
-	s, err := c.open(ctx, cancel, until, method, req, false)
-	if err != nil {
-		cancel()
-	}
-	return s, err
-}
-
-// open begins a stream whose context is given, and which ends it by cancel at the
-// latest. A zero until is no time; fin: req is the only message.
-func (c *conn) open(ctx context.Context, cancel context.CancelFunc, until time.Time, method string, req proto.Message, fin bool) (*Stream, error) {
-	c.mu.Lock()
-	if c.closed || len(c.streams) >= mostStreams {
-		c.mu.Unlock()
-		return nil, fmt.Errorf("%w: %s takes no stream", ErrUnsent, c.nc.RemoteAddr())
-	}
-	s := newStream(c, c.freeStream(), ctx, cancel)
-	s.until, s.meter = until, meterOf(method)
-	c.streams[s.id] = s
-	c.mu.Unlock()
-	var waitMs uint32
-	if !until.IsZero() {
-		waitMs = uint32(max(1, time.Until(until).Milliseconds()))
-	}
-	if err := s.send(req, method, waitMs, fin); err != nil {
-		s.Close()
-		return nil, err
-	}
-	return s, nil
-}
-
-// freeStream returns the next stream's number. After four thousand million streams numbers begin anew, and some of the
-// first may still be in use: an answer must not reach another's stream. Called with mu held, with room for a stream.
-func (c *conn) freeStream() uint32 {
-	for c.next == 0 || c.streams[c.next] != nil {
-		c.next++
-	}
-	id := c.next
-	c.next++
-	return id
-}
-
-// Call is Peer.Call over the connection to an address, which is made where there
-// is none, until the context ends.
-func (p *Pool) Call(ctx context.Context, addr, method string, req, resp proto.Message) error {
-	c, err := p.get(ctx, addr)
-	if err != nil {
-		return fmt.Errorf("%w: %w", ErrUnsent, err)
-	}
-	until, _ := ctx.Deadline()
-	return Peer{c}.Call(ctx, until, method, req, resp)
-}
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -49,7 +49,7 @@
 				return err
 			}
 		}
-		return st.Send(&wire.Outcome{Body: make([]byte, largeChunks*mostChunk)})
+		return st.Send(&wire.Outcome{Body: make([]byte, largeChunks*maxChunk)})
 	})
 	ended := make(chan struct{})
 	go func() { defer close(ended); s.Serve(ctx, l) }()
@@ -96,7 +96,7 @@
 	addr, pool, hold := serve(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	for _, size := range []int{0, 1, mostChunk, 3 * window} {
+	for _, size := range []int{0, 1, maxChunk, 3 * window} {
 		out := new(wire.Outcome)
 		if err := pool.Call(ctx, addr, "echo", &wire.Forward{Body: make([]byte, size)}, out); err != nil || len(out.Body) != size {
 			t.Errorf("%d bytes: %d came back, %v", size, len(out.Body), err)
--- a/internal/rpc/stream.go
+++ b/internal/rpc/stream.go
@@ -10,7 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"ivydeck/internal/timers"
+	"ivydeck/internal/timerpool"
 	"ivydeck/internal/wire"
 )
 
@@ -196,7 +196,7 @@
 		return nil
 	}
 	if len(f.Data) > 0 || f.Last {
-		if len(s.part)+len(f.Data) > mostMessage || held.Load()+int64(len(f.Data)) > mostHeld {
+		if len(s.part)+len(f.Data) > maxMessage || held.Load()+int64(len(f.Data)) > maxHeld {
 			s.mu.Unlock()
 			s.end(ErrTooLarge)
 			s.c.drop(s)
@@ -249,7 +249,7 @@
 				return fmt.Errorf("decoding a message: %w", err)
 			}
 			if open && len(data) > 0 {
-				s.c.write(&wire.Frame{Kind: wire.Frame_CREDIT, Stream: s.id, Credit: uint32(min(len(data), mostChunk))})
+				s.c.write(&wire.Frame{Kind: wire.Frame_CREDIT, Stream: s.id, Credit: uint32(min(len(data), maxChunk))})
 			}
 			return nil
 		}
@@ -274,8 +274,8 @@
 func (s *Stream) wait(wake <-chan struct{}) error {
 	var over <-chan time.Time
 	if !s.until.IsZero() {
-		timer := timers.Get(time.Until(s.until))
-		defer timers.Put(timer)
+		timer := timerpool.Get(time.Until(s.until))
+		defer timerpool.Put(timer)
 		over = timer.C
 	}
 	select {
@@ -307,7 +307,7 @@
 func (s *Stream) send(m proto.Message, method string, waitMs uint32, fin bool) error {
 	buf := scratch.Get().(*[]byte)
 	data, err := proto.MarshalOptions{}.MarshalAppend((*buf)[:0], m)
-	if cap(data) <= mostChunk {
+	if cap(data) <= maxChunk {
 		*buf = data
 		defer scratch.Put(buf)
 	}
@@ -321,12 +321,12 @@
 func (s *Stream) SendEncoded(data []byte) error { return s.sendData(data, "", 0, false) }
 
 func (s *Stream) sendData(data []byte, method string, waitMs uint32, fin bool) error {
-	if len(data) > mostMessage {
+	if len(data) > maxMessage {
 		return fmt.Errorf("%w: %w", ErrUnsent, ErrTooLarge)
 	}
 	s.meter.sent(len(data))
 	for first := true; first || len(data) > 0; first = false {
-		chunk := data[:min(len(data), mostChunk)]
+		chunk := data[:min(len(data), maxChunk)]
 		data = data[len(chunk):]
 		if err := s.spend(len(chunk)); err != nil {
 			return fmt.Errorf("%w: %w", ErrUnsent, err)
--- /dev/null
+++ b/internal/rpc/watch.go
@@ -0,0 +1,152 @@
+package rpc
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"ivydeck/internal/timerpool"
+	"ivydeck/internal/wire"
+)
+
+// look pings a quiet peer, and gives up one that stays silent.
+func (c *conn) look(wall time.Time) {
+	busy := c.expire(wall)
+	now, heard, asked := steadyMs(), c.heard.Load(), c.asked.Load()
+	quiet, open := time.Duration(now-heard)*time.Millisecond, time.Duration(0)
+	if asked > heard {
+		open = time.Duration(now-asked) * time.Millisecond
+	}
+	ping, dead := pulse(busy, quiet, open)
+	if dead {
+		c.fail(fmt.Errorf("nothing from %s for %v", c.nc.RemoteAddr(), quiet))
+		return
+	}
+	if ping && c.pinging.CompareAndSwap(false, true) {
+		// The other side answers; a write that hangs ends by its own deadline, and holds up no other connection.
+		go func() {
+			defer c.pinging.Store(false)
+			c.ping()
+		}()
+	}
+}
+
+// watcher looks at connections from time to time: one goroutine for all of them, as there is one to each node of a mesh,
+// and most are quiet.
+type watcher struct {
+	mu      sync.Mutex
+	conns   map[*conn]bool
+	running bool
+}
+
+// add has a connection looked at until it ends.
+func (w *watcher) add(c *conn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.conns == nil {
+		w.conns = map[*conn]bool{}
+	}
+	w.conns[c] = true
+	if !w.running {
+		w.running = true
+		go w.run()
+	}
+}
+
+// run ends with the last connection.
+func (w *watcher) run() {
+	tick := time.NewTicker(pingEvery)
+	defer tick.Stop()
+	var list []*conn
+	for range tick.C {
+		list = w.open(list[:0])
+		if len(list) == 0 {
+			return
+		}
+		now := time.Now()
+		for _, c := range list {
+			c.look(now)
+		}
+		clear(list)
+	}
+}
+
+// open lists the connections that have not ended. Without any the watcher does not run.
+func (w *watcher) open(list []*conn) []*conn {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c := range w.conns {
+		if c.ctx.Err() != nil {
+			delete(w.conns, c)
+			continue
+		}
+		list = append(list, c)
+	}
+	w.running = len(list) > 0
+	return list
+}
+
+// expire ends the streams whose time is up, and tells whether there are others. A caller whose time is up says so:
+// this is for one that no longer can, so that a tick's delay does no harm.
+func (c *conn) expire(now time.Time) (busy bool) {
+	c.mu.Lock()
+	var over []*Stream
+	for _, s := range c.streams {
+		if !s.until.IsZero() && now.After(s.until) {
+			over = append(over, s)
+		}
+	}
+	busy = len(c.streams) > len(over)
+	c.mu.Unlock()
+	for _, s := range over {
+		s.end(context.DeadlineExceeded)
+	}
+	return busy
+}
+
+// fresh tells whether the peer has given a sign of life within the last moments.
+func (c *conn) fresh() bool { return steadyMs()-c.heard.Load() < freshFor.Milliseconds() }
+
+// pulse decides on a connection from which nothing has come for quiet, with a ping that has been without an answer
+// for open; 0: none has. Most of a large mesh's connections carry nothing most of the time: they are asked seldom.
+func pulse(busy bool, quiet, open time.Duration) (ping, dead bool) {
+	if quiet >= silentFor && open >= askedFor {
+		return false, true
+	}
+	return quiet >= idlePing || busy && quiet >= pingEvery/2 || open > 0, false
+}
+
+// ping asks for a sign of life.
+func (c *conn) ping() error {
+	if c.asked.Load() <= c.heard.Load() {
+		c.asked.Store(steadyMs())
+	}
+	return c.write(&wire.Frame{Kind: wire.Frame_PING})
+}
+
+// live reports whether the peer has lately given a sign of life, and asks for
+// one where it has not.
+func (c *conn) live(ctx context.Context) bool {
+	if c.fresh() {
+		return true
+	}
+	c.waiting.Add(1)
+	defer c.waiting.Add(-1)
+	c.mu.Lock()
+	sign := c.sign
+	c.mu.Unlock()
+	if c.ping() != nil {
+		return false
+	}
+	timer := timerpool.Get(signWait)
+	defer timerpool.Put(timer)
+	select {
+	case <-sign:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-c.ctx.Done():
+	}
+	return false
+}
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"ivydeck/internal/agent"
+	"ivydeck/internal/localserver"
 	"ivydeck/internal/nodefile"
 	"ivydeck/internal/rpc"
-	"ivydeck/internal/station"
 )
 
 // HollowCommand is the argument with which the program itself runs hollow nodes, see RunHollow.
@@ -36,7 +36,7 @@
 type hollowNode struct {
 	machine int
 	agent   *agent.Agent
-	server  station.Beat
+	server  localserver.Heartbeat
 	gone    atomic.Bool   // the server has left
 	changed chan struct{} // tells of that
 	end     context.CancelFunc
@@ -137,7 +137,7 @@
 	log := slog.New(slog.DiscardHandler)
 	pool := rpc.NewPool(ctx)
 	pool.Dial = p.network.dialer(machine)
-	beat := station.Beat{ID: serverName(machine), Service: set.Backend, Address: fmt.Sprintf("%s:%d", set.IP, p.job.Ports.Server), Zone: set.Zone, Slots: slots}
+	beat := localserver.Heartbeat{ID: serverName(machine), Service: set.Backend, Address: fmt.Sprintf("%s:%d", set.IP, p.job.Ports.Server), Zone: set.Zone, Slots: slots}
 	n := &hollowNode{machine: machine, server: beat, changed: make(chan struct{}, 1), end: end, ended: make(chan struct{})}
 	n.agent = agent.New(agent.Options{
 		Settings: func() *nodefile.Settings { return set }, Pool: pool, Seed: rand.Uint64(), Log: log,
@@ -158,11 +158,11 @@
 }
 
 // servers are what stands on the node's machine.
-func (n *hollowNode) servers() []station.Beat {
+func (n *hollowNode) servers() []localserver.Heartbeat {
 	if n.gone.Load() {
 		return nil
 	}
-	return []station.Beat{n.server}
+	return []localserver.Heartbeat{n.server}
 }
 
 // leave ends nodes as planned: the server goes off the list, and others are told.
--- a/internal/simdisk/simdisk.go
+++ b/internal/simdisk/simdisk.go
@@ -1,4 +1,4 @@
-// Package simdisk models the disk under a core machine's log, for simulations:
+// Package simdisk models the disk under a quorum member's log, for simulations:
 // what was written and not synced when the power goes may be there afterwards, or
 // a part of it, in the order of the writes; what was synced is there.
 package simdisk
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -16,7 +16,7 @@
 type Event struct {
 	At      time.Time
 	Machine string
-	Name    string // such as core.leads; see the operators' page
+	Name    string // such as leadership.acquired; see the operators' page
 }
 
 // line is one of the programs' own, as slog's text handler writes it, behind what a collector may have put in front of
@@ -50,7 +50,7 @@
 }
 
 // Steps of a start, in the order in which they wait for each other.
-var Steps = []string{"core.start", "core.leads", "data.start", "server.new", "config.applied", "data.fenced"}
+var Steps = []string{"control.started", "leadership.acquired", "data.start", "server.new", "config.applied", "data.fenced"}
 
 // calm is the time without a start that parts two waves.
 const calm = 3 * time.Second
@@ -74,7 +74,7 @@
 func Last(events []Event) (w Wave, ok bool) {
 	events = slices.Clone(events)
 	slices.SortStableFunc(events, func(a, b Event) int { return a.At.Compare(b.At) })
-	starts := func(e Event) bool { return e.Name == "core.start" || e.Name == "data.start" }
+	starts := func(e Event) bool { return e.Name == "control.started" || e.Name == "data.start" }
 	var before time.Time
 	for _, e := range events {
 		if !starts(e) {
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -10,12 +10,12 @@
 // front of the lines, and what others have written does not matter.
 func TestLastWave(t *testing.T) {
 	const log = `note: a line of somebody else's
-  -9.9 c1 time=2026-02-18T01:08:00.000Z level=INFO msg=core.start node=c1
+  -9.9 c1 time=2026-02-18T01:08:00.000Z level=INFO msg=control.started node=c1
   -9.8 n1 time=2026-02-18T01:08:00.100Z level=INFO msg=data.start node=n1
-  30.9 c1 time=2026-02-18T01:08:40.000Z level=INFO msg=core.start node=c1
+  30.9 c1 time=2026-02-18T01:08:40.000Z level=INFO msg=control.started node=c1
   31.0 n2 time=2026-02-18T01:08:40.150Z level=INFO msg=data.start node=n2
   31.0 n1 time=2026-02-18T01:08:40.100Z level=INFO msg=data.start node=n1
-  31.2 c1 time=2026-02-18T01:08:40.200Z level=INFO msg=core.leads term=3
+  31.2 c1 time=2026-02-18T01:08:40.200Z level=INFO msg=leadership.acquired term=3
   31.3 n1 time=2026-02-18T01:08:40.300Z level=INFO msg=data.fenced number=3
   31.4 n2 time=2026-02-18T01:08:40.450Z level=INFO msg=data.fenced number=3
   31.5 n1 time=2026-02-18T01:08:40.900Z level=INFO msg=data.fenced number=4
@@ -34,7 +34,7 @@
 	if got := w.Steps[3]; got != want {
 		t.Errorf("%+v, want %+v", got, want)
 	}
-	if own, _ := Read(strings.NewReader("time=2026-02-18T01:08:00Z level=INFO msg=core.start"), "c9"); len(own) != 1 || own[0].Machine != "c9" {
+	if own, _ := Read(strings.NewReader("time=2026-02-18T01:08:00Z level=INFO msg=control.started"), "c9"); len(own) != 1 || own[0].Machine != "c9" {
 		t.Errorf("a machine's own file: %+v", own)
 	}
 	if _, ok := Last(nil); ok {
--- a/internal/timers/timers.go
+++ b/internal/timerpool/timerpool.go
@@ -1,6 +1,6 @@
-// Package timers keeps timers that are not in use: a request waits several times, mostly for something that comes
+// Package timerpool keeps timers that are not in use: a request waits several times, mostly for something that comes
 // before the time is up, and a timer with its channel is dear to make.
-package timers
+package timerpool
 
 import (
 	"sync"
--- a/internal/crew/crew.go
+++ b/internal/workerpool/workerpool.go
@@ -1,6 +1,6 @@
-// Package crew runs short jobs on goroutines that stay for the next one. A goroutine begins with a small stack, and
+// Package workerpool runs short jobs on goroutines that stay for the next one. A goroutine begins with a small stack, and
 // one that carries a request copies it twice until it is large enough: a sixth of the request's processor time.
-package crew
+package workerpool
 
 import (
 	"context"
@@ -8,22 +8,22 @@
 	"sync/atomic"
 )
 
-// mostIdle is how many goroutines wait for a job: what a node has under way at a time in calm.
-const mostIdle = 8
+// maxIdle is how many goroutines wait for a job: what a node has under way at a time in calm.
+const maxIdle = 8
 
-// Crew runs jobs.
-type Crew struct {
+// Pool runs jobs.
+type Pool struct {
 	ctx     context.Context
 	jobs    chan func()
 	idle    atomic.Int32
 	workers sync.WaitGroup
 }
 
-// New returns a crew whose idle goroutines end with the context.
-func New(ctx context.Context) *Crew { return &Crew{ctx: ctx, jobs: make(chan func())} }
+// New returns a pool whose idle goroutines end with the context.
+func New(ctx context.Context) *Pool { return &Pool{ctx: ctx, jobs: make(chan func())} }
 
 // Go runs a job at once, on an idle goroutine or a new one.
-func (c *Crew) Go(job func()) {
+func (c *Pool) Go(job func()) {
 	select {
 	case c.jobs <- job:
 	default:
@@ -31,11 +31,11 @@
 	}
 }
 
-func (c *Crew) work(job func()) {
+func (c *Pool) work(job func()) {
 	for {
 		job()
 		job = nil // what it holds is free while this waits
-		if c.idle.Add(1) > mostIdle {
+		if c.idle.Add(1) > maxIdle {
 			c.idle.Add(-1)
 			return
 		}
@@ -49,4 +49,4 @@
 }
 
 // Wait returns once all jobs are done and the context has ended.
-func (c *Crew) Wait() { c.workers.Wait() }
+func (c *Pool) Wait() { c.workers.Wait() }
--- a/internal/crew/crew_test.go
+++ b/internal/workerpool/workerpool_test.go
@@ -1,4 +1,4 @@
-package crew
+package workerpool
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 	for range 3 {
 		var running, done sync.WaitGroup
 		gate := make(chan struct{})
-		for range 5 * mostIdle {
+		for range 5 * maxIdle {
 			running.Add(1)
 			done.Add(1)
 			c.Go(func() {
@@ -27,7 +27,7 @@
 		running.Wait() // each has begun while none has ended
 		close(gate)
 		done.Wait()
-		for c.idle.Load() != mostIdle {
+		for c.idle.Load() != maxIdle {
 			runtime.Gosched()
 		}
 	}
@@ -53,7 +53,7 @@
 		return room[n/2]
 	}
 	job := func() { done <- deep(12) }
-	b.Run("crew", func(b *testing.B) {
+	b.Run("pool", func(b *testing.B) {
 		for b.Loop() {
 			c.Go(job)
 			<-done
--- a/policy_test.go
+++ b/policy_test.go
@@ -11,7 +11,7 @@
 
 // The files that hold decisions are read once a year by an auditor who bills by the page.
 func TestPolicyStaysSmall(t *testing.T) {
-	const mostLines, mostColumns = 1200, 110
+	const maxLines, maxColumns = 1200, 110
 	deploy, err := os.ReadFile("deploy/balancer.toml")
 	if err != nil {
 		t.Fatal(err)
@@ -34,12 +34,12 @@
 			if strings.TrimSpace(line) != "" {
 				lines++
 			}
-			if n := utf8.RuneCountInString(strings.ReplaceAll(line, "\t", "    ")); n > mostColumns {
-				t.Errorf("%s:%d has %d columns, at most %d are allowed", name, i+1, n, mostColumns)
+			if n := utf8.RuneCountInString(strings.ReplaceAll(line, "\t", "    ")); n > maxColumns {
+				t.Errorf("%s:%d has %d columns, at most %d are allowed", name, i+1, n, maxColumns)
 			}
 		}
 	}
-	if lines > mostLines {
-		t.Errorf("the policy files have %d lines, at most %d are allowed", lines, mostLines)
+	if lines > maxLines {
+		t.Errorf("the policy files have %d lines, at most %d are allowed", lines, maxLines)
 	}
 }
