--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -67,7 +67,7 @@
 // Enter gives the verdict on a request. A nil Final admits it: Next says what to
 // do, until Leave.
 func (t *Table) Enter(now time.Duration, e Entrant) (*Request, *Final) {
-	s := t.services[e.Service]
+	s := t.service(now, e.Service)
 	if s == nil {
 		return nil, &Final{503, "no such service", 500 * time.Millisecond}
 	}
@@ -76,7 +76,7 @@
 	if e.Again { // calls of a repeat are repeats at the service that is called
 		s.budget.Charge(now, 1)
 	}
-	if !e.Inner && !s.gate.Admit(now, e.Route.Priority, t.behind(e.Route)...) {
+	if !e.Inner && !s.gate.Admit(now, e.Route.Priority, t.behind(now, e.Route)...) {
 		return nil, &Final{503, "overload", t.comeBack(now, s, &e)}
 	}
 	s.gate.Begin(now)
@@ -288,7 +288,7 @@
 // comeBack is when the client of a request that has not run should try again. One that is told to wait for longer
 // than a third of its time would not heed it.
 func (t *Table) comeBack(now time.Duration, s *service, e *Entrant) time.Duration {
-	odds := s.gate.Odds(now, e.Route.Priority, t.behind(e.Route)...)
+	odds := s.gate.Odds(now, e.Route.Priority, t.behind(now, e.Route)...)
 	return s.gate.RetryAfter(e.Route.Aim(), (e.Until-now)/heeded, odds)
 }
 
@@ -299,7 +299,7 @@
 	if len(r.reached)+len(r.open) >= max(1, r.Route.MaxAttempts) || r.service.gate.Chance(now, r.Route.Priority) < repeatFrom {
 		return false
 	}
-	for _, g := range r.table.behind(r.Route) {
+	for _, g := range r.table.behind(now, r.Route) {
 		if g.Behind(now, r.Route.Priority) < repeatFrom {
 			return false
 		}
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -22,7 +22,7 @@
 const (
 	graphGain   = 0.05 // weight of the newest run in the averages of calls
 	usualGain   = 0.03 // the same in that of their times
-	graphLeast  = 0.1  // calls a run below which a service is not counted as called
+	minCalls    = 0.1  // calls a run below which a service is not counted as called
 	maxServices = 4096
 )
 
@@ -39,8 +39,9 @@
 	opt      Options
 	rng      *rand.Rand
 	world    *World
-	config   *meshconfig.Config // that the services are those of; nil: none yet
-	services map[string]*service
+	config   *meshconfig.Config            // that the services are those of; nil: none yet
+	backends map[string]bool               // the services of the configuration
+	services map[string]*service           // those of them that were used: most nodes use few of many
 	listed   map[string][]decide.Target    // servers that may be sent to, by service, also of services that no route has
 	place    float64                       // where the subsets begin
 	levels   map[int]int                   // routes of each priority
@@ -70,6 +71,19 @@
 // World returns what the node was last told.
 func (t *Table) World() *World { return t.world }
 
+// service returns what is kept of a service of the configuration, from its first use on; nil: there is no such service.
+func (t *Table) service(now time.Duration, name string) *service {
+	if s := t.services[name]; s != nil {
+		return s
+	}
+	if !t.backends[name] || len(t.services) >= maxServices {
+		return nil
+	}
+	s := t.newService(now, name)
+	t.services[name] = s
+	return s
+}
+
 // Share sets this node's part of the retry slack.
 func (t *Table) Share(slack float64) {
 	t.slack = slack
@@ -99,7 +113,7 @@
 		g[name] *= 1 - graphGain
 	}
 	for _, c := range called {
-		s := t.services[c.Service]
+		s := t.service(now, c.Service)
 		if _, known := g[c.Service]; known || s != nil {
 			g[c.Service] += float64(c.Times) * graphGain
 		}
@@ -112,10 +126,13 @@
 // behind returns the gates of the services that a route's graphs call. A graph
 // that would crowd them is kept out at its entry, by its own priority: inside,
 // its calls pass without a verdict.
-func (t *Table) behind(route *meshconfig.Route) []*decide.Gate {
+func (t *Table) behind(now time.Duration, route *meshconfig.Route) []*decide.Gate {
 	var gates []*decide.Gate
 	for name, times := range t.graphs[route.Name] {
-		if s := t.services[name]; s != nil && times >= graphLeast {
+		if times < minCalls {
+			continue
+		}
+		if s := t.service(now, name); s != nil {
 			gates = append(gates, s.gate)
 		}
 	}
@@ -158,7 +175,7 @@
 	return r
 }
 
-// Readings returns the state of all services by name, with the chances of the
+// Readings returns the state of all services that were used, by name, with the chances of the
 // priorities 0 to priorities-1.
 func (t *Table) Readings(now time.Duration, priorities int) []Reading {
 	var list []Reading
--- a/internal/entry/update.go
+++ b/internal/entry/update.go
@@ -25,7 +25,7 @@
 		}
 	}
 	if w.Config != nil && w.Config != t.config {
-		t.updateConfig(now, t.config, w.Config, touched)
+		t.updateConfig(t.config, w.Config)
 		t.config = w.Config
 	}
 	for name := range touched {
@@ -76,16 +76,14 @@
 	t.listed[s.Service] = list
 }
 
-// updateConfig takes what differs between two configurations; the old one may be nil. It adds the services that are new
-// to those whose pickers need their list.
-func (t *Table) updateConfig(now time.Duration, old, config *meshconfig.Config, touched map[string]bool) {
+// updateConfig takes what differs between two configurations; the old one may be nil.
+func (t *Table) updateConfig(old, config *meshconfig.Config) {
 	if old == nil {
 		old = &meshconfig.Config{}
 	}
 	newLevels := t.updateRoutes(old, config)
 	if !sameBackends(old.Backends, config.Backends) {
-		t.updateServices(now, config, touched)
-		newLevels = true
+		t.updateServices(config)
 	}
 	if newLevels {
 		levels := slices.Collect(maps.Keys(t.levels))
@@ -122,30 +120,23 @@
 	return slices.EqualFunc(a, b, func(x, y meshconfig.Backend) bool { return x.Name == y.Name })
 }
 
-// updateServices begins what is kept of new services, and drops that of those that are gone.
-func (t *Table) updateServices(now time.Duration, config *meshconfig.Config, touched map[string]bool) {
-	there := make(map[string]bool, len(config.Backends))
+// updateServices drops what is kept of the services that are gone.
+func (t *Table) updateServices(config *meshconfig.Config) {
+	t.backends = make(map[string]bool, len(config.Backends))
 	for _, b := range config.Backends {
-		there[b.Name] = true
-	}
-	for name := range t.services {
-		if !there[name] {
-			delete(t.services, name)
-		}
-	}
-	for _, b := range config.Backends {
-		if t.services[b.Name] == nil && len(t.services) < maxServices {
-			t.services[b.Name] = t.newService(now)
-			touched[b.Name] = true
-		}
+		t.backends[b.Name] = true
 	}
+	maps.DeleteFunc(t.services, func(name string, _ *service) bool { return !t.backends[name] })
 }
 
-func (t *Table) newService(now time.Duration) *service {
+// newService begins what is kept of a service.
+func (t *Table) newService(now time.Duration, name string) *service {
 	s := &service{
 		gate: decide.NewGate(t.rng.Uint64(), now), picker: decide.NewPicker(t.rng.Uint64()),
 		budget: budget.New(t.opt.Ratio, t.opt.Window), hedges: hedgeSaved,
 	}
 	s.budget.Share(t.slack)
+	s.gate.Priorities(slices.Collect(maps.Keys(t.levels)))
+	s.picker.List(now, t.listed[name], t.place)
 	return s
 }
