Leave out of each entry of a view what follows from its resource

Each node keeps an entry for each server of the mesh, with a key of 40 bytes and a flag that both follow from the resource.

--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -40,7 +40,7 @@
 		}
 	}
 	for e := c.view.order.next; e != c.view.order; e = e.next {
-		if e.removed {
+		if e.removed() {
 			s.Removed = append(s.Removed, e.resource)
 		}
 	}
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -27,14 +27,18 @@
 	configAt uint64
 }
 
-// entry is a resource, or the tombstone of one, in the ring of all.
+// entry is a resource, or the tombstone of one, in the ring of all. Its key follows from the resource: there is one for
+// each server of the mesh at each node.
 type entry struct {
-	key        key
 	resource   *wire.Resource
-	removed    bool
 	prev, next *entry
 }
 
+func (e *entry) removed() bool {
+	_, removed := keyOf(e.resource)
+	return removed
+}
+
 // NewView returns the state before all updates.
 func NewView() *View {
 	v := &View{entries: map[key]*entry{}, order: &entry{}}
@@ -67,19 +71,19 @@
 
 // set puts a resource in place of an earlier one with its key, as the newest of all.
 func (v *View) set(r *wire.Resource) {
-	k, removed := keyOf(r)
+	k, _ := keyOf(r)
 	if k.kind == 0 {
 		return // of a later version
 	}
 	e := v.entries[k]
 	if e == nil {
-		e = &entry{key: k}
+		e = new(entry)
 		v.entries[k] = e
 	} else {
 		e.unlink()
 		v.count(e, -1)
 	}
-	e.resource, e.removed = r, removed
+	e.resource = r
 	v.count(e, 1)
 	e.prev, e.next = v.order.prev, v.order
 	e.prev.next, e.next.prev = e, e
@@ -89,10 +93,10 @@
 
 // count books that an entry comes or goes.
 func (v *View) count(e *entry, n int) {
-	switch {
-	case e.removed:
+	switch k, removed := keyOf(e.resource); {
+	case removed:
 		v.tombstones += n
-	case e.key.kind == kindServer:
+	case k.kind == kindServer:
 		v.servers += n
 	}
 }
@@ -103,10 +107,10 @@
 		return
 	}
 	for e := v.order.next; v.tombstones > maxTombstones/2; e = e.next {
-		if e.removed {
+		if k, removed := keyOf(e.resource); removed {
 			e.unlink()
 			v.count(e, -1)
-			delete(v.entries, e.key)
+			delete(v.entries, k)
 			v.floor = e.resource.Index
 		}
 	}
@@ -155,7 +159,7 @@
 
 // Server returns a registered server; nil: it is not listed.
 func (v *View) Server(member string) *wire.Server {
-	if e := v.entries[key{kind: kindServer, name: member}]; e != nil && !e.removed {
+	if e := v.entries[key{kind: kindServer, name: member}]; e != nil && !e.removed() {
 		return e.resource.GetServer()
 	}
 	return nil
--- a/internal/catalog/view_test.go
+++ b/internal/catalog/view_test.go
@@ -84,7 +84,7 @@
 func content(v *View) string {
 	lines := make([]string, 0, len(v.entries))
 	for _, e := range v.entries {
-		if !e.removed {
+		if !e.removed() {
 			lines = append(lines, lineOf(e.resource))
 		}
 	}
