--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -91,13 +91,3 @@
 	}
 	return list
 }
-
-// pause waits, or returns with the end of the context.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/agent/fence.go
+++ b/internal/agent/fence.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ivydeck/internal/relay"
+	"ivydeck/internal/timerpool"
 )
 
 const (
@@ -66,7 +67,7 @@
 		if time.Since(a.began) > longWait {
 			wait = longPause
 		}
-		pause(round, wait)
+		timerpool.Sleep(round, wait)
 		cancel()
 	}
 }
--- a/internal/agent/register.go
+++ b/internal/agent/register.go
@@ -6,6 +6,7 @@
 
 	"ivydeck/internal/catalog"
 	"ivydeck/internal/localserver"
+	"ivydeck/internal/timerpool"
 	"ivydeck/internal/wire"
 )
 
@@ -27,10 +28,10 @@
 		if todo := a.difference(listed.Servers()); len(todo) > 0 {
 			for _, cmd := range todo {
 				if !a.propose(ctx, cmd) {
-					pause(ctx, refusedPause)
+					timerpool.Sleep(ctx, refusedPause)
 				}
 			}
-			pause(ctx, registerWait)
+			timerpool.Sleep(ctx, registerWait)
 		} else {
 			select {
 			case <-a.options.ServersChanged:
--- a/internal/data/update.go
+++ b/internal/data/update.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ivydeck/internal/proxy"
+	"ivydeck/internal/timerpool"
 	"ivydeck/internal/wire"
 )
 
@@ -31,7 +32,7 @@
 			// An update of a service with thousands of servers costs milliseconds, one of the members of a large mesh too:
 			// where such updates come one behind the other, as at a start of all machines, several share one, so that most
 			// of the time is left for requests.
-			sleep(ctx, min(updatePauses*time.Since(began), maxUpdatePause))
+			timerpool.Sleep(ctx, min(updatePauses*time.Since(began), maxUpdatePause))
 		}
 		select {
 		case <-changed:
@@ -43,16 +44,6 @@
 	}
 }
 
-// sleep waits, unless the context ends before.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // update hands on what has changed.
 func (n *Node) update() {
 	before := n.world.World().Config
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ivydeck/internal/rpc"
+	"ivydeck/internal/timerpool"
 	"ivydeck/internal/wire"
 )
 
@@ -49,7 +50,7 @@
 	for ctx.Err() == nil {
 		addr, wait := selector.Next(time.Since(began), f.Parents())
 		if addr == "" {
-			pause(ctx, wait)
+			timerpool.Sleep(ctx, wait)
 			continue
 		}
 		why, err := f.follow(ctx, &selector, addr, began)
@@ -60,15 +61,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // follow takes the updates of one parent until that fails, and says why it did.
 func (f *Follower) follow(ctx context.Context, selector *Selector, addr string, began time.Time) (EndReason, error) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/scale/agree.go
+++ b/internal/scale/agree.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"ivydeck/internal/timerpool"
 	"ivydeck/internal/wire"
 )
 
@@ -128,7 +129,7 @@
 		if patience.Err() == nil {
 			e.Disagree = a.why
 		}
-		pause(patience, pollEvery*time.Duration(1+polls/20))
+		timerpool.Sleep(patience, pollEvery*time.Duration(1+polls/20))
 	}
 	r.say("  no agreement within %v: %s", r.Settle, e.Disagree)
 }
--- a/internal/scale/events.go
+++ b/internal/scale/events.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"ivydeck/internal/timerpool"
 )
 
 const (
@@ -65,7 +67,7 @@
 	if err := e.play(r, ctx, &report); err != nil {
 		return err
 	}
-	pause(ctx, r.MinEvent-time.Since(began))
+	timerpool.Sleep(ctx, r.MinEvent-time.Since(began))
 	report.Seconds, report.Nodes = time.Since(began).Seconds(), len(r.running)
 	report.Load = loadAverage()
 	after, err := r.samples(ctx)
@@ -143,7 +145,7 @@
 }
 
 func (r *run) quiet(ctx context.Context, _ *EventReport) error {
-	pause(ctx, r.Quiet)
+	timerpool.Sleep(ctx, r.Quiet)
 	return ctx.Err()
 }
 
@@ -195,7 +197,7 @@
 		if patience.Err() != nil {
 			return s, ack, fmt.Errorf("no leader behind an acknowledged change")
 		}
-		pause(patience, pollEvery)
+		timerpool.Sleep(patience, pollEvery)
 	}
 }
 
@@ -258,7 +260,7 @@
 	for i := len(all) - 1; i >= 0; i-- { // once all know of the last, they know of the others
 		arrivals := r.arrivals(all[i].index)
 		for len(arrivals) < hollow && patience.Err() == nil {
-			pause(patience, arrivalPoll)
+			timerpool.Sleep(patience, arrivalPoll)
 			arrivals = r.arrivals(all[i].index)
 		}
 		spread.Missing += hollow - len(arrivals)
@@ -315,7 +317,7 @@
 	if err := r.stopNodes(one, true); err != nil {
 		return err
 	}
-	pause(ctx, restartPause)
+	timerpool.Sleep(ctx, restartPause)
 	if err := r.startNodes(one); err != nil {
 		return err
 	}
@@ -337,11 +339,11 @@
 		if err := r.stopNodes(group, true); err != nil {
 			return err
 		}
-		pause(ctx, restartPause)
+		timerpool.Sleep(ctx, restartPause)
 		if err := r.startNodes(group); err != nil {
 			return err
 		}
-		pause(ctx, rollPause)
+		timerpool.Sleep(ctx, rollPause)
 	}
 	r.untilAgreed(ctx, e, began)
 	return nil
@@ -382,14 +384,14 @@
 	if err := r.setCut(r.Regions - 1); err != nil {
 		return err
 	}
-	pause(ctx, r.Cut/2)
+	timerpool.Sleep(ctx, r.Cut/2)
 	if _, _, err := r.changeRoute(ctx); err != nil {
 		r.say("  a change during the cut: %v", err)
 		if err := r.readBack(ctx); err != nil {
 			return err
 		}
 	}
-	pause(ctx, r.Cut/2)
+	timerpool.Sleep(ctx, r.Cut/2)
 	healed := time.Now()
 	if err := r.setCut(-1); err != nil {
 		return err
--- a/internal/scale/hops.go
+++ b/internal/scale/hops.go
@@ -19,6 +19,7 @@
 	"ivydeck/internal/operator"
 	"ivydeck/internal/rpc"
 	"ivydeck/internal/standin"
+	"ivydeck/internal/timerpool"
 )
 
 // Bounds of a paired benchmark.
@@ -338,7 +339,7 @@
 		after, err := c.nodesProcessor()
 		return after - before, seconds, err
 	}
-	quiet, length, err := used(func() { pause(ctx, c.Load) })
+	quiet, length, err := used(func() { timerpool.Sleep(ctx, c.Load) })
 	if err != nil {
 		return nil, err
 	}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -18,6 +18,7 @@
 	"ivydeck/internal/operator"
 	"ivydeck/internal/rpc"
 	"ivydeck/internal/standin"
+	"ivydeck/internal/timerpool"
 )
 
 const (
@@ -195,15 +196,6 @@
 	return r.core.Apply(ctx, base, body)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // play starts the mesh and plays the events.
 func (r *run) play(ctx context.Context) error {
 	r.say("%d nodes: %d real, %d hollow in %d processes, %d quorum members, on 127.%d.0.0/16", r.Nodes, r.Real, r.hollow(), r.processes(), quorumSize, r.network)
@@ -258,7 +250,7 @@
 		if patience.Err() != nil {
 			return fmt.Errorf("no configuration in force within %v: %w", quorumWait, err)
 		}
-		pause(patience, pollEvery)
+		timerpool.Sleep(patience, pollEvery)
 	}
 }
 
--- a/internal/timerpool/timerpool.go
+++ b/internal/timerpool/timerpool.go
@@ -3,6 +3,7 @@
 package timerpool
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -23,3 +24,13 @@
 	t.Stop()
 	idle.Put(t)
 }
+
+// Sleep waits, or returns with the end of the context.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := Get(d)
+	defer Put(timer)
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
