--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -76,7 +76,7 @@
 		var err error
 		if stream, err = pool.Open(ctx, s.address, "raft", m); err != nil {
 			stream = nil
-			for len(s.queue) > 8 { // old news
+			for len(s.queue) > 8 { // outdated
 				<-s.queue
 			}
 		}
--- a/internal/data/servers.go
+++ b/internal/data/servers.go
@@ -54,13 +54,13 @@
 		n.acknowledge(w)
 		return
 	}
-	b, err := readBeat(body)
+	b, err := readHeartbeat(body)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	b.ID = id
-	if !n.inbound.Beat(b, time.Now()) {
+	if !n.inbound.Heartbeat(b, time.Now()) {
 		http.Error(w, "this life has ended", http.StatusConflict)
 		return
 	}
@@ -96,20 +96,20 @@
 	w.Write([]byte{0x80})
 }
 
-func readBeat(body []byte) (proxy.Beat, error) {
+func readHeartbeat(body []byte) (proxy.Heartbeat, error) {
 	var b beatBody
 	if err := msgpack.Unmarshal(body, &b); err != nil {
-		return proxy.Beat{}, errors.New("the beat is not readable")
+		return proxy.Heartbeat{}, errors.New("the heartbeat is not readable")
 	}
 	switch {
 	case b.Backend == "" || b.Address == "":
-		return proxy.Beat{}, errors.New("the beat names no backend or address")
+		return proxy.Heartbeat{}, errors.New("the heartbeat names no backend or address")
 	case b.Status != "in_service" && b.Status != "draining":
-		return proxy.Beat{}, errors.New("the beat's status is neither in_service nor draining")
+		return proxy.Heartbeat{}, errors.New("the heartbeat's status is neither in_service nor draining")
 	case b.Slots < 0 || b.Slots > 1<<20:
-		return proxy.Beat{}, errors.New("the beat's slots are no number of slots")
+		return proxy.Heartbeat{}, errors.New("the heartbeat's slots are no number of slots")
 	}
-	return proxy.Beat{
+	return proxy.Heartbeat{
 		Service: b.Backend, Address: b.Address, Zone: b.Zone, Slots: b.Slots, Draining: b.Status == "draining", Seq: b.Seq,
 		Warm: time.Duration(max(0, min(b.WarmupMs, maxWarmMs)) * float64(time.Millisecond)),
 	}, nil
--- a/internal/data/update.go
+++ b/internal/data/update.go
@@ -66,7 +66,7 @@
 	for _, r := range changes.GetResources() {
 		s := r.GetServer()
 		if s != nil && s.Node == set.Node && s.Service == set.Backend && !s.Draining {
-			n.inbound.Adopt(proxy.Beat{ID: s.Member, Service: s.Service, Address: set.App, Zone: s.Zone, Slots: int(s.Slots)}, time.Now())
+			n.inbound.Adopt(proxy.Heartbeat{ID: s.Member, Service: s.Service, Address: set.App, Zone: s.Zone, Slots: int(s.Slots)}, time.Now())
 		}
 	}
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -153,13 +153,13 @@
 	return answer
 }
 
-func (g *Gossip) hear(news []*wire.Member) {
+func (g *Gossip) hear(updates []*wire.Member) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	before := g.group.Version()
-	g.group.Merge(g.now(), news...)
+	g.group.Merge(g.now(), updates...)
 	if g.group.Version() != before {
-		for _, n := range news {
+		for _, n := range updates {
 			if n.State != wire.Member_ALIVE {
 				g.log.Debug("member.update", "node", n.Name, "state", n.State.String())
 			}
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -225,7 +225,7 @@
 		return
 	}
 	_, v := n.admission.Sweep(n.s.now)
-	n.tell(v)
+	n.deliver(v)
 	nodes := len(n.group.Members()) - len(n.s.cores)
 	n.table.Share(n.shares.Part(n.s.now-n.began, nodes))
 	if n.server != nil && !n.proposes {
@@ -248,7 +248,7 @@
 	})
 }
 
-func (n *node) tell(verdicts []localserver.Verdict[*ticket]) {
+func (n *node) deliver(verdicts []localserver.Verdict[*ticket]) {
 	for _, v := range verdicts {
 		v.Ticket.verdict(v.Go)
 	}
@@ -387,7 +387,7 @@
 	begin := func() {
 		if n.server == nil || n.server.id != ask.Member || !n.server.up {
 			f := n.admission.Finish(s.now, ask.Member, ask.Attempt, health.Broken)
-			n.tell(f.Verdicts)
+			n.deliver(f.Verdicts)
 			unsent(false, f.Waiting)
 			return
 		}
@@ -398,7 +398,7 @@
 			}
 			out := &wire.Outcome{Fate: fate, Status: status, TookMs: uint32((s.now - began).Milliseconds())}
 			f := n.admission.Finish(s.now, ask.Member, ask.Attempt, localserver.EndOf(out))
-			n.tell(f.Verdicts)
+			n.deliver(f.Verdicts)
 			out.Waiting, out.Pace, out.Fill = f.Waiting, float32(f.Pace), float32(f.Fill)
 			for _, c := range f.Called {
 				out.Called = append(out.Called, &wire.Called{Service: c.Service, Times: c.Times, Pressure: n.table.Pressure(s.now, c.Service)})
@@ -423,7 +423,7 @@
 		})
 	}
 	place, _, v := n.admission.Arrive(s.now, ask, tk)
-	n.tell(v)
+	n.deliver(v)
 	switch place {
 	case localserver.Slot:
 		begin()
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -83,7 +83,7 @@
 		ID: v.id, Service: v.kind.Name, Address: v.node.name, Zone: v.node.zone, Slots: v.kind.Slots, Draining: v.drains, Seq: v.seq,
 		Warm: max(0, v.cold-v.s.now),
 	})
-	v.node.tell(h.Verdicts)
+	v.node.deliver(h.Verdicts)
 	if h.OK && v.drains && !v.acked {
 		v.acked, v.drainAt = true, v.s.now
 	}
--- a/internal/localserver/localserver_test.go
+++ b/internal/localserver/localserver_test.go
@@ -157,7 +157,7 @@
 		rng := rand.New(rand.NewPCG(seed, 1))
 		s := with(3, 400*ms)
 		waiting, running := map[string]bool{}, map[string]bool{}
-		tell := func(vs []Verdict[string]) {
+		deliver := func(vs []Verdict[string]) {
 			for _, v := range vs {
 				if !waiting[v.Ticket] {
 					t.Fatalf("seed %d: a verdict on %s, which does not wait", seed, v.Ticket)
@@ -184,7 +184,7 @@
 			switch rng.IntN(6) {
 			case 0, 1, 2:
 				place, _, v := s.Arrive(now, ask(id, uint32(rng.IntN(4))), id)
-				tell(v)
+				deliver(v)
 				waiting[id], running[id] = place == Queue, place == Slot
 				if place != Queue {
 					delete(waiting, id)
@@ -195,7 +195,7 @@
 			case 3, 4:
 				if id := any(running); id != "~" {
 					delete(running, id)
-					tell(s.Finish(now, "i", id, health.End(rng.IntN(5))).Verdicts)
+					deliver(s.Finish(now, "i", id, health.End(rng.IntN(5))).Verdicts)
 				}
 			default:
 				if id := any(waiting); id != "~" && s.Leave("i", id) {
--- a/internal/proxy/bed_test.go
+++ b/internal/proxy/bed_test.go
@@ -149,7 +149,7 @@
 	var list cowmap.Map[*wire.Server]
 	edit := list.Edit()
 	for _, id := range []string{"i-1", "i-2"} {
-		b.in.Beat(Beat{ID: id, Service: "s", Address: b.app(id, gate), Zone: "z", Slots: 8}, time.Now())
+		b.in.Heartbeat(Heartbeat{ID: id, Service: "s", Address: b.app(id, gate), Zone: "z", Slots: 8}, time.Now())
 		edit.Set(id, &wire.Server{Member: id, Service: "s", Address: nodes.Addr().String(), Zone: "z", Speaks: localserver.SpeaksFields})
 	}
 	w := &World{Config: config, Servers: edit.Map()}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -39,7 +39,7 @@
 	} else {
 		in.spare = t
 	}
-	tell(verdicts)
+	deliver(verdicts)
 	a := in.apps[q.Member]
 	var load serverLoad
 	due := false
@@ -73,7 +73,7 @@
 	in.mu.Lock()
 	now := in.now()
 	f := in.admission.Finish(now, q.Member, q.Attempt, end)
-	tell(f.Verdicts)
+	deliver(f.Verdicts)
 	a.load.busy += now - began
 	in.mu.Unlock()
 	out.Waiting, out.Pace, out.Fill = f.Waiting, float32(f.Pace), float32(f.Fill)
@@ -121,7 +121,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if !in.admission.Leave(ask.Member, t) && <-t.verdict { // the slot came at the same moment
-		tell(in.admission.Release(in.now(), ask.Member))
+		deliver(in.admission.Release(in.now(), ask.Member))
 	}
 	return why
 }
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -16,8 +16,8 @@
 	minLeft    = 5 * time.Millisecond // below this a request is not begun
 )
 
-// Beat is what a server says of itself.
-type Beat = localserver.Heartbeat
+// Heartbeat is what a server says of itself.
+type Heartbeat = localserver.Heartbeat
 
 // ticket is a request that may have to wait; its verdict comes once.
 type ticket struct{ verdict chan bool }
@@ -68,15 +68,15 @@
 // Since tells how long after a moment the times of its records begin.
 func (in *Inbound) Since(t time.Time) time.Duration { return in.began.Sub(t) }
 
-// tell hands out verdicts. Each ticket gets one, for which it has room.
-func tell(verdicts []localserver.Verdict[*ticket]) {
+// deliver hands out verdicts. Each ticket gets one, for which it has room.
+func deliver(verdicts []localserver.Verdict[*ticket]) {
 	for _, v := range verdicts {
 		v.Ticket.verdict <- v.Go
 	}
 }
 
-// open keeps an app for a life in service. Called with mu held.
-func (in *Inbound) open(b Beat) {
+// open keeps an app for an incarnation in service. Called with mu held.
+func (in *Inbound) open(b Heartbeat) {
 	a := in.apps[b.ID]
 	if a == nil {
 		a = &app{in: in}
@@ -87,7 +87,7 @@
 	}
 }
 
-// shut closes the connections to a life that has ended. Called with mu held.
+// shut closes the connections to an incarnation that has ended. Called with mu held.
 func (in *Inbound) shut(id string) {
 	if a := in.apps[id]; a != nil {
 		delete(in.apps, id)
@@ -99,12 +99,12 @@
 	}
 }
 
-// Beat takes a server's word. It reports false for one of a life that has ended.
-func (in *Inbound) Beat(b Beat, now time.Time) bool {
+// Heartbeat takes a server's word. It reports false for one of an incarnation that has ended.
+func (in *Inbound) Heartbeat(b Heartbeat, now time.Time) bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	h := in.admission.Heartbeat(now.Sub(in.began), b)
-	tell(h.Verdicts)
+	deliver(h.Verdicts)
 	for _, id := range h.Ended {
 		in.shut(id)
 	}
@@ -125,7 +125,7 @@
 }
 
 // Adopt takes over a server that the list has for this machine; see admission.
-func (in *Inbound) Adopt(b Beat, now time.Time) {
+func (in *Inbound) Adopt(b Heartbeat, now time.Time) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if in.admission.Adopt(now.Sub(in.began), b) {
@@ -139,7 +139,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	ended, verdicts := in.admission.Deregister(id)
-	tell(verdicts)
+	deliver(verdicts)
 	if ended {
 		in.shut(id)
 		in.Log.Info("server.left", "member", id)
@@ -147,7 +147,7 @@
 	in.Wake()
 }
 
-// Wake makes Changed tell.
+// Wake makes Changed fire.
 func (in *Inbound) Wake() {
 	select {
 	case in.changed <- struct{}{}:
@@ -161,7 +161,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	silent, verdicts := in.admission.Sweep(now.Sub(in.began))
-	tell(verdicts)
+	deliver(verdicts)
 	for _, id := range silent {
 		in.Log.Warn("server.silent", "member", id)
 		in.shut(id)
@@ -181,7 +181,7 @@
 }
 
 // Servers returns the servers of this machine as they should be registered.
-func (in *Inbound) Servers() []Beat {
+func (in *Inbound) Servers() []Heartbeat {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	return in.admission.Servers()
@@ -189,7 +189,7 @@
 
 // Load is the number of requests at each server here, and of those that wait for
 // it, in the order of Servers.
-func (in *Inbound) Load() (servers []Beat, inflight, waiting []int) {
+func (in *Inbound) Load() (servers []Heartbeat, inflight, waiting []int) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	servers = in.admission.Servers()
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -120,32 +120,32 @@
 // is left the refusal says when to come back.
 func TestDrainedServersGetNothing(t *testing.T) {
 	b := newBedFor(t, nil, 0)
-	for _, beat := range b.in.Servers() {
-		beat.Draining, beat.Seq = true, 1
-		b.in.Beat(beat, time.Now().Add(-time.Second))
-		beat.Draining, beat.Seq = false, 2 // it never comes back from that
-		b.in.Beat(beat, time.Now())
+	for _, heartbeat := range b.in.Servers() {
+		heartbeat.Draining, heartbeat.Seq = true, 1
+		b.in.Heartbeat(heartbeat, time.Now().Add(-time.Second))
+		heartbeat.Draining, heartbeat.Seq = false, 2 // it never comes back from that
+		b.in.Heartbeat(heartbeat, time.Now())
 	}
 	req := time.Now()
 	status, _, h := b.ask("POST", "/once/x", "d", "p", "Time-Budget", "300")
 	if status != 503 || h.Get("Retry-After") == "" || b.servers("d") != 0 {
 		t.Errorf("%d %v after %d servers in %v", status, h, b.servers("d"), time.Since(req))
 	}
-	if b.in.Deregister("i-1"); b.in.Beat(Beat{ID: "i-1", Seq: 9}, time.Now()) {
+	if b.in.Deregister("i-1"); b.in.Heartbeat(Heartbeat{ID: "i-1", Seq: 9}, time.Now()) {
 		t.Error("a life that has ended was taken back")
 	}
 }
 
 // TestAdopt: a process that starts anew serves the listed server at once, until
-// another life speaks from its address.
+// another incarnation speaks from its address.
 func TestAdopt(t *testing.T) {
 	in := NewInbound(time.Hour, time.Second, slog.New(slog.DiscardHandler))
-	in.Adopt(Beat{ID: "i-1", Service: "s", Address: "a", Slots: 4}, time.Now())
-	in.Adopt(Beat{ID: "i-0", Service: "s", Address: "a", Slots: 4}, time.Now())
+	in.Adopt(Heartbeat{ID: "i-1", Service: "s", Address: "a", Slots: 4}, time.Now())
+	in.Adopt(Heartbeat{ID: "i-0", Service: "s", Address: "a", Slots: 4}, time.Now())
 	if got := in.Servers(); len(got) != 1 || got[0].ID != "i-1" {
 		t.Fatalf("%v", got)
 	}
-	in.Beat(Beat{ID: "i-2", Service: "s", Address: "a", Slots: 4, Seq: 1}, time.Now())
+	in.Heartbeat(Heartbeat{ID: "i-2", Service: "s", Address: "a", Slots: 4, Seq: 1}, time.Now())
 	if got := in.Servers(); len(got) != 1 || got[0].ID != "i-2" {
 		t.Errorf("%v", got)
 	}
@@ -299,7 +299,7 @@
 				return
 			default:
 				server.Seq++
-				b.in.Beat(server, time.Now())
+				b.in.Heartbeat(server, time.Now())
 			}
 		}
 	}()
--- a/internal/proxy/schedule_test.go
+++ b/internal/proxy/schedule_test.go
@@ -173,7 +173,7 @@
 		server.script, server.next, server.runs = script, 0, map[string]int{}
 		server.mu.Unlock()
 		in := NewInbound(time.Hour, time.Hour, slog.New(slog.DiscardHandler))
-		in.Beat(Beat{ID: "i", Service: "s", Address: l.Addr().String(), Slots: 1}, time.Now())
+		in.Heartbeat(Heartbeat{ID: "i", Service: "s", Address: l.Addr().String(), Slots: 1}, time.Now())
 		for i, do := range script {
 			id := fmt.Sprintf("n%d-%d", n, i)
 			q := &wire.Forward{Member: "i", Service: "s", Method: "POST", Target: "/", Attempt: id, Once: true, Insist: true, LeftMs: 20000}
@@ -266,7 +266,7 @@
 	successor.in.Sweep(time.Now().Add(time.Hour)) // it has never heard of them
 	for _, server := range servers {
 		server.ID += "-new"
-		successor.in.Beat(server, time.Now())
+		successor.in.Heartbeat(server, time.Now())
 	}
 	world := *b.out.world()
 	address := func(w *World) string {
--- a/internal/scale/state.go
+++ b/internal/scale/state.go
@@ -156,7 +156,7 @@
 	return nil
 }
 
-// takeMembers takes in news of members as they come over the wire.
+// takeMembers takes in updates of members as they come over the wire.
 func (n *nodeState) takeMembers(now time.Duration, data []byte) error {
 	answer := new(wire.Probed)
 	if err := proto.Unmarshal(data, answer); err != nil {
