--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -41,7 +41,7 @@
 	log     *slog.Logger
 	place   relay.Place // the follower's own
 	began   time.Time
-	fenced  atomic.Bool // what is known here is as new as what was acknowledged before the start
+	ready   atomic.Bool // what is known here is as new as what was acknowledged before the start
 	workers sync.WaitGroup
 
 	leaderMu sync.Mutex
@@ -69,7 +69,7 @@
 func (a *Agent) Run(ctx context.Context) {
 	a.workers.Go(func() { a.Gossip.Run(ctx) })
 	a.workers.Go(func() { a.Follower.Run(ctx) })
-	a.workers.Go(func() { a.fence(ctx) })
+	a.workers.Go(func() { a.awaitReadiness(ctx) })
 	a.workers.Go(func() { a.register(ctx) })
 	a.workers.Wait()
 }
@@ -77,8 +77,8 @@
 // Began is when the agent was made.
 func (a *Agent) Began() time.Time { return a.began }
 
-// Fenced tells whether what is known here is as new as what was acknowledged before the start.
-func (a *Agent) Fenced() bool { return a.fenced.Load() }
+// Ready tells whether what is known here is as new as what was acknowledged before the start.
+func (a *Agent) Ready() bool { return a.ready.Load() }
 
 // seeds are the internal addresses of the seeds.
 func (a *Agent) seeds() []string { return a.options.Settings().SeedNodes() }
--- a/internal/agent/fence.go
+++ b/internal/agent/readiness.go
@@ -9,32 +9,32 @@
 )
 
 const (
-	fenceCheck = 50 * time.Millisecond // between looks at the age of the state
-	longWait   = 6 * time.Second       // without an answer, after which the leader is asked less often
-	longPause  = time.Second
+	readinessPause = 50 * time.Millisecond // between looks at the age of the state
+	longWait       = 6 * time.Second       // without an answer, after which the leader is asked less often
+	longPause      = time.Second
 )
 
-// fence waits until what is known here may be served by: see relay.Fence.
-func (a *Agent) fence(ctx context.Context) {
+// awaitReadiness waits until what is known here may be served by: see relay.Readiness.
+func (a *Agent) awaitReadiness(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan uint64, 1)
 	a.workers.Go(func() { a.askLatest(ctx, answers) })
-	tick := time.NewTicker(fenceCheck)
+	tick := time.NewTicker(readinessPause)
 	defer tick.Stop()
-	var fence relay.Fence
+	var readiness relay.Readiness
 	for ctx.Err() == nil {
 		changed := a.Hub.Changed()
 		age := a.Follower.Age()
-		if proof := fence.Check(time.Since(a.began), age, a.Hub.Index()); proof != relay.NoProof {
-			a.fenced.Store(true)
-			a.log.Info("data.fenced", "index", a.Hub.Index(), "confirmed", proof != relay.Unconfirmed, "proof", string(proof),
+		if proof := readiness.Check(time.Since(a.began), age, a.Hub.Index()); proof != relay.NoProof {
+			a.ready.Store(true)
+			a.log.Info("data.ready", "index", a.Hub.Index(), "confirmed", proof != relay.Unconfirmed, "proof", string(proof),
 				"age", min(age, time.Hour))
 			return
 		}
 		select {
 		case latest := <-answers:
-			fence.Confirmed(latest)
+			readiness.Confirmed(latest)
 		case <-changed:
 		case <-tick.C:
 		case <-ctx.Done():
--- a/internal/data/data.go
+++ b/internal/data/data.go
@@ -49,7 +49,7 @@
 	served   atomic.Bool   // there is a configuration and a server
 	shares   budget.Shares // the upkeep's own
 
-	world entry.WorldBuilder // watch's own
+	cluster entry.ClusterStateBuilder // watch's own
 }
 
 // Run is a sidecar's process from its start to its end. It returns some time after the
@@ -158,7 +158,7 @@
 	switch {
 	case n.leaving.Load():
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
-	case !n.agent.Fenced() || !n.served.Load():
+	case !n.agent.Ready() || !n.served.Load():
 		http.Error(w, "no configuration or servers yet", http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
--- a/internal/data/update.go
+++ b/internal/data/update.go
@@ -22,11 +22,11 @@
 	var members uint64 // the version that was taken last
 	for ctx.Err() == nil {
 		changed := n.hub.Changed()
-		if version := n.gossip.Version(); n.hub.Index() != n.world.Index() || version != members {
+		if version := n.gossip.Version(); n.hub.Index() != n.cluster.Index() || version != members {
 			began := time.Now()
 			if version != members {
 				members = version
-				n.world.Members(n.gossip.Members(), func(node string) bool { return n.gossip.Gone(node) > 0 })
+				n.cluster.Members(n.gossip.Members(), func(node string) bool { return n.gossip.Gone(node) > 0 })
 			}
 			n.update()
 			// An update of a service with thousands of servers costs milliseconds, one of the members of a large mesh too:
@@ -46,14 +46,14 @@
 
 // update hands on what has changed.
 func (n *Node) update() {
-	before := n.world.World().Config
-	changes, config := n.hub.State(n.world.Index())
-	n.world.Apply(changes, config)
+	before := n.cluster.ClusterState().Config
+	changes, config := n.hub.State(n.cluster.Index())
+	n.cluster.Apply(changes, config)
 	n.adopt(changes)
-	n.outbound.Update(n.world.World())
-	n.served.Store(config != nil && n.world.Listed() > 0)
+	n.outbound.Update(n.cluster.ClusterState())
+	n.served.Store(config != nil && n.cluster.Listed() > 0)
 	if config != nil && config != before {
-		n.log.Info("config.applied", "revision", config.Revision, "index", n.world.Index(), "resources", len(changes.GetResources()))
+		n.log.Info("config.applied", "revision", config.Revision, "index", n.cluster.Index(), "resources", len(changes.GetResources()))
 	}
 }
 
--- a/internal/entry/world.go
+++ b/internal/entry/cluster.go
@@ -10,18 +10,19 @@
 	"ivydeck/internal/wire"
 )
 
-// World is what a node has been told: a configuration and the servers. It is
+// ClusterState is what a node has been told: a configuration and the servers. It is
 // not changed once made; versions share what they have in common.
-type World struct {
+type ClusterState struct {
 	Config  *meshconfig.Config
 	Servers cowmap.Map[*wire.Server] // by member, those that may be sent to
 	Nodes   map[string][]string      // sidecar machines that are there, by zone
 }
 
-// WorldBuilder keeps a World up to date, at the cost of what changes. Servers that drain, or whose machines are not alive,
+// ClusterStateBuilder keeps a ClusterState up to date, at the cost of what changes. Servers that drain, or whose machines are not
+// alive,
 // are not sent to. Its zero value has been told nothing.
-type WorldBuilder struct {
-	world   World
+type ClusterStateBuilder struct {
+	cluster ClusterState
 	listed  map[string]*wire.Server // by member, all that are registered
 	members []*wire.Member          // as they were last, by name
 	silent  map[string]bool         // those of them that are not alive, by name
@@ -31,20 +32,20 @@
 }
 
 // Index of the latest update that was applied.
-func (b *WorldBuilder) Index() uint64 { return b.index }
+func (b *ClusterStateBuilder) Index() uint64 { return b.index }
 
 // Listed is how many servers are registered.
-func (b *WorldBuilder) Listed() int { return len(b.listed) }
+func (b *ClusterStateBuilder) Listed() int { return len(b.listed) }
 
-// World returns the newest version.
-func (b *WorldBuilder) World() *World {
-	w := b.world
+// ClusterState returns the newest version.
+func (b *ClusterStateBuilder) ClusterState() *ClusterState {
+	w := b.cluster
 	return &w
 }
 
 // Apply takes the changes after Index, and the configuration with them; nil changes: there are none.
-func (b *WorldBuilder) Apply(c *wire.Changes, config *meshconfig.Config) {
-	b.world.Config = config
+func (b *ClusterStateBuilder) Apply(c *wire.Changes, config *meshconfig.Config) {
+	b.cluster.Config = config
 	if c == nil {
 		return
 	}
@@ -53,7 +54,7 @@
 		b.replace(c)
 		return
 	}
-	edit := b.world.Servers.Edit()
+	edit := b.cluster.Servers.Edit()
 	for _, r := range c.Resources {
 		switch v := r.Value.(type) {
 		case *wire.Resource_Server:
@@ -63,14 +64,14 @@
 			edit.Delete(v.RemovedServer)
 		}
 	}
-	b.world.Servers = edit.Map()
+	b.cluster.Servers = edit.Map()
 }
 
 // replace takes a whole state.
-func (b *WorldBuilder) replace(c *wire.Changes) {
+func (b *ClusterStateBuilder) replace(c *wire.Changes) {
 	before := b.listed
 	b.listed = map[string]*wire.Server{}
-	edit := b.world.Servers.Edit()
+	edit := b.cluster.Servers.Edit()
 	for _, r := range c.Resources {
 		if s := r.GetServer(); s != nil {
 			b.register(edit, s)
@@ -81,17 +82,17 @@
 			edit.Delete(member)
 		}
 	}
-	b.world.Servers = edit.Map()
+	b.cluster.Servers = edit.Map()
 }
 
 // isMember tells whether a machine was among the members last.
-func (b *WorldBuilder) isMember(node string) bool {
+func (b *ClusterStateBuilder) isMember(node string) bool {
 	_, found := slices.BinarySearchFunc(b.members, node, func(m *wire.Member, name string) int { return strings.Compare(m.Name, name) })
 	return found
 }
 
 // register books a registered server.
-func (b *WorldBuilder) register(edit *cowmap.Editor[*wire.Server], s *wire.Server) {
+func (b *ClusterStateBuilder) register(edit *cowmap.Editor[*wire.Server], s *wire.Server) {
 	b.listed[s.Member] = s
 	if !b.isMember(s.Node) {
 		if b.absent == nil {
@@ -103,7 +104,7 @@
 }
 
 // place lists a server among those that may be sent to, or takes it off.
-func (b *WorldBuilder) place(edit *cowmap.Editor[*wire.Server], s *wire.Server) {
+func (b *ClusterStateBuilder) place(edit *cowmap.Editor[*wire.Server], s *wire.Server) {
 	usable := !s.Draining && !s.Leaving && !b.silent[s.Node] && !(b.gone != nil && b.gone(s.Node))
 	now, there := edit.Get(s.Member)
 	switch {
@@ -116,7 +117,7 @@
 
 // Members takes the members as they are now, in the order of their names. gone tells of a machine that it has died or left,
 // from now on. Servers on machines of which nothing has changed stay as they are.
-func (b *WorldBuilder) Members(members []*wire.Member, gone func(node string) bool) {
+func (b *ClusterStateBuilder) Members(members []*wire.Member, gone func(node string) bool) {
 	before := b.members
 	b.members, b.gone = members, gone
 	if b.silent == nil {
@@ -139,7 +140,7 @@
 		zones[m.Zone] = true
 	})
 	if len(nodes) > 0 {
-		b.world.Nodes = nodesOf(b.world.Nodes, members, zones)
+		b.cluster.Nodes = nodesOf(b.cluster.Nodes, members, zones)
 	}
 	if len(nodes) > 0 || len(b.absent) > 0 {
 		b.placeOn(nodes)
@@ -148,9 +149,9 @@
 
 // placeOn looks again at the servers on some machines, and on those that are no members: what is known of them may have
 // changed as well.
-func (b *WorldBuilder) placeOn(nodes map[string]bool) {
+func (b *ClusterStateBuilder) placeOn(nodes map[string]bool) {
 	absent := map[string]bool{}
-	edit := b.world.Servers.Edit()
+	edit := b.cluster.Servers.Edit()
 	for _, s := range b.listed {
 		if !nodes[s.Node] && !b.absent[s.Node] {
 			continue
@@ -161,7 +162,7 @@
 		}
 	}
 	b.absent = absent
-	b.world.Servers = edit.Map()
+	b.cluster.Servers = edit.Map()
 }
 
 // eachChange visits the members that differ between two lists, each in the order of names; nil: it is not in that list.
--- a/internal/entry/world_test.go
+++ b/internal/entry/cluster_test.go
@@ -13,8 +13,8 @@
 	"ivydeck/internal/wire"
 )
 
-// worldSource makes up what a node is told.
-type worldSource struct {
+// stateSource makes up what a node is told.
+type stateSource struct {
 	rng     *rand.Rand
 	index   uint64
 	servers map[string]*wire.Server
@@ -23,17 +23,17 @@
 	config  *meshconfig.Config
 }
 
-func newWorldSource(seed uint64) *worldSource {
-	return &worldSource{rng: rand.New(rand.NewPCG(seed, 1)), servers: map[string]*wire.Server{}, members: map[string]*wire.Member{}, gone: map[string]bool{}}
+func newStateSource(seed uint64) *stateSource {
+	return &stateSource{rng: rand.New(rand.NewPCG(seed, 1)), servers: map[string]*wire.Server{}, members: map[string]*wire.Member{}, gone: map[string]bool{}}
 }
 
-func (s *worldSource) server(member string) *wire.Server {
+func (s *stateSource) server(member string) *wire.Server {
 	return &wire.Server{Member: member, Service: fmt.Sprint("s", s.rng.IntN(4)), Node: fmt.Sprint("n", s.rng.IntN(12)),
 		Zone: fmt.Sprint("z", s.rng.IntN(2)), Draining: s.rng.IntN(6) == 0}
 }
 
 // change changes some servers, and at times the configuration.
-func (s *worldSource) change() *wire.Changes {
+func (s *stateSource) change() *wire.Changes {
 	c := &wire.Changes{From: s.index, To: s.index + 1}
 	s.index++
 	for range s.rng.IntN(4) {
@@ -65,7 +65,7 @@
 }
 
 // whole is all that there is.
-func (s *worldSource) whole() *wire.Changes {
+func (s *stateSource) whole() *wire.Changes {
 	c := &wire.Changes{To: s.index, Whole: true}
 	for _, srv := range s.servers {
 		c.Resources = append(c.Resources, &wire.Resource{Index: s.index, Value: &wire.Resource_Server{Server: srv}})
@@ -74,7 +74,7 @@
 }
 
 // shuffle lets members come, fall silent and go.
-func (s *worldSource) shuffle() {
+func (s *stateSource) shuffle() {
 	name := fmt.Sprint("n", s.rng.IntN(12))
 	delete(s.gone, name)
 	switch s.rng.IntN(4) {
@@ -88,7 +88,7 @@
 	}
 }
 
-func (s *worldSource) tellMembers(b *WorldBuilder) {
+func (s *stateSource) tellMembers(b *ClusterStateBuilder) {
 	members := slices.SortedFunc(maps.Values(s.members), func(a, b *wire.Member) int { return strings.Compare(a.Name, b.Name) })
 	b.Members(members, func(node string) bool { return s.gone[node] })
 }
@@ -109,8 +109,8 @@
 // TestUpdatesAddUp: a node that is told of changes one by one knows what one knows that is told of all at once.
 func TestUpdatesAddUp(t *testing.T) {
 	for seed := range uint64(20) {
-		s := newWorldSource(seed)
-		var steady WorldBuilder
+		s := newStateSource(seed)
+		var steady ClusterStateBuilder
 		table := NewTable(Options{Node: "n0", Zone: "z0", Ratio: 1, Window: time.Second})
 		for round := range 120 {
 			if s.rng.IntN(3) == 0 {
@@ -122,13 +122,13 @@
 				changes = s.whole()
 			}
 			steady.Apply(changes, s.config)
-			table.Update(0, steady.World())
+			table.Update(0, steady.ClusterState())
 
-			var anew WorldBuilder
+			var anew ClusterStateBuilder
 			fresh := NewTable(Options{Node: "n0", Zone: "z0", Ratio: 1, Window: time.Second})
 			s.tellMembers(&anew)
 			anew.Apply(s.whole(), s.config)
-			fresh.Update(0, anew.World())
+			fresh.Update(0, anew.ClusterState())
 
 			use := func() bool { return s.rng.IntN(40) == 0 || round == 119 }
 			compareTables(t, fmt.Sprintf("seed %d, round %d", seed, round), table, fresh, use)
@@ -174,7 +174,7 @@
 		members = append(members, &wire.Member{Name: fmt.Sprintf("node-%05d", i), Zone: fmt.Sprint("z", i%4)})
 	}
 	gone := func(string) bool { return false }
-	prepare := func() (*WorldBuilder, *Table, *meshconfig.Config) {
+	prepare := func() (*ClusterStateBuilder, *Table, *meshconfig.Config) {
 		p := meshconfig.Patch{Revision: 1}
 		for i := range services {
 			p.Backends = append(p.Backends, meshconfig.Backend{Name: fmt.Sprint("s", i)})
@@ -188,11 +188,11 @@
 		for i := range servers {
 			whole.Resources = append(whole.Resources, benchServer(i, services, nodes, 1))
 		}
-		w := new(WorldBuilder)
+		w := new(ClusterStateBuilder)
 		w.Members(members, gone)
 		w.Apply(whole, config)
 		table := NewTable(Options{Node: "node-00000", Zone: "z0", Ratio: 0.2, Window: 10 * time.Second})
-		table.Update(0, w.World())
+		table.Update(0, w.ClusterState())
 		return w, table, config
 	}
 	b.Run("route", func(b *testing.B) {
@@ -203,7 +203,7 @@
 			n++
 			config = config.Apply(meshconfig.Patch{Revision: uint64(n + 1), Routes: []*meshconfig.Route{benchRoute(n%routes, n)}})
 			w.Apply(&wire.Changes{From: w.Index(), To: w.Index() + 1}, config)
-			table.Update(0, w.World())
+			table.Update(0, w.ClusterState())
 		}
 	})
 	b.Run("member", func(b *testing.B) { // of another zone
@@ -216,7 +216,7 @@
 			i := n*4%nodes + 1
 			now[i] = &wire.Member{Name: now[i].Name, Zone: now[i].Zone, State: wire.Member_SUSPECT}
 			w.Members(now, gone)
-			table.Update(0, w.World())
+			table.Update(0, w.ClusterState())
 		}
 	})
 	b.Run("server", func(b *testing.B) {
@@ -228,7 +228,7 @@
 			r := benchServer(n%servers, services, nodes, uint32(n))
 			r.GetServer().Draining = n/servers%2 == 0
 			w.Apply(&wire.Changes{From: w.Index(), To: w.Index() + 1, Resources: []*wire.Resource{r}}, config)
-			table.Update(0, w.World())
+			table.Update(0, w.ClusterState())
 		}
 	})
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -35,7 +35,7 @@
 		id := fmt.Sprint("i", i)
 		edit.Set(id, &wire.Server{Member: id, Service: "s"})
 	}
-	w := &World{Config: config, Servers: edit.Map()}
+	w := &ClusterState{Config: config, Servers: edit.Map()}
 	tab := NewTable(Options{Node: "n", Ratio: 1, Window: time.Second, Seed: 1})
 	tab.Update(0, w)
 	tab.Share(100)
@@ -44,7 +44,7 @@
 
 func (t *Table) enter(test *testing.T, path string) *Request {
 	test.Helper()
-	route := t.World().Config.Find("h", path)
+	route := t.ClusterState().Config.Find("h", path)
 	r, refused := t.Enter(0, Entrant{Route: route, Service: t.Choose(route), Until: 2 * time.Second})
 	if refused != nil {
 		test.Fatalf("refused: %v", refused)
@@ -128,7 +128,7 @@
 // out at its entry; calls inside pass.
 func TestGraphsLookAhead(t *testing.T) {
 	tab := table(t, 4)
-	route := tab.World().Config.Find("h", "/safe/")
+	route := tab.ClusterState().Config.Find("h", "/safe/")
 	for range 40 {
 		tab.learn(0, route.Name, &wire.Outcome{Called: []*wire.Called{{Service: "s", Times: 2}}})
 	}
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -38,7 +38,7 @@
 type Table struct {
 	opt      Options
 	rng      *rand.Rand
-	world    *World
+	cluster  *ClusterState
 	config   *meshconfig.Config            // that the services are those of; nil: none yet
 	backends map[string]bool               // the services of the configuration
 	services map[string]*service           // those of them that were used: most nodes use few of many
@@ -62,14 +62,14 @@
 // NewTable returns a Table that has been told nothing.
 func NewTable(opt Options) *Table {
 	return &Table{
-		opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 1)), world: &World{},
+		opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 1)), cluster: &ClusterState{},
 		services: map[string]*service{}, graphs: map[string]map[string]float64{},
 		usual: map[string]time.Duration{}, listed: map[string][]decide.Target{}, levels: map[int]int{}, routes: map[string]int{},
 	}
 }
 
-// World returns what the node was last told.
-func (t *Table) World() *World { return t.world }
+// ClusterState returns what the node was last told.
+func (t *Table) ClusterState() *ClusterState { return t.cluster }
 
 // service returns what is kept of a service of the configuration, from its first use on; nil: there is no such service.
 func (t *Table) service(now time.Duration, name string) *service {
--- a/internal/entry/update.go
+++ b/internal/entry/update.go
@@ -12,11 +12,11 @@
 	"ivydeck/internal/wire"
 )
 
-// Update takes a newer version of the world. It costs what has changed: a change of the configuration touches no list of
+// Update takes a newer version of the cluster. It costs what has changed: a change of the configuration touches no list of
 // servers, and one of the servers those of their services alone.
-func (t *Table) Update(now time.Duration, w *World) {
-	old := t.world
-	t.world = w
+func (t *Table) Update(now time.Duration, w *ClusterState) {
+	old := t.cluster
+	t.cluster = w
 	touched := t.updateServers(old, w)
 	if place := t.placeIn(old, w); place != t.place {
 		t.place = place
@@ -36,7 +36,7 @@
 }
 
 // placeIn is where this node's subsets begin.
-func (t *Table) placeIn(old, w *World) float64 {
+func (t *Table) placeIn(old, w *ClusterState) float64 {
 	nodes := w.Nodes[t.opt.Zone]
 	if slices.Equal(nodes, old.Nodes[t.opt.Zone]) {
 		return t.place
@@ -45,7 +45,7 @@
 }
 
 // updateServers brings the lists of servers up to date, and returns the services whose lists have changed.
-func (t *Table) updateServers(old, w *World) (touched map[string]bool) {
+func (t *Table) updateServers(old, w *ClusterState) (touched map[string]bool) {
 	touched = map[string]bool{}
 	cowmap.Compare(old.Servers, w.Servers, func(c cowmap.Change[*wire.Server]) {
 		if c.Had && c.Has && (c.Old == c.New || c.Old.Service == c.New.Service && c.Old.Zone == c.New.Zone) {
--- a/internal/lab/core.go
+++ b/internal/lab/core.go
@@ -52,7 +52,7 @@
 func (c *core) start() {
 	s := c.s
 	s.lives++
-	c.life, c.up, c.powered = s.lives, true, true
+	c.incarnation, c.up, c.powered = s.lives, true, true
 	if c.disk.ID == 0 {
 		for c.disk.ID == 0 {
 			c.disk.ID = s.rng.Uint64()
@@ -78,7 +78,7 @@
 	c.hub = relay.NewHub(func() time.Duration { return s.now - c.contactAt })
 	c.hub.Apply(c.catalog.Whole())
 	c.peerView.start(s, &c.machine)
-	c.loop(c.life)
+	c.loop(c.incarnation)
 }
 
 func (c *core) peer(voter bool) *wire.Peer {
@@ -110,14 +110,14 @@
 }
 
 // loop lets the machine run when its core wants to.
-func (c *core) loop(life uint64) {
-	if !c.up || c.life != life {
+func (c *core) loop(incarnation uint64) {
+	if !c.up || c.incarnation != incarnation {
 		return
 	}
 	if !c.busy {
 		c.turn()
 	}
-	c.s.at(max(c.s.now+time.Millisecond, min(c.raft.Next(), c.s.now+manageEvery)), func() { c.loop(life) })
+	c.s.at(max(c.s.now+time.Millisecond, min(c.raft.Next(), c.s.now+manageEvery)), func() { c.loop(incarnation) })
 }
 
 // turn takes in what has come, and carries out what the core asks for.
@@ -151,10 +151,10 @@
 	}
 	c.busy = true
 	c.disk.Write(o.Snapshot, o.Hard, o.Entries)
-	life := c.life
+	incarnation := c.incarnation
 	took := max(0, c.stall-c.s.now) + ms(c.s.w.SyncMs*(0.5+c.s.rng.Float64()))
 	c.s.after(took, func() {
-		if !c.up || c.life != life {
+		if !c.up || c.incarnation != incarnation {
 			return
 		}
 		c.disk.Sync()
@@ -304,7 +304,7 @@
 	if place < 0 {
 		return
 	}
-	other, life := c.s.cores[place], c.life
+	other, incarnation := c.s.cores[place], c.incarnation
 	self := c.peer(false)
 	c.s.call(&c.machine, &other.machine, proto.Size(self), joinCallTimeout, func(answer func(int, func())) {
 		other.do(func() {
@@ -313,7 +313,7 @@
 				other.raft.Change(c.s.now, change.Next)
 			}
 			answer(proto.Size(joined), func() {
-				if !c.up || c.life != life {
+				if !c.up || c.incarnation != incarnation {
 					return
 				}
 				if leader := c.members.Answered(joined); leader != "" {
--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -66,16 +66,16 @@
 
 // machine is one machine on the network, and the process on it.
 type machine struct {
-	name, zone string
-	core       bool
-	life       uint64 // of the process; a later one is higher
-	up         bool   // the process runs
-	powered    bool
-	cut        bool          // no message passes
-	sendUntil  time.Duration // the line out is taken until then
-	calls      []*pending    // of others, under way here
-	bytes      int64         // sent
-	crossed    int64         // of them, to other zones
+	name, zone  string
+	core        bool
+	incarnation uint64 // of the process; a later one is higher
+	up          bool   // the process runs
+	powered     bool
+	cut         bool          // no message passes
+	sendUntil   time.Duration // the line out is taken until then
+	calls       []*pending    // of others, under way here
+	bytes       int64         // sent
+	crossed     int64         // of them, to other zones
 }
 
 // network carries messages between machines.
@@ -123,10 +123,10 @@
 	if !from.up || !n.reaches(from, to) || !to.up {
 		return
 	}
-	life := to.life
+	incarnation := to.incarnation
 	*last = max(*last, n.now+n.delay(from, to, size))
 	n.at(*last, func() {
-		if to.up && to.life == life && n.reaches(from, to) {
+		if to.up && to.incarnation == incarnation && n.reaches(from, to) {
 			f()
 		}
 	})
@@ -155,9 +155,9 @@
 // fail tells that no answer came: sent is false where the question was surely not
 // delivered. The caller's own end ends the call without a word.
 func (n *network) call(from, to *machine, size int, wait time.Duration, serve func(answer func(size int, take func())), fail func(sent bool)) {
-	life := from.life
+	incarnation := from.incarnation
 	p := &pending{fail: func(sent bool) {
-		if from.up && from.life == life {
+		if from.up && from.incarnation == incarnation {
 			fail(sent)
 		}
 	}}
@@ -174,7 +174,7 @@
 	n.post(from, to, size+rpcBytes, func() {
 		serve(func(size int, take func()) {
 			n.post(to, from, size+rpcBytes, func() {
-				if !p.over && from.life == life {
+				if !p.over && from.incarnation == incarnation {
 					p.over = true
 					take()
 				}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -93,7 +93,7 @@
 		"is ready without revision 99": func(s *sim) {
 			n := s.nodes[0]
 			n.ready, n.owed = false, 99
-			n.startFence(n.life)
+			n.startReadiness(n.incarnation)
 			s.run(7 * time.Second)
 		},
 		"shared budget": func(s *sim) {
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -230,7 +230,7 @@
 
 // heard notes that a node has got the updates after one index up to another.
 func (m *measures) heard(now time.Duration, before, after uint64) {
-	if before == 0 { // a new life, which has everything at once
+	if before == 0 { // a new incarnation, which has everything at once
 		return
 	}
 	for n := before + 1; n <= after; n++ {
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -23,30 +23,30 @@
 )
 
 const (
-	upkeepEvery  = 500 * time.Millisecond
-	fencePause   = 100 * time.Millisecond
-	fenceLook    = 20 * time.Millisecond
-	answerMargin = 15 * time.Millisecond
-	headBytes    = 300 // of a request or an answer without its body
+	upkeepEvery    = 500 * time.Millisecond
+	readinessPause = 100 * time.Millisecond
+	readinessCheck = 20 * time.Millisecond
+	answerMargin   = 15 * time.Millisecond
+	headBytes      = 300 // of a request or an answer without its body
 )
 
 // node is a sidecar machine.
 type node struct {
 	machine
 	peerView
-	place    relay.Place
-	selector relay.Selector
-	parent   *child // as the parent has it
-	heardAt  time.Duration
-	freshAt  time.Duration
-	fence    relay.Fence
+	place     relay.Place
+	selector  relay.Selector
+	parent    *child // as the parent has it
+	heardAt   time.Duration
+	freshAt   time.Duration
+	readiness relay.Readiness
 
 	table     *entry.Table
 	admission *localserver.Admission[*ticket]
 	shares    budget.Shares
 	server    *server
 	began     time.Duration
-	world     entry.WorldBuilder
+	cluster   entry.ClusterStateBuilder
 	listed    catalog.Local
 	members   uint64 // the version of them that the table has been told
 	proposes  bool
@@ -60,33 +60,33 @@
 func (n *node) start() {
 	s := n.s
 	s.lives++
-	n.life, n.up, n.powered, n.began = s.lives, true, true, s.now
+	n.incarnation, n.up, n.powered, n.began = s.lives, true, true, s.now
 	n.place = relay.Place{Self: n.name, Zone: n.zone}
 	n.selector, n.parent, n.freshAt, n.proposes = relay.Selector{}, nil, -time.Hour, false
-	n.world, n.listed, n.members = entry.WorldBuilder{}, catalog.Local{Node: n.name}, 0
+	n.cluster, n.listed, n.members = entry.ClusterStateBuilder{}, catalog.Local{Node: n.name}, 0
 	n.hub = relay.NewHub(func() time.Duration { return s.now - n.freshAt })
 	n.table = entry.NewTable(entry.Options{Node: n.name, Zone: n.zone, Ratio: s.w.Retry.Ratio, Window: sec(s.w.Retry.WindowS), Seed: s.rng.Uint64()})
 	n.admission = localserver.New[*ticket](ms(s.w.DrainMs), ms(s.w.BeatMs))
 	n.shares = budget.Shares{Slack: s.w.Retry.Slack, Window: sec(s.w.Retry.WindowS), Known: s.now == 0}
 	n.peerView.start(s, &n.machine)
 	n.ready, n.owed = false, s.acked
-	life := n.life
-	n.startFence(life)
-	s.after(time.Duration(s.rng.Int64N(int64(upkeepEvery))), func() { n.upkeep(life) })
-	s.after(time.Duration(s.rng.Int64N(int64(200*time.Millisecond))), func() { n.follow(life) })
+	incarnation := n.incarnation
+	n.startReadiness(incarnation)
+	s.after(time.Duration(s.rng.Int64N(int64(upkeepEvery))), func() { n.upkeep(incarnation) })
+	s.after(time.Duration(s.rng.Int64N(int64(200*time.Millisecond))), func() { n.follow(incarnation) })
 }
 
-// startFence lets the node serve once its state may be served by: see relay.Fence.
-func (n *node) startFence(life uint64) {
-	n.fence = relay.Fence{}
-	n.askLatest(life)
-	n.checkFence(life)
+// startReadiness lets the node serve once its state may be served by: see relay.Readiness.
+func (n *node) startReadiness(incarnation uint64) {
+	n.readiness = relay.Readiness{}
+	n.askLatest(incarnation)
+	n.checkReadiness(incarnation)
 }
 
 // askLatest asks the leader how far the updates have come, until it has an answer.
-func (n *node) askLatest(life uint64) {
+func (n *node) askLatest(incarnation uint64) {
 	s := n.s
-	if !n.up || n.life != life || n.ready {
+	if !n.up || n.incarnation != incarnation || n.ready {
 		return
 	}
 	var latest uint64
@@ -102,21 +102,21 @@
 	}, func(err error) {
 		switch {
 		case err != nil:
-			s.after(fencePause, func() { n.askLatest(life) })
-		case n.up && n.life == life:
-			n.fence.Confirmed(latest)
+			s.after(readinessPause, func() { n.askLatest(incarnation) })
+		case n.up && n.incarnation == incarnation:
+			n.readiness.Confirmed(latest)
 		}
 	})
 }
 
-func (n *node) checkFence(life uint64) {
+func (n *node) checkReadiness(incarnation uint64) {
 	s := n.s
-	if !n.up || n.life != life {
+	if !n.up || n.incarnation != incarnation {
 		return
 	}
-	proof := n.fence.Check(s.now-n.began, s.now-n.freshAt, n.hub.Index())
+	proof := n.readiness.Check(s.now-n.began, s.now-n.freshAt, n.hub.Index())
 	if proof == relay.NoProof {
-		s.after(fenceLook, func() { n.checkFence(life) })
+		s.after(readinessCheck, func() { n.checkReadiness(incarnation) })
 		return
 	}
 	n.ready = true
@@ -143,16 +143,16 @@
 }
 
 // follow subscribes to a parent, unless there is one.
-func (n *node) follow(life uint64) {
-	if !n.up || n.life != life || n.parent != nil {
+func (n *node) follow(incarnation uint64) {
+	if !n.up || n.incarnation != incarnation || n.parent != nil {
 		return
 	}
 	addr, wait := n.selector.Next(n.s.now, n.parents())
 	if addr == "" {
-		n.s.after(wait, func() { n.follow(life) })
+		n.s.after(wait, func() { n.follow(incarnation) })
 		return
 	}
-	c := &child{node: n, life: life, have: n.hub.Index(), subscription: relay.Subscription{AskedAt: n.s.now}}
+	c := &child{node: n, incarnation: incarnation, have: n.hub.Index(), subscription: relay.Subscription{AskedAt: n.s.now}}
 	n.parent, n.heardAt = c, n.s.now
 	to := n.s.views[addr]
 	n.s.call(&n.machine, to.m, rpcBytes, relay.Silence, func(answer func(int, func())) {
@@ -182,10 +182,10 @@
 
 // abandon leaves a parent, and looks for another.
 func (n *node) abandon(c *child, why relay.EndReason) {
-	if n.up && n.life == c.life && n.parent == c {
+	if n.up && n.incarnation == c.incarnation && n.parent == c {
 		n.parent.gone, n.parent = true, nil
 		n.selector.Ended(n.s.now, why)
-		n.follow(n.life)
+		n.follow(n.incarnation)
 	}
 }
 
@@ -220,8 +220,8 @@
 }
 
 // upkeep sweeps, splits the slack, and keeps the core's list in line.
-func (n *node) upkeep(life uint64) {
-	if !n.up || n.life != life {
+func (n *node) upkeep(incarnation uint64) {
+	if !n.up || n.incarnation != incarnation {
 		return
 	}
 	_, v := n.admission.Sweep(n.s.now)
@@ -231,7 +231,7 @@
 	if n.server != nil && !n.proposes {
 		n.register()
 	}
-	n.s.after(upkeepEvery, func() { n.upkeep(life) })
+	n.s.after(upkeepEvery, func() { n.upkeep(incarnation) })
 }
 
 func (n *node) register() {
@@ -259,14 +259,14 @@
 func (n *node) refresh() bool {
 	members := n.group.Version()
 	if members != n.members {
-		n.world.Members(n.group.Members(), func(name string) bool { return n.group.Gone(n.s.now, name) > 0 })
+		n.cluster.Members(n.group.Members(), func(name string) bool { return n.group.Gone(n.s.now, name) > 0 })
 	}
-	if n.hub.Index() != n.world.Index() || members != n.members {
+	if n.hub.Index() != n.cluster.Index() || members != n.members {
 		n.members = members
-		n.world.Apply(n.hub.State(n.world.Index()))
-		n.table.Update(n.s.now, n.world.World())
+		n.cluster.Apply(n.hub.State(n.cluster.Index()))
+		n.table.Update(n.s.now, n.cluster.ClusterState())
 	}
-	return n.table.World().Config != nil
+	return n.table.ClusterState().Config != nil
 }
 
 // handle gives one request its final answer; the answer's After is positive where
@@ -278,7 +278,7 @@
 		return
 	}
 	var route *meshconfig.Route
-	if route = n.table.World().Config.Find(host, "/"+t.req.route.Name+"/"); route == nil {
+	if route = n.table.ClusterState().Config.Find(host, "/"+t.req.route.Name+"/"); route == nil {
 		done(entry.Final{Status: 404, Why: "no route"})
 		return
 	}
@@ -294,7 +294,7 @@
 		done(*refused)
 		return
 	}
-	life := n.life
+	incarnation := n.incarnation
 	over := false
 	end := func(f entry.Final) {
 		over = true
@@ -326,7 +326,7 @@
 		})
 	}
 	step = func() {
-		if !n.up || n.life != life {
+		if !n.up || n.incarnation != incarnation {
 			return
 		}
 		switch next := r.Next(s.now); {
@@ -338,7 +338,7 @@
 			try(next)
 			if after := r.HedgeAfter(); after > 0 {
 				s.after(after, func() {
-					if !over && open == 1 && n.up && n.life == life {
+					if !over && open == 1 && n.up && n.incarnation == incarnation {
 						if next, ok := r.Hedge(s.now); ok {
 							try(next)
 						}
@@ -354,7 +354,7 @@
 func (n *node) attempt(t *try, r *entry.Request, step entry.Step, done func(*wire.Outcome, decide.Result)) {
 	id := step.Server
 	s := n.s
-	listed, _ := n.table.World().Servers.Get(id)
+	listed, _ := n.table.ClusterState().Servers.Get(id)
 	if listed == nil {
 		done(&wire.Outcome{Fate: wire.Outcome_UNSENT, Gone: true}, decide.NotSent)
 		return
@@ -382,7 +382,7 @@
 
 // forward passes a request to the server here, or turns it away.
 func (n *node) forward(t *try, ask localserver.Ask, until time.Duration, tries int, done func(*wire.Outcome)) {
-	s, life := n.s, n.life
+	s, incarnation := n.s, n.incarnation
 	unsent := func(gone, waiting bool) { done(&wire.Outcome{Fate: wire.Outcome_UNSENT, Gone: gone, Waiting: waiting}) }
 	begin := func() {
 		if n.server == nil || n.server.id != ask.Member || !n.server.up {
@@ -393,7 +393,7 @@
 		}
 		began := s.now
 		n.server.run(t, ask, until, tries, func(status int32, fate wire.Outcome_Fate) {
-			if !n.up || n.life != life {
+			if !n.up || n.incarnation != incarnation {
 				return
 			}
 			out := &wire.Outcome{Fate: fate, Status: status, TookMs: uint32((s.now - began).Milliseconds())}
@@ -413,7 +413,7 @@
 		// The verdict comes out of the station: what follows is a moment of its own.
 		s.after(0, func() {
 			switch {
-			case !n.up || n.life != life:
+			case !n.up || n.incarnation != incarnation:
 			case pass:
 				n.admission.Run(s.now, ask)
 				begin()
@@ -429,7 +429,7 @@
 		begin()
 	case localserver.Queue:
 		s.at(until-5*time.Millisecond, func() {
-			if !over && n.up && n.life == life && n.admission.Leave(ask.Member, tk) {
+			if !over && n.up && n.incarnation == incarnation && n.admission.Leave(ask.Member, tk) {
 				over = true
 				unsent(false, true)
 			}
--- a/internal/lab/peerview.go
+++ b/internal/lab/peerview.go
@@ -22,11 +22,11 @@
 
 // child is a subscriber of a machine's updates.
 type child struct {
-	node *node
-	life uint64
-	have uint64
-	last time.Duration // when the newest message to it arrives
-	gone bool
+	node        *node
+	incarnation uint64
+	have        uint64
+	last        time.Duration // when the newest message to it arrives
+	gone        bool
 
 	subscription relay.Subscription // of the node
 	subscribedAt time.Duration      // when the parent had it
@@ -34,25 +34,25 @@
 
 func (v *peerView) start(s *sim, m *machine) {
 	v.s, v.m, v.children, v.pacing = s, m, nil, relay.Pacing{}
-	self := &wire.Member{Name: m.name, Address: m.name, Zone: m.zone, Core: m.core, Generation: m.life}
+	self := &wire.Member{Name: m.name, Address: m.name, Zone: m.zone, Core: m.core, Generation: m.incarnation}
 	v.group = membership.New(self, s.rng.Uint64(), s.now)
 	if s.w.Steady && len(s.all) > 0 && s.now == 0 {
 		v.group.Load(s.now, s.all)
 	}
 	// Machines do not start in the same moment.
-	s.after(time.Duration(s.rng.Int64N(int64(membership.ProbeInterval))), func() { v.probe(m.life) })
-	s.after(time.Duration(s.rng.Int64N(int64(relay.Heartbeat))), func() { v.beat(m.life) })
+	s.after(time.Duration(s.rng.Int64N(int64(membership.ProbeInterval))), func() { v.probe(m.incarnation) })
+	s.after(time.Duration(s.rng.Int64N(int64(relay.Heartbeat))), func() { v.beat(m.incarnation) })
 }
 
 // probe is the driver of membership.
-func (v *peerView) probe(life uint64) {
-	if !v.m.up || v.m.life != life {
+func (v *peerView) probe(incarnation uint64) {
+	if !v.m.up || v.m.incarnation != incarnation {
 		return
 	}
 	for _, a := range v.group.Tick(v.s.now, v.s.seeds) {
 		v.send(a)
 	}
-	v.s.at(max(v.group.Next(), v.s.now+10*time.Millisecond), func() { v.probe(life) })
+	v.s.at(max(v.group.Next(), v.s.now+10*time.Millisecond), func() { v.probe(incarnation) })
 }
 
 func (v *peerView) send(a membership.Action) {
@@ -95,21 +95,21 @@
 }
 
 // beat feeds all children where none was fed for as long as a heartbeat may take.
-func (v *peerView) beat(life uint64) {
-	if !v.m.up || v.m.life != life {
+func (v *peerView) beat(incarnation uint64) {
+	if !v.m.up || v.m.incarnation != incarnation {
 		return
 	}
 	if v.s.now >= v.pacing.Due(v.hub.Depth()) {
 		v.feed()
 	}
-	v.s.at(v.pacing.Due(v.hub.Depth()), func() { v.beat(life) })
+	v.s.at(v.pacing.Due(v.hub.Depth()), func() { v.beat(incarnation) })
 }
 
 // fed is the number of children that are still there.
 func (v *peerView) fed() int {
 	n := 0
 	for _, c := range v.children {
-		if !c.gone && c.node.up && c.node.life == c.life {
+		if !c.gone && c.node.up && c.node.incarnation == c.incarnation {
 			n++
 		}
 	}
@@ -121,7 +121,7 @@
 	v.pacing.Sent(v.s.now)
 	keep := v.children[:0]
 	for _, c := range v.children {
-		if !c.gone && c.node.up && c.node.life == c.life {
+		if !c.gone && c.node.up && c.node.incarnation == c.incarnation {
 			keep = append(keep, c)
 			v.feedOne(c)
 		}
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -15,7 +15,7 @@
 	s       *sim
 	kind    *Service
 	node    *node
-	id      string // of its life
+	id      string // of its incarnation
 	up      bool
 	drains  bool
 	drainAt time.Duration // when its mark was acknowledged
@@ -93,7 +93,7 @@
 }
 
 // draining statuses the server, and ends it once nobody can have business with it; a new
-// life follows after back.
+// incarnation follows after back.
 func (v *server) drain(back time.Duration) {
 	v.drains = true
 	v.word()
--- a/internal/lab/sim.go
+++ b/internal/lab/sim.go
@@ -85,7 +85,7 @@
 	s := &sim{
 		w: w, m: newMeasures(w), views: map[string]*peerView{}, index: map[string]int{},
 		pipes:   map[[2]*core]*time.Duration{},
-		outside: machine{name: "operator", zone: "z0", up: true, powered: true, life: 1},
+		outside: machine{name: "operator", zone: "z0", up: true, powered: true, incarnation: 1},
 	}
 	s.network = network{engine: &engine{rng: rand.New(rand.NewPCG(seed, 0x1ab))}, Net: w.Net, cuts: map[[2]string]bool{}}
 	s.build()
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -25,12 +25,12 @@
 }
 
 // serve makes tries until there is a final answer.
-func (o *Outbound) serve(client context.Context, c *Call, world *World, r *entry.Request) *Answer {
+func (o *Outbound) serve(client context.Context, c *Call, cluster *ClusterState, r *entry.Request) *Answer {
 	for {
 		o.mu.Lock()
 		step := r.Next(o.now())
 		o.mu.Unlock()
-		if a := o.take(client, c, world, r, step); a != nil {
+		if a := o.take(client, c, cluster, r, step); a != nil {
 			return a
 		}
 		if client.Err() != nil {
@@ -43,7 +43,7 @@
 const leftText = "called off"
 
 // take does what a step says, and returns the final answer where that brings it.
-func (o *Outbound) take(client context.Context, c *Call, world *World, r *entry.Request, step entry.Step) *Answer {
+func (o *Outbound) take(client context.Context, c *Call, cluster *ClusterState, r *entry.Request, step entry.Step) *Answer {
 	switch {
 	case step.Final != nil:
 		return say(step.Final)
@@ -56,19 +56,19 @@
 		}
 		return nil
 	case r.Once():
-		return o.done(c, r, o.attempt(client, c, world, r, step))
+		return o.done(c, r, o.attempt(client, c, cluster, r, step))
 	}
 	// What a server works on when the answer is there goes on: its work would be lost, not saved.
-	call, t := o.begin(client, context.Background(), c, world, r, step)
+	call, t := o.begin(client, context.Background(), c, cluster, r, step)
 	if call == nil {
 		return o.done(c, r, t)
 	}
-	return o.race(client, c, world, r, call, t)
+	return o.race(client, c, cluster, r, call, t)
 }
 
 // race waits for a try that is under way, with a second one beside it where it takes far longer than its like. It
 // returns the final answer; nil: there is none yet, and no try is left.
-func (o *Outbound) race(client context.Context, c *Call, world *World, r *entry.Request, call *rpc.Stream, first try) (final *Answer) {
+func (o *Outbound) race(client context.Context, c *Call, cluster *ClusterState, r *entry.Request, call *rpc.Stream, first try) (final *Answer) {
 	o.mu.Lock()
 	hedge := r.HedgeAfter()
 	o.mu.Unlock()
@@ -103,7 +103,7 @@
 				o.mu.Unlock()
 				if ok {
 					second = make(chan try, 1)
-					off = o.aside(c, world, r, step, second)
+					off = o.aside(c, cluster, r, step, second)
 				}
 			}
 		}
@@ -132,11 +132,11 @@
 }
 
 // aside makes a second try beside the first, and returns what calls it off.
-func (o *Outbound) aside(c *Call, world *World, r *entry.Request, step entry.Step, end chan<- try) context.CancelFunc {
+func (o *Outbound) aside(c *Call, cluster *ClusterState, r *entry.Request, step entry.Step, end chan<- try) context.CancelFunc {
 	ctx, cancel := context.WithCancel(context.Background())
 	o.strays.Go(func() {
 		defer cancel()
-		end <- o.attempt(ctx, c, world, r, step)
+		end <- o.attempt(ctx, c, cluster, r, step)
 	})
 	return cancel
 }
@@ -163,8 +163,8 @@
 }
 
 // attempt asks the node beside a server to pass the request on, and waits for what becomes of it.
-func (o *Outbound) attempt(ctx context.Context, c *Call, world *World, r *entry.Request, step entry.Step) try {
-	call, t := o.begin(ctx, ctx, c, world, r, step)
+func (o *Outbound) attempt(ctx context.Context, c *Call, cluster *ClusterState, r *entry.Request, step entry.Step) try {
+	call, t := o.begin(ctx, ctx, c, cluster, r, step)
 	if call == nil {
 		return t
 	}
@@ -175,11 +175,11 @@
 
 // begin asks the node beside a server to pass the request on. Where there is no call then, the try has ended. dial is
 // the context of the way there, ctx that of the call.
-func (o *Outbound) begin(dial, ctx context.Context, c *Call, world *World, r *entry.Request, step entry.Step) (*rpc.Stream, try) {
+func (o *Outbound) begin(dial, ctx context.Context, c *Call, cluster *ClusterState, r *entry.Request, step entry.Step) (*rpc.Stream, try) {
 	t := try{server: step.Server}
-	server, _ := world.Servers.Get(t.server)
+	server, _ := cluster.Servers.Get(t.server)
 	if server == nil { // the list is newer than the request's
-		server, _ = o.world().Servers.Get(t.server)
+		server, _ = o.cluster().Servers.Get(t.server)
 	}
 	if server == nil {
 		t.out, t.result = unsent(true, "not listed"), decide.NotSent
--- a/internal/proxy/bed_test.go
+++ b/internal/proxy/bed_test.go
@@ -152,7 +152,7 @@
 		b.in.Heartbeat(Heartbeat{ID: id, Service: "s", Address: b.app(id, gate), Zone: "z", Slots: 8}, time.Now())
 		edit.Set(id, &wire.Server{Member: id, Service: "s", Address: nodes.Addr().String(), Zone: "z", Speaks: localserver.SpeaksFields})
 	}
-	w := &World{Config: config, Servers: edit.Map()}
+	w := &ClusterState{Config: config, Servers: edit.Map()}
 	b.out.Update(w)
 	return b
 }
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -25,8 +25,8 @@
 	configWait       = 300 * time.Millisecond // for the first configuration of a process
 )
 
-// World is what a node has been told.
-type World = entry.World
+// ClusterState is what a node has been told.
+type ClusterState = entry.ClusterState
 
 // Outbound answers the requests that begin on this machine. It is the driver of
 // package entry.
@@ -88,7 +88,7 @@
 // Priorities is how many there are in the configuration.
 func (o *Outbound) Priorities() int {
 	most := 0
-	if config := o.world().Config; config != nil {
+	if config := o.cluster().Config; config != nil {
 		for _, r := range config.Routes {
 			most = max(most, r.Priority+1)
 		}
@@ -103,27 +103,27 @@
 	return o.table.Pressure(o.now(), service)
 }
 
-// Update takes a newer version of the world.
-func (o *Outbound) Update(w *World) {
+// Update takes a newer version of the cluster.
+func (o *Outbound) Update(w *ClusterState) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if w.Config != nil && o.table.World().Config == nil {
+	if w.Config != nil && o.table.ClusterState().Config == nil {
 		close(o.ready)
 	}
 	o.table.Update(o.now(), w)
 }
 
-// world is what the node was last told.
-func (o *Outbound) world() *World {
+// cluster is what the node was last told.
+func (o *Outbound) cluster() *ClusterState {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.table.World()
+	return o.table.ClusterState()
 }
 
 // Bounds are what the configuration lets clients do.
 func (o *Outbound) Bounds() Bounds {
 	b := Bounds{Limits: http1.Limits{Head: 16 << 10, Body: 64 << 20}, HeadWait: 3 * time.Second, Idle: 15 * time.Second}
-	if c := o.world().Config; c != nil {
+	if c := o.cluster().Config; c != nil {
 		if c.Limits.HeaderBytes > 0 {
 			b.Head = c.Limits.HeaderBytes
 		}
@@ -180,7 +180,7 @@
 
 // handle is Handle, and notes in rec which route, service and servers had a part.
 func (o *Outbound) handle(ctx context.Context, c *Call, rec *trace.Record) *Answer {
-	if o.world().Config == nil { // in a process that has just started it may come at any moment
+	if o.cluster().Config == nil { // in a process that has just started it may come at any moment
 		timer := time.NewTimer(configWait)
 		select {
 		case <-o.ready:
@@ -189,11 +189,11 @@
 		}
 		timer.Stop()
 	}
-	world := o.world()
-	if world.Config == nil {
+	cluster := o.cluster()
+	if cluster.Config == nil {
 		return say(&entry.Final{Status: 503, Why: "no configuration yet", After: 500 * time.Millisecond})
 	}
-	route := world.Config.Find(c.Host, c.Path())
+	route := cluster.Config.Find(c.Host, c.Path())
 	if route == nil {
 		return text(404, "no route")
 	}
@@ -229,7 +229,7 @@
 		o.logRefusal(e.Service, false)
 		return say(refused)
 	}
-	a := o.serve(ctx, c, world, r)
+	a := o.serve(ctx, c, cluster, r)
 	if a.Back {
 		o.logRefusal(e.Service, true)
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -22,9 +22,9 @@
 func TestAnOlderNodeGetsWhatItUnderstands(t *testing.T) {
 	b := newBed(t, nil)
 	_, want, wantHeaders := b.ask("POST", "/once/x", "new", "payload", "X-A", "1: 2")
-	w := *b.out.world()
+	w := *b.out.cluster()
 	edit := w.Servers.Edit()
-	b.out.world().Servers.Each(func(id string, s *wire.Server) {
+	b.out.cluster().Servers.Each(func(id string, s *wire.Server) {
 		edit.Set(id, &wire.Server{Member: id, Service: s.Service, Address: s.Address, Zone: s.Zone})
 	})
 	w.Servers = edit.Map()
--- a/internal/proxy/schedule_test.go
+++ b/internal/proxy/schedule_test.go
@@ -268,17 +268,17 @@
 		server.ID += "-new"
 		successor.in.Heartbeat(server, time.Now())
 	}
-	world := *b.out.world()
-	address := func(w *World) string {
+	cluster := *b.out.cluster()
+	address := func(w *ClusterState) string {
 		server, _ := w.Servers.Get("i-1")
 		return server.Address
 	}
-	cut := newCutter(t, address(&world), address(successor.out.world()))
-	edit := world.Servers.Edit()
+	cut := newCutter(t, address(&cluster), address(successor.out.cluster()))
+	edit := cluster.Servers.Edit()
 	for _, id := range []string{"i-1", "i-2"} {
 		edit.Set(id, &wire.Server{Member: id, Service: "s", Address: cut.l.Addr().String(), Zone: "z", Speaks: localserver.SpeaksFields})
 	}
-	world.Servers = edit.Map()
+	cluster.Servers = edit.Map()
 	statuses := map[int]int{}
 	for _, direction := range []*atomic.Int64{&cut.forward, &cut.back} {
 		for _, path := range []string{"/once/x", "/safe/x"} {
@@ -288,7 +288,7 @@
 				direction.Store(at)
 				cut.first.Store(true)
 				id := fmt.Sprintf("cut%d-%t-%s", at, direction == &cut.back, path[1:5])
-				out := newEntryNode(t, &world)
+				out := newEntryNode(t, &cluster)
 				status, body := b.send(t, out, path, id, 150)
 				statuses[status]++
 				runs := b.servers(id)
@@ -316,12 +316,12 @@
 }
 
 // newEntryNode returns the side of a node at which requests begin, with connections of its own.
-func newEntryNode(t *testing.T, world *World) *Outbound {
+func newEntryNode(t *testing.T, cluster *ClusterState) *Outbound {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	out := &Outbound{Node: "n", Zone: "z", Backend: "own", Ratio: 1, Window: time.Second, Pool: rpc.NewPool(ctx), Log: slog.New(slog.DiscardHandler)}
 	out.Start(1)
-	out.Update(world)
+	out.Update(cluster)
 	return out
 }
 
--- a/internal/raft/lease_relay_sim_test.go
+++ b/internal/raft/lease_relay_sim_test.go
@@ -17,11 +17,11 @@
 	subscription relay.Subscription
 	subscribedAt time.Duration // by the parent's clock; -1: the request is under way
 	requestAt    time.Duration // when the request arrives
-	life         *int          // stands for its process
+	incarnation  *int          // stands for its process
 	parentLife   any           // the process that it has subscribed to
 	startedAt    time.Duration // by its clock
 	owed         uint64        // what had been acknowledged by then
-	fence        relay.Fence
+	readiness    relay.Readiness
 	ready        bool
 	sentAt       time.Duration // of the newest feed
 	feeds        []leaseFeed
@@ -42,7 +42,7 @@
 // startRelay begins a process of a data node, which has nothing yet.
 func (w *leaseWorld) startRelay(c *leaseRelay) {
 	drift := (2*w.rng.Float64() - 1) / leaseDrift
-	*c = leaseRelay{offset: w.span(0, time.Hour), drift: drift, subscribedAt: -1, life: new(int), child: c.child, owed: w.ackedBefore(w.now)}
+	*c = leaseRelay{offset: w.span(0, time.Hour), drift: drift, subscribedAt: -1, incarnation: new(int), child: c.child, owed: w.ackedBefore(w.now)}
 	c.startedAt = w.relayClock(c)
 	c.contact = c.startedAt - MaxContactAge
 }
@@ -56,7 +56,7 @@
 func (w *leaseWorld) feed(m *leaseMember) {
 	w.feedOne(m.child, m.node, w.clock(m), m.contact, m.applied)
 	c := m.child
-	w.feedOne(c.child, c.life, w.relayClock(c), c.contact, c.applied)
+	w.feedOne(c.child, c.incarnation, w.relayClock(c), c.contact, c.applied)
 	w.serve("the child of", m, c)
 	w.serve("the grandchild of", m, c.child)
 }
@@ -67,7 +67,7 @@
 		return
 	}
 	now := w.relayClock(c)
-	switch proof := c.fence.Check(now-c.startedAt, now-c.contact, c.applied); {
+	switch proof := c.readiness.Check(now-c.startedAt, now-c.contact, c.applied); {
 	case proof == relay.NoProof:
 		return
 	case proof == relay.Unconfirmed && w.ackedBefore(w.now-leaseOldest) > c.applied:
@@ -79,7 +79,7 @@
 }
 
 // feedOne drives one child of a parent, whose clock, contact and state are given.
-func (w *leaseWorld) feedOne(c *leaseRelay, life any, parentNow, parentContact time.Duration, head uint64) {
+func (w *leaseWorld) feedOne(c *leaseRelay, incarnation any, parentNow, parentContact time.Duration, head uint64) {
 	own := w.relayClock(c)
 	delay := func() time.Duration { // now and then seconds, as of a machine that does not read
 		if w.rng.IntN(12) == 0 {
@@ -88,10 +88,10 @@
 		return w.span(time.Millisecond, 20*time.Millisecond)
 	}
 	subscribe := func() {
-		c.parentLife, c.subscription, c.subscribedAt = life, relay.Subscription{AskedAt: own}, -1
+		c.parentLife, c.subscription, c.subscribedAt = incarnation, relay.Subscription{AskedAt: own}, -1
 		c.requestAt, c.feeds = w.now+delay(), nil
 	}
-	if c.parentLife != life {
+	if c.parentLife != incarnation {
 		subscribe()
 	}
 	if c.subscribedAt < 0 && w.now >= c.requestAt {
--- a/internal/relay/failure_search_test.go
+++ b/internal/relay/failure_search_test.go
@@ -23,16 +23,16 @@
 		contactChance := []int{0, 1, 100, 1000}[rng.IntN(4)]                          // in 1,000 polls
 		answeredAt := start + time.Duration(rng.IntN(60_000)-20_000)*time.Millisecond // before the start: never
 		contact := time.Duration(rng.Int64N(int64(start + 1)))                        // that the relay above it had when the node subscribed
-		fence := Fence{}
+		readiness := Readiness{}
 		for now := start; now < end; now += poll {
 			if rng.IntN(1000) < contactChance {
 				contact = now
 			}
 			if now >= answeredAt && answeredAt >= start && now-answeredAt < poll {
-				fence.Confirmed(acknowledged(now))
+				readiness.Confirmed(acknowledged(now))
 			}
 			up, index := now-start, acknowledged(contact)
-			proof := fence.Check(up, now-contact, index)
+			proof := readiness.Check(up, now-contact, index)
 			if proof == NoProof {
 				continue
 			}
--- a/internal/relay/fence.go
+++ b/internal/relay/readiness.go
@@ -3,11 +3,11 @@
 import "time"
 
 const (
-	// fenceWait is the time after which a node starts by a state that is not proven to be as new as its start.
-	fenceWait = 6 * time.Second
-	// maxFenceAge is the age that such a state may have: so long a change may take to be in force on a node that is cut
+	// unprovenWait is the time after which a node starts by a state that is not proven to be as new as its start.
+	unprovenWait = 6 * time.Second
+	// maxUnprovenAge is the age that such a state may have: so long a change may take to be in force on a node that is cut
 	// off from a part of the control plane, whoever serves.
-	maxFenceAge = 20 * time.Second
+	maxUnprovenAge = 20 * time.Second
 )
 
 // Proof says why a node that has just started may serve.
@@ -21,24 +21,24 @@
 	Unconfirmed Proof = "recent, no more" // a relay's state of a bounded age, after a wait
 )
 
-// Fence decides when a node that has just started may serve: once its state has all that was acknowledged before the
+// Readiness decides when a node that has just started may serve: once its state has all that was acknowledged before the
 // start. Where that can't be proven in time, a state of a bounded age will do; an older one never does.
-type Fence struct {
+type Readiness struct {
 	latest uint64
 	known  bool
 }
 
 // Confirmed takes the latest index, as the leader has given it after the start.
-func (f *Fence) Confirmed(latest uint64) { f.latest, f.known = latest, true }
+func (f *Readiness) Confirmed(latest uint64) { f.latest, f.known = latest, true }
 
 // Check returns the proof at a moment: up is the time since the start, age the age of the state, read before its index.
-func (f *Fence) Check(up, age time.Duration, index uint64) Proof {
+func (f *Readiness) Check(up, age time.Duration, index uint64) Proof {
 	switch {
 	case f.known && index >= f.latest:
 		return LeaderProof
 	case age < up:
 		return AgeProof
-	case up >= fenceWait && age <= maxFenceAge:
+	case up >= unprovenWait && age <= maxUnprovenAge:
 		return Unconfirmed
 	}
 	return NoProof
--- a/internal/relay/fence_test.go
+++ b/internal/relay/readiness_test.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// TestFence: a node that has just started serves by a state that is proven to be as new as its start, or after a wait by
+// TestReadiness: a node that has just started serves by a state that is proven to be as new as its start, or after a wait by
 // one of a bounded age. One that started while it was cut off, below a relay that is cut off as well, does not.
-func TestFence(t *testing.T) {
+func TestReadiness(t *testing.T) {
 	for _, c := range []struct {
 		name    string
 		latest  uint64 // by the leader's word; 0: not known
@@ -20,11 +20,11 @@
 		{"a contact since the start", 0, time.Second, 900 * time.Millisecond, 6, AgeProof},
 		{"a contact at the start", 0, time.Second, time.Second, 6, NoProof},
 		{"no proof, just started", 0, time.Second, 10 * time.Second, 6, NoProof},
-		{"no proof for a while, a recent state", 0, fenceWait, 10 * time.Second, 6, Unconfirmed},
-		{"no proof for a while, an old state", 0, fenceWait, maxFenceAge + time.Second, 6, NoProof},
+		{"no proof for a while, a recent state", 0, unprovenWait, 10 * time.Second, 6, Unconfirmed},
+		{"no proof for a while, an old state", 0, unprovenWait, maxUnprovenAge + time.Second, 6, NoProof},
 		{"no proof for long, no state", 0, time.Hour, never, 0, NoProof},
 	} {
-		var f Fence
+		var f Readiness
 		if c.latest > 0 {
 			f.Confirmed(c.latest)
 		}
--- a/internal/scale/agree.go
+++ b/internal/scale/agree.go
@@ -74,8 +74,8 @@
 		case s.Nodes == 0:
 		case s.MinIndex < latest:
 			return agreement{why: fmt.Sprintf("a node knows of update %d of %d", s.MinIndex, latest)}
-		case s.Fenced < s.Nodes:
-			return agreement{why: fmt.Sprintf("%d of %d nodes of a process are ready", s.Fenced, s.Nodes)}
+		case s.Ready < s.Nodes:
+			return agreement{why: fmt.Sprintf("%d of %d nodes of a process are ready", s.Ready, s.Nodes)}
 		}
 	}
 	if n := r.listed(ctx); n != len(r.running) {
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -262,8 +262,8 @@
 			s.MinMembers = members
 		}
 		s.MaxIndex, s.MaxMembers = max(s.MaxIndex, index), max(s.MaxMembers, members)
-		if n.agent.Fenced() {
-			s.Fenced++
+		if n.agent.Ready() {
+			s.Ready++
 		}
 		s.MaxAgeMs = max(s.MaxAgeMs, n.agent.Follower.Age().Milliseconds())
 		first = false
--- a/internal/scale/messages.go
+++ b/internal/scale/messages.go
@@ -30,7 +30,7 @@
 
 // state is how far some nodes agree.
 type state struct {
-	Nodes, Fenced          int
+	Nodes, Ready           int
 	MinIndex, MaxIndex     uint64
 	MinMembers, MaxMembers int
 	MaxAgeMs               int64
--- a/internal/scale/state.go
+++ b/internal/scale/state.go
@@ -67,7 +67,7 @@
 type nodeState struct {
 	hub      *relay.Hub
 	group    *membership.Group
-	world    entry.WorldBuilder
+	cluster  entry.ClusterStateBuilder
 	outbound *proxy.Outbound
 }
 
@@ -150,9 +150,9 @@
 	if !n.hub.Apply(feed.Changes) {
 		return errors.New("a difference does not begin where the node stands")
 	}
-	changes, config := n.hub.State(n.world.Index())
-	n.world.Apply(changes, config)
-	n.outbound.Update(n.world.World())
+	changes, config := n.hub.State(n.cluster.Index())
+	n.cluster.Apply(changes, config)
+	n.outbound.Update(n.cluster.ClusterState())
 	return nil
 }
 
@@ -163,8 +163,8 @@
 		return err
 	}
 	n.group.Merge(now, answer.Updates...)
-	n.world.Members(n.group.Members(), func(node string) bool { return n.group.Gone(now, node) > 0 })
-	n.outbound.Update(n.world.World())
+	n.cluster.Members(n.group.Members(), func(node string) bool { return n.group.Gone(now, node) > 0 })
+	n.outbound.Update(n.cluster.ClusterState())
 	return nil
 }
 
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -50,7 +50,7 @@
 }
 
 // Steps of a start, in the order in which they wait for each other.
-var Steps = []string{"control.started", "leadership.acquired", "data.start", "server.new", "config.applied", "data.fenced"}
+var Steps = []string{"control.started", "leadership.acquired", "data.start", "server.new", "config.applied", "data.ready"}
 
 // calm is the time without a start that parts two waves.
 const calm = 3 * time.Second
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -16,10 +16,10 @@
   31.0 n2 time=2026-02-18T01:08:40.150Z level=INFO msg=data.start node=n2
   31.0 n1 time=2026-02-18T01:08:40.100Z level=INFO msg=data.start node=n1
   31.2 c1 time=2026-02-18T01:08:40.200Z level=INFO msg=leadership.acquired term=3
-  31.3 n1 time=2026-02-18T01:08:40.300Z level=INFO msg=data.fenced number=3
-  31.4 n2 time=2026-02-18T01:08:40.450Z level=INFO msg=data.fenced number=3
-  31.5 n1 time=2026-02-18T01:08:40.900Z level=INFO msg=data.fenced number=4
-  31.5 n1 time=yesterday level=INFO msg=data.fenced
+  31.3 n1 time=2026-02-18T01:08:40.300Z level=INFO msg=data.ready number=3
+  31.4 n2 time=2026-02-18T01:08:40.450Z level=INFO msg=data.ready number=3
+  31.5 n1 time=2026-02-18T01:08:40.900Z level=INFO msg=data.ready number=4
+  31.5 n1 time=yesterday level=INFO msg=data.ready
 `
 	events, err := Read(strings.NewReader(log), "")
 	if err != nil || len(events) != 9 {
@@ -30,7 +30,7 @@
 		t.Fatalf("%+v, %v", w, ok)
 	}
 	const ms = time.Millisecond
-	want := Step{Name: "data.fenced", Machines: 2, First: 300 * ms, Median: 450 * ms, Last: 450 * ms, Slowest: "n2"}
+	want := Step{Name: "data.ready", Machines: 2, First: 300 * ms, Median: 450 * ms, Last: 450 * ms, Slowest: "n2"}
 	if got := w.Steps[3]; got != want {
 		t.Errorf("%+v, want %+v", got, want)
 	}
