Split the way of a request at its server into admission, run and bookkeeping

Inbound.Forward did all three in 60 lines, and knew a call that its sender had called off by the text of its outcome; send now says so. Nothing behaves otherwise.

--- a/internal/entry/cluster.go
+++ b/internal/entry/cluster.go
@@ -18,9 +18,8 @@
 	Nodes   map[string][]string      // sidecar machines that are there, by zone
 }
 
-// ClusterStateBuilder keeps a ClusterState up to date, at the cost of what changes. Servers that drain, or whose machines are not
-// alive,
-// are not sent to. Its zero value has been told nothing.
+// ClusterStateBuilder keeps a ClusterState up to date, at the cost of what changes. Servers that drain, or whose machines
+// are not alive, are not sent to. Its zero value has been told nothing.
 type ClusterStateBuilder struct {
 	cluster ClusterState
 	listed  map[string]*wire.Server // by member, all that are registered
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -34,14 +34,11 @@
 			return a
 		}
 		if client.Err() != nil {
-			return text(504, leftText)
+			return text(504, calledOffText) // the client has left, and reads no answer
 		}
 	}
 }
 
-// leftText is for a client that has left, and reads no answer.
-const leftText = "called off"
-
 // take does what a step says, and returns the final answer where that brings it.
 func (o *Outbound) take(client context.Context, c *Call, cluster *ClusterState, r *entry.Request, step entry.Step) *Answer {
 	switch {
@@ -91,7 +88,7 @@
 			second = nil
 			final = o.done(c, r, t)
 		case <-client.Done():
-			final = text(504, leftText)
+			final = text(504, calledOffText) // the client has left, and reads no answer
 		case <-timer.C:
 			if over = time.Until(until) <= 0; !over {
 				timer.Reset(time.Until(until))
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -28,6 +28,23 @@
 		Member: q.Member, Service: q.Service, Attempt: q.Attempt, Priority: q.Priority, Repeat: q.Repeat, Wait: q.Wait,
 		Call: health.Call{Zone: q.Zone, Usual: time.Duration(q.UsualMs) * time.Millisecond, Once: q.Once, Insist: q.Insist},
 	}
+	a, refused := in.admit(ctx, ask, until)
+	if refused != nil {
+		return refused, nil
+	}
+	began := in.now()
+	out, calledOff := a.send(ctx, q, until)
+	end := localserver.EndOf(out)
+	if calledOff {
+		end = health.Void
+	}
+	in.finish(a, q, out, end, began)
+	return out, nil
+}
+
+// admit waits for a slot of the server that a request names. It returns the server, or the outcome of a request that is
+// turned away.
+func (in *Inbound) admit(ctx context.Context, ask localserver.Ask, until time.Time) (*app, *wire.Outcome) {
 	in.mu.Lock()
 	t := in.spare
 	if in.spare = nil; t == nil {
@@ -40,7 +57,7 @@
 		in.spare = t
 	}
 	deliver(verdicts)
-	a := in.apps[q.Member]
+	a := in.apps[ask.Member]
 	var load serverLoad
 	due := false
 	if place == localserver.Full && a != nil {
@@ -48,28 +65,27 @@
 	}
 	in.mu.Unlock()
 	if due {
-		load.log(in.Log, in.now(), q.Member, a.slots)
+		load.log(in.Log, in.now(), ask.Member, a.slots)
 	}
 	switch place {
 	case localserver.Gone:
-		return unsent(true, "%s", why), nil
+		return nil, unsent(true, "%s", why)
 	case localserver.Hangs:
-		return unsent(false, "%s", why), nil
+		return nil, unsent(false, "%s", why)
 	case localserver.Unhealthy:
-		return &wire.Outcome{Fate: wire.Outcome_UNSENT, Why: why, Unhealthy: true}, nil
+		return nil, &wire.Outcome{Fate: wire.Outcome_UNSENT, Why: why, Unhealthy: true}
 	case localserver.Full:
-		return &wire.Outcome{Fate: wire.Outcome_UNSENT, Why: why, Waiting: true}, nil
+		return nil, &wire.Outcome{Fate: wire.Outcome_UNSENT, Why: why, Waiting: true}
 	case localserver.Queue:
 		if why := in.await(ctx, ask, t, until); why != "" {
-			return unsent(false, "%s", why), nil
+			return nil, unsent(false, "%s", why)
 		}
 	}
-	began := in.now()
-	out := a.send(ctx, q, until)
-	end := localserver.EndOf(out)
-	if out.Why == calledOff {
-		end = health.Void
-	}
+	return a, nil
+}
+
+// finish books the end of a run, and adds to its outcome what the node has learnt from it.
+func (in *Inbound) finish(a *app, q *wire.Forward, out *wire.Outcome, end health.End, began time.Duration) {
 	in.mu.Lock()
 	now := in.now()
 	f := in.admission.Finish(now, q.Member, q.Attempt, end)
@@ -94,11 +110,10 @@
 		}
 		out.Called = append(out.Called, w)
 	}
-	return out, nil
 }
 
-// calledOff is the end of a request that its sender no longer wants.
-const calledOff = "called off"
+// calledOffText is the end of a request that its sender no longer wants, for those who read of it.
+const calledOffText = "called off"
 
 // await waits for a slot; it says why there is none.
 func (in *Inbound) await(ctx context.Context, ask localserver.Ask, t *ticket, until time.Time) (why string) {
@@ -114,7 +129,7 @@
 		in.admission.Run(in.now(), ask)
 		return ""
 	case <-ctx.Done():
-		why = calledOff
+		why = calledOffText
 	case <-timer.C:
 		why = "no slot in time"
 	}
@@ -126,18 +141,18 @@
 	return why
 }
 
-// send makes one attempt at the server.
-func (a *app) send(ctx context.Context, q *wire.Forward, until time.Time) *wire.Outcome {
+// send makes one attempt at the server. calledOff tells that it ended because its sender no longer wants it.
+func (a *app) send(ctx context.Context, q *wire.Forward, until time.Time) (out *wire.Outcome, calledOff bool) {
 	c, err := a.connect(ctx, until)
 	left := time.Until(until)
 	if left < minLeft || ctx.Err() != nil {
 		if err == nil {
 			a.keep(c)
 		}
-		return unsent(false, calledOff)
+		return unsent(false, calledOffText), true
 	}
 	if err != nil {
-		return unsent(false, "connecting: %v", err)
+		return unsent(false, "connecting: %v", err), false
 	}
 	buf := messages.Get().(*[]byte)
 	message := appendForward((*buf)[:0], q, left)
@@ -151,7 +166,7 @@
 		c.nc.Close()
 		if n < whole {
 			// Its end never left, but what a server makes of a part is its own affair.
-			return &wire.Outcome{Fate: wire.Outcome_BROKEN, Why: "writing: " + err.Error()}
+			return &wire.Outcome{Fate: wire.Outcome_BROKEN, Why: "writing: " + err.Error()}, false
 		}
 	}
 	body, err := c.read(q.Method, q.Attempt)
@@ -161,20 +176,20 @@
 		out := &wire.Outcome{Fate: wire.Outcome_BROKEN, Why: err.Error()}
 		switch {
 		case ctx.Err() != nil:
-			out.Why = calledOff
+			out.Why, calledOff = calledOffText, true
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			out.Fate = wire.Outcome_LATE
 		}
-		return out
+		return out, calledOff
 	}
-	out := judge(q, &c.resp, body, c.used)
+	out = judge(q, &c.resp, body, c.used)
 	if clean && !c.resp.Close && !c.surplus && c.r.Buffered() == 0 {
 		c.answered()
 		a.keep(c) // nothing of it is ours any more
 	} else {
 		c.nc.Close()
 	}
-	return out
+	return out, false
 }
 
 // atEnd has f called at the end of a context, unless the stop that it returns comes before: then that reports true.
