--- /dev/null
+++ b/internal/lab/request.go
@@ -0,0 +1,208 @@
+package lab
+
+import (
+	"time"
+
+	"ivydeck/decide"
+	"ivydeck/internal/entry"
+	"ivydeck/internal/health"
+	"ivydeck/internal/localserver"
+	"ivydeck/internal/meshconfig"
+	"ivydeck/internal/wire"
+)
+
+// ticket is a request that waits for a slot at a server.
+type ticket struct{ verdict func(bool) }
+
+func (n *node) deliver(verdicts []localserver.Verdict[*ticket]) {
+	for _, v := range verdicts {
+		v.Ticket.verdict(v.Go)
+	}
+}
+
+// refresh brings the table up to what the node has been told. The real node does so
+// at once; here it is put off until somebody asks.
+func (n *node) refresh() bool {
+	members := n.group.Version()
+	if members != n.members {
+		n.cluster.Members(n.group.Members(), func(name string) bool { return n.group.Gone(n.s.now, name) > 0 })
+	}
+	if n.hub.Index() != n.cluster.Index() || members != n.members {
+		n.members = members
+		n.cluster.Apply(n.hub.State(n.cluster.Index()))
+		n.table.Update(n.s.now, n.cluster.ClusterState())
+	}
+	return n.table.ClusterState().Config != nil
+}
+
+// handle gives one request its final answer; the answer's After is positive where
+// it promises that the request has not run.
+func (n *node) handle(t *try, done func(f entry.Final)) {
+	s := n.s
+	if !n.refresh() {
+		done(entry.Final{Status: 503, Why: "no configuration", After: 500 * time.Millisecond})
+		return
+	}
+	var route *meshconfig.Route
+	if route = n.table.ClusterState().Config.Find(host, "/"+t.req.route.Name+"/"); route == nil {
+		done(entry.Final{Status: 404, Why: "no route"})
+		return
+	}
+	e := entry.Entrant{Route: route, Service: n.table.Choose(route), Arrived: s.now}
+	e.Until = s.now + min(route.Timeout(), t.until-s.now) - answerMargin
+	e.Inner, e.Again = n.admission.Graph(t.id, e.Service)
+	s.m.entered(s.now, e.Service)
+	if e.Again {
+		s.m.repeated(s.now, e.Service)
+	}
+	r, refused := n.table.Enter(s.now, e)
+	if refused != nil {
+		done(*refused)
+		return
+	}
+	incarnation := n.incarnation
+	over := false
+	end := func(f entry.Final) {
+		over = true
+		r.Leave(s.now)
+		if e.Inner && f.Status >= 400 {
+			n.admission.CallFailed(t.id)
+		}
+		done(f)
+	}
+	open := 0
+	var step func()
+	try := func(next entry.Step) {
+		open++
+		n.attempt(t, r, next, func(out *wire.Outcome, result decide.Result) {
+			open--
+			if over {
+				r.Late(s.now, next.Server, out, result)
+				return
+			}
+			final, pass := r.Done(s.now, next.Server, out, result)
+			switch {
+			case final != nil:
+				end(*final)
+			case pass:
+				end(entry.Final{Status: int(out.Status)})
+			case open == 0:
+				step()
+			}
+		})
+	}
+	step = func() {
+		if !n.up || n.incarnation != incarnation {
+			return
+		}
+		switch next := r.Next(s.now); {
+		case next.Final != nil:
+			end(*next.Final)
+		case next.Server == "":
+			s.after(next.Wait, step)
+		default:
+			try(next)
+			if after := r.HedgeAfter(); after > 0 {
+				s.after(after, func() {
+					if !over && open == 1 && n.up && n.incarnation == incarnation {
+						if next, ok := r.Hedge(s.now); ok {
+							try(next)
+						}
+					}
+				})
+			}
+		}
+	}
+	step()
+}
+
+// attempt asks the node beside a server.
+func (n *node) attempt(t *try, r *entry.Request, step entry.Step, done func(*wire.Outcome, decide.Result)) {
+	id := step.Server
+	s := n.s
+	listed, _ := n.table.ClusterState().Servers.Get(id)
+	if listed == nil {
+		done(&wire.Outcome{Fate: wire.Outcome_UNSENT, Gone: true}, decide.NotSent)
+		return
+	}
+	to := s.nodes[s.index[listed.Node]]
+	ask := localserver.Ask{Member: id, Service: r.Service, Attempt: t.id, Priority: r.Rank, Repeat: step.Repeat, Wait: step.Queue,
+		Call: health.Call{Zone: n.zone, Usual: step.Usual, Once: r.Once(), Insist: step.Insist}}
+	until := r.Until
+	tries := r.Tries()
+	s.call(&n.machine, &to.machine, headBytes, max(0, until-s.now), func(answer func(int, func())) {
+		to.forward(t, ask, until, tries, func(out *wire.Outcome) {
+			answer(headBytes, func() { done(out, entry.Result(out)) })
+		})
+	}, func(sent bool) {
+		switch {
+		case !sent:
+			done(&wire.Outcome{Fate: wire.Outcome_UNSENT}, decide.Unconnected)
+		case s.now >= until:
+			done(&wire.Outcome{Fate: wire.Outcome_LATE}, decide.TimedOut)
+		default:
+			done(&wire.Outcome{Fate: wire.Outcome_BROKEN}, decide.Broken)
+		}
+	})
+}
+
+// forward passes a request to the server here, or turns it away.
+func (n *node) forward(t *try, ask localserver.Ask, until time.Duration, tries int, done func(*wire.Outcome)) {
+	s, incarnation := n.s, n.incarnation
+	unsent := func(gone, waiting bool) { done(&wire.Outcome{Fate: wire.Outcome_UNSENT, Gone: gone, Waiting: waiting}) }
+	begin := func() {
+		if n.server == nil || n.server.id != ask.Member || !n.server.up {
+			f := n.admission.Finish(s.now, ask.Member, ask.Attempt, health.Broken)
+			n.deliver(f.Verdicts)
+			unsent(false, f.Waiting)
+			return
+		}
+		began := s.now
+		n.server.run(t, ask, until, tries, func(status int32, fate wire.Outcome_Fate) {
+			if !n.up || n.incarnation != incarnation {
+				return
+			}
+			out := &wire.Outcome{Fate: fate, Status: status, TookMs: uint32((s.now - began).Milliseconds())}
+			f := n.admission.Finish(s.now, ask.Member, ask.Attempt, localserver.EndOf(out))
+			n.deliver(f.Verdicts)
+			out.Waiting, out.Pace, out.Fill = f.Waiting, float32(f.Pace), float32(f.Fill)
+			for _, c := range f.Called {
+				out.Called = append(out.Called, &wire.Called{Service: c.Service, Times: c.Times, Pressure: n.table.Pressure(s.now, c.Service)})
+			}
+			done(out)
+		})
+	}
+	tk := &ticket{}
+	over := false
+	tk.verdict = func(pass bool) {
+		over = true
+		// The verdict comes out of the station: what follows is a moment of its own.
+		s.after(0, func() {
+			switch {
+			case !n.up || n.incarnation != incarnation:
+			case pass:
+				n.admission.Run(s.now, ask)
+				begin()
+			default:
+				unsent(false, false)
+			}
+		})
+	}
+	place, _, v := n.admission.Arrive(s.now, ask, tk)
+	n.deliver(v)
+	switch place {
+	case localserver.Slot:
+		begin()
+	case localserver.Queue:
+		s.at(until-5*time.Millisecond, func() {
+			if !over && n.up && n.incarnation == incarnation && n.admission.Leave(ask.Member, tk) {
+				over = true
+				unsent(false, true)
+			}
+		})
+	default:
+		done(&wire.Outcome{
+			Fate: wire.Outcome_UNSENT, Gone: place == localserver.Gone, Unhealthy: place == localserver.Unhealthy, Waiting: place == localserver.Full,
+		})
+	}
+}
