--- a/internal/raft/retention_test.go
+++ b/internal/raft/retention_test.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -226,17 +227,25 @@
 		own = append(own, &wire.Entry{Term: 3 + i/100*2, Index: i + 2})
 		diverged = append(diverged, &wire.Entry{Term: 2 + i/100*2, Index: i + 2})
 	}
-	c := New(1, &wire.HardState{Term: 21}, &wire.RaftSnapshot{Term: 1, Index: 1, Peers: voters(3)}, own, 1, 0)
+	const delay, most = 2, 60 // heartbeats
+	if c := joinLogs(own, diverged, 21, delay, most); c.progress[3].match != c.last() {
+		t.Errorf("after %d heartbeats the log joins up to %d of %d, and %d is asked for", most, c.progress[3].match, c.last(), c.progress[3].next)
+	}
+}
+
+// joinLogs returns a leader of three behind so many heartbeats, or as soon as the log of a member that has other entries has
+// joined its own. Messages between the two take delay heartbeats each way.
+func joinLogs(own, diverged []*wire.Entry, term uint64, delay, most int) *Node {
+	c := New(1, &wire.HardState{Term: term}, &wire.RaftSnapshot{Term: 1, Index: 1, Peers: voters(3)}, own, 1, 0)
 	c.Tick(lateNow)
 	settle(c)
 	for _, pre := range []bool{true, false} {
-		c.Step(lateNow, &wire.Raft{Kind: wire.Raft_VOTED, From: 2, To: 1, Term: 22, Pre: pre})
+		c.Step(lateNow, &wire.Raft{Kind: wire.Raft_VOTED, From: 2, To: 1, Term: term + 1, Pre: pre})
 		settle(c)
 	}
-	f := New(3, &wire.HardState{Term: 21}, &wire.RaftSnapshot{Term: 1, Index: 1, Peers: voters(3)}, diverged, 1, c.now)
-	const delay, most = 2, 60 // heartbeats
-	var toLeader, toFollower [most + delay + 1][]*wire.Raft
-	for turn := range most {
+	f := New(3, &wire.HardState{Term: term}, &wire.RaftSnapshot{Term: 1, Index: 1, Peers: voters(3)}, diverged, 1, c.now)
+	toLeader, toFollower := make([][]*wire.Raft, most+delay+1), make([][]*wire.Raft, most+delay+1)
+	for turn := 0; turn < most && c.progress[3].match != c.last(); turn++ {
 		c.Tick(c.now + Heartbeat)
 		sent := acknowledge(c, 2, c.last())
 		for _, m := range toFollower[turn] {
@@ -250,11 +259,33 @@
 		}
 		sent.Messages = append(sent.Messages, settle(c).Messages...)
 		toFollower[turn+delay] = sentTo(sent, 3, wire.Raft_APPEND)
-		if c.progress[3].match == c.last() {
-			return
+	}
+	return c
+}
+
+// TestSearchOfDivergedLogs draws logs of two members that have led in turn, each for some entries: they join after as many
+// round trips as there are terms in turn, and some more, however long the logs are.
+func TestSearchOfDivergedLogs(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 0xd1e))
+		turns, delay := 1+rng.IntN(8), 1+rng.IntN(3)
+		var own, diverged []*wire.Entry
+		term := uint64(1)
+		for range turns {
+			term += 2
+			for range 1 + rng.IntN(150) {
+				own = append(own, &wire.Entry{Term: term, Index: uint64(len(own)) + 2})
+			}
+			for range 1 + rng.IntN(150) {
+				diverged = append(diverged, &wire.Entry{Term: term - 1, Index: uint64(len(diverged)) + 2})
+			}
+		}
+		most := 2*delay*(turns+3) + 4
+		if c := joinLogs(own, diverged, term, delay, most); c.progress[3].match != c.last() {
+			t.Fatalf("seed %d: %d terms in turn, %d and %d entries, %d heartbeats a way: after %d heartbeats the log joins up to %d", seed, turns,
+				len(own), len(diverged), delay, most, c.progress[3].match)
 		}
 	}
-	t.Errorf("after %d heartbeats the log joins up to %d of %d, and %d is asked for", most, c.progress[3].match, c.last(), c.progress[3].next)
 }
 
 // TestAFollowerKeepsNothingForTransfers: one that led, and was transferring a snapshot, keeps the usual tail from then on.
