--- a/internal/rpc/unsent_test.go
+++ b/internal/rpc/unsent_test.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"errors"
 	"math"
+	"math/rand/v2"
 	"net"
 	"testing"
 	"time"
@@ -65,3 +66,29 @@
 		t.Errorf("streams %d and %d, want the last number and then the first that is free", a, b)
 	}
 }
+
+// TestSearchOfStreamNumbers draws streams that are opened and ended, with the numbers coming to their end again and again:
+// none is 0 or in use.
+func TestSearchOfStreamNumbers(t *testing.T) {
+	for seed := range uint64(100) {
+		rng := rand.New(rand.NewPCG(seed, 0x57e))
+		c := &conn{streams: map[uint32]*Stream{}, next: 1}
+		for range 2000 {
+			switch rng.IntN(10) {
+			case 0: // many streams later
+				c.next = math.MaxUint32 - uint32(rng.IntN(20))
+			case 1, 2, 3, 4:
+				for id := range c.streams {
+					delete(c.streams, id)
+					break
+				}
+			default:
+				id := c.freeStream()
+				if id == 0 || c.streams[id] != nil {
+					t.Fatalf("seed %d: number %d is given, with %d streams open", seed, id, len(c.streams))
+				}
+				c.streams[id] = &Stream{}
+			}
+		}
+	}
+}
