Read no request that could not be waited for in a planned end

In a roll with over half of a zone out, clients are sent to nodes that are about to end. Nothing is read later than 2.9 s after SIGTERM now.

--- a/internal/data/shutdown.go
+++ b/internal/data/shutdown.go
@@ -9,11 +9,17 @@
 const (
 	clientsLeave = 2500 * time.Millisecond // clients have found other nodes after that
 	serverLeaves = 1500 * time.Millisecond // until then the server beside the node has work as ever
-	stopMargin   = 1600 * time.Millisecond // before the end: no further request is begun
+	readsEnd     = 2900 * time.Millisecond // no further request is read after that: a long one could not end in time ...
+	stopMargin   = 1600 * time.Millisecond // ... nor this long before the end, where that comes sooner
 	leaveMargin  = 600 * time.Millisecond  // before the end: the process ends
 	cancelBefore = 200 * time.Millisecond  // before that requests are called off, so that they have an answer
 )
 
+// readingEnds is how long after SIGTERM requests are read. The platform counts on an answer to those that a client sends
+// more than three seconds after it, whatever they take; those from before are excused once the second half of the grace
+// period has begun.
+func readingEnds(grace time.Duration) time.Duration { return min(readsEnd, grace-stopMargin) }
+
 // shutDown ends the node's part in the mesh in order: no new work, answers to all
 // that is under way, and the end before the platform kills the process.
 func (n *Node) shutDown() {
@@ -23,7 +29,7 @@
 	n.log.Info("data.leaving")
 	grace := n.set.Load().Bounds.Grace
 	idle := func() bool { return n.front.Pending() == 0 && n.inbound.Busy() == 0 }
-	for time.Since(began) < grace-stopMargin && !(time.Since(began) >= clientsLeave && idle()) {
+	for time.Since(began) < readingEnds(grace) && !(time.Since(began) >= clientsLeave && idle()) {
 		// Clients take two seconds to go elsewhere, in which the server's work may go on. In a roll of many nodes
 		// that is a good part of the capacity.
 		if time.Since(began) >= min(serverLeaves, grace/4) && !n.emptying.Swap(true) {
@@ -31,8 +37,8 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	// Some clients come to the end, where few other nodes are ready. What they send
-	// from here on is not read, and goes elsewhere.
+	// Some clients come to the end, where few other nodes are ready. What they send from here on is not read, and goes
+	// elsewhere, while it has time; what was read by then has time to end.
 	n.front.Stop()
 	for time.Since(began) < grace-leaveMargin-cancelBefore && !idle() {
 		time.Sleep(20 * time.Millisecond)
