Review, case 1: pipelines that clients leave make a node refuse all clients and never end

A request that is read after the connection's context has ended takes no token of its channel, but its worker takes one out, so that the last workers wait for ever. The count of open connections stays, and at 3,000 every new connection is closed unread; after SIGTERM the process does not end.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
 if [ ! -x target/review/standin ]; then
 	review/build.sh || exit 2
 fi
-exec target/review/standin late-heartbeat review/3/record.txt
+exec target/review/standin lost-deregistration review/3/record.txt
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -32,9 +32,14 @@
 	return &client{mesh: m, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, sent: map[string]sentRequest{}}
 }
 
+// newID returns a new Attempt-Id.
+func (c *client) newID() string {
+	return fmt.Sprintf("%016x", 0x9c41d07be2a30000+uint64(c.nextID.Add(1)))
+}
+
 // send sends one request with a new Attempt-Id and waits for the answer.
 func (c *client) send(machine int, method, path string, body io.Reader, length int64, budget time.Duration) (attempt string, status int) {
-	attempt = fmt.Sprintf("%016x", 0x9c41d07be2a30000+uint64(c.nextID.Add(1)))
+	attempt = c.newID()
 	ctx, cancel := context.WithTimeout(context.Background(), budget)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.mesh.address(machine, outboundPort)+path, body)
@@ -93,6 +98,18 @@
 	return c.sent[attempt].at
 }
 
+// count returns the number of requests with a status.
+func (c *client) count(status int) (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.sent {
+		if r.status == status {
+			n++
+		}
+	}
+	return n
+}
+
 // summarize records how many requests got each status.
 func (c *client) summarize() {
 	c.mu.Lock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,6 +12,7 @@
 
 // cases are the functions that play a case. Each reports whether the rule was broken.
 var cases = map[string]func(m *mesh, trouble bool) (broken bool, err error){
+	"abandoned-pipelines": abandonedPipelines,
 	"lost-deregistration": lostDeregistration,
 	"late-heartbeat":      lateHeartbeat,
 	"large-bodies":        largeBodies,
--- a/review/standin/mesh.go
+++ b/review/standin/mesh.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -64,6 +65,8 @@
 	cores   int
 	started time.Time
 
+	loggedArrivals atomic.Int64
+
 	recordMu sync.Mutex
 	record   *bufio.Writer
 
@@ -114,6 +117,16 @@
 	m.record.Flush()
 }
 
+// maxArrivals bounds the arrivals at servers that are written to record.txt.
+const maxArrivals = 20000
+
+// logArrival is logf for the arrival of a request at a server. It writes only the first maxArrivals.
+func (m *mesh) logArrival(format string, args ...any) {
+	if m.loggedArrivals.Add(1) <= maxArrivals {
+		m.logf(format, args...)
+	}
+}
+
 func (m *mesh) name(n int) string {
 	if n <= m.cores {
 		return fmt.Sprintf("core-%d", n)
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -117,7 +117,7 @@
 		return
 	}
 	at := s.mesh.elapsed()
-	s.mesh.logf("server %s: request %s arrives", s.id, attempt)
+	s.mesh.logArrival("server %s: request %s arrives", s.id, attempt)
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, arrival{at, attempt})
 	s.mu.Unlock()
