Record departures of servers at a majority of the quorum before they are acknowledged

Cause: a deregistration was known to the memory of one process. The next process took the server from the registry, which kept it while there was no leader, or from a heartbeat that was late, and served it. Draining waited for the log, but a late heartbeat undid it in the next process as well.

Change: a departure (draining or deregistered) is final, so it needs no order. A node acknowledges it once a majority of the voters has it on disk, with a leader or without; the leader puts it into the log as soon as there is one. A process lets requests reach a server that it does not know, from the registry or by a heartbeat, only after a majority has answered that no departure is recorded. A deregistration of an unknown server is remembered as well.

--- a/internal/controlplane/catalog/catalog.go
+++ b/internal/controlplane/catalog/catalog.go
@@ -1,4 +1,5 @@
-// Package catalog implements the replicated state: the configuration in force and the registry of application servers. It
+// Package catalog implements the replicated state: the configuration in force, the registry of application servers and their
+// departures. It
 // is a deterministic state machine that applies the committed log entries in order, so that all replicas reach the same
 // state. (It corresponds to Consul's FSM and state store.)
 //
@@ -18,12 +19,17 @@
 	"google.golang.org/protobuf/proto"
 
 	"ivydeck/internal/config/meshconfig"
+	"ivydeck/internal/controlplane/departure"
 	"ivydeck/internal/transport/wire"
 )
 
 // maxServers bounds the number of registered servers, and with it the size of the state.
 const maxServers = 60000
 
+// maxDepartures bounds the departures that are kept. The oldest is dropped after as many servers as can be registered have left
+// since, when no heartbeat of it can still be under way. Replicas drop the same ones.
+const maxDepartures = maxServers
+
 // Errors of Apply. Answers to operators contain the texts of configuration errors.
 var (
 	// ErrStale is returned for a configuration whose base is not the current revision or body.
@@ -42,6 +48,8 @@
 	body     []byte // encoding of config, as received from the operator; nil if there is none yet
 	config   *meshconfig.Config
 	accepted acceptedChanges
+
+	departures departure.Set
 }
 
 // New returns the empty state, before the first log entry.
@@ -57,6 +65,9 @@
 // Config returns the configuration in force, or nil if there is none yet.
 func (c *Catalog) Config() *meshconfig.Config { return c.config }
 
+// Departure returns the phase of a server's departure.
+func (c *Catalog) Departure(member string) wire.Departure_Phase { return c.departures.Phase(member) }
+
 // Servers returns the registered servers, sorted by name.
 func (c *Catalog) Servers() []*wire.Server { return c.view.Servers() }
 
@@ -118,6 +129,18 @@
 				changed = append(changed, removedServer(index, m))
 			}
 		}
+	case *wire.Command_Departures:
+		c.addDepartures(change.Departures.GetDepartures())
 	}
 	return changed, nil // commands that only later versions support change nothing
 }
+
+// addDepartures records departures. They are no resources: members and nodes ask for them by name.
+func (c *Catalog) addDepartures(departures []*wire.Departure) {
+	for _, d := range departures {
+		c.departures.Add(d)
+	}
+	if excess := c.departures.Len() - maxDepartures; excess > 0 {
+		c.departures.DropOldest(max(excess, maxDepartures/8)) // several at once, because it copies the list
+	}
+}
--- a/internal/controlplane/catalog/image.go
+++ b/internal/controlplane/catalog/image.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"ivydeck/internal/config/meshconfig"
+	"ivydeck/internal/controlplane/departure"
 	"ivydeck/internal/transport/wire"
 )
 
@@ -14,12 +15,14 @@
 	body     []byte
 	config   *meshconfig.Config
 	accepted acceptedChanges
+
+	departures []*wire.Departure
 }
 
-// Image returns a copy of the current state. It copies a pointer for each resource, and the list of accepted changes.
+// Image returns a copy of the current state. It copies a pointer for each resource and departure, and the list of accepted changes.
 func (c *Catalog) Image() *Image {
 	accepted := acceptedChanges{newest: slices.Clone(c.accepted.newest), highestEvicted: c.accepted.highestEvicted}
-	return &Image{full: c.FullChanges(), body: c.body, config: c.config, accepted: accepted}
+	return &Image{full: c.FullChanges(), body: c.body, config: c.config, accepted: accepted, departures: c.departures.All()}
 }
 
 // Encode returns what Catalog.Snapshot returned when the image was made.
@@ -28,7 +31,7 @@
 	if i.full != nil {
 		view.Apply(i.full)
 	}
-	c := &Catalog{view: view, body: i.body, config: i.config, accepted: i.accepted}
+	c := &Catalog{view: view, body: i.body, config: i.config, accepted: i.accepted, departures: *departure.NewSet(i.departures)}
 	return c.Snapshot()
 }
 
--- a/internal/controlplane/catalog/snapshot.go
+++ b/internal/controlplane/catalog/snapshot.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"ivydeck/internal/config/meshconfig"
+	"ivydeck/internal/controlplane/departure"
 	"ivydeck/internal/transport/wire"
 )
 
@@ -25,7 +26,7 @@
 
 // state returns the state for a snapshot. It stores the configuration as its body, and only the indexes of its resources.
 func (c *Catalog) state() *wire.State {
-	state := &wire.State{Index: c.view.index, Floor: c.view.floor, Config: c.body, Servers: c.Servers()}
+	state := &wire.State{Index: c.view.index, Floor: c.view.floor, Config: c.body, Servers: c.Servers(), Departures: c.departures.All()}
 	indexOf := func(k key) uint64 { return c.view.entries[k].resource.Index }
 	for _, server := range state.Servers {
 		state.ServerIndexes = append(state.ServerIndexes, indexOf(key{kind: kindServer, name: server.Member}))
@@ -68,6 +69,7 @@
 	view.Apply(changesOf(state, config))
 	c.view, c.config, c.body = view, config, nil
 	c.accepted.decode(&snapshot)
+	c.departures = *departure.NewSet(state.Departures)
 	if config != nil {
 		c.body = state.Config
 	}
--- a/internal/controlplane/server/apply.go
+++ b/internal/controlplane/server/apply.go
@@ -18,6 +18,7 @@
 			srv.log.Info("config.accepted", "revision", current.Revision(), "index", changes.To, "resources", len(changes.Resources))
 		}
 	}
+	srv.departures.Applied()
 	srv.requests.completeCommand(entry, changes != nil, applyErr)
 }
 
--- a/internal/controlplane/server/doc.go
+++ b/internal/controlplane/server/doc.go
@@ -18,6 +18,7 @@
 //	quorum_contact.go      age of the state since a quorum last confirmed it
 //	membership_driver.go   joining and leaving, by the rules of raft.MembershipManager
 //	leader.go              leadership transfer, removal of servers on lost nodes
+//	departures.go          departures of servers, recorded by a majority without a leader
 //	request_queue.go       commands and reads in progress (no I/O)
 //	request_queue_calls.go blocking calls that submit to the request queue
 //	operator_requests.go   results of operators' requests (no I/O)
--- a/internal/controlplane/server/loop.go
+++ b/internal/controlplane/server/loop.go
@@ -93,6 +93,8 @@
 		srv.manageLeadership()
 	}
 	srv.membership.tick()
+	srv.saveDepartures()
+	srv.offerDepartures()
 	srv.flush()
 	srv.observeContact(srv.now())
 	wait := min(srv.consensus.NextTick()-srv.now(), manageInterval)
--- a/internal/controlplane/server/replica.go
+++ b/internal/controlplane/server/replica.go
@@ -6,6 +6,7 @@
 
 	"ivydeck/internal/controlplane/backup"
 	"ivydeck/internal/controlplane/catalog"
+	"ivydeck/internal/controlplane/departure"
 	"ivydeck/internal/controlplane/raft"
 	"ivydeck/internal/controlplane/store"
 	"ivydeck/internal/transport/rpc"
@@ -24,6 +25,9 @@
 	operator     operatorRequests
 	ackGate      ackGate
 
+	departures      *departure.Recorder
+	unsavedRequests []func() // complete the requests that wait until their departures are on disk
+
 	// Raft messages.
 	senders           map[uint64]*sender
 	observedAddresses map[uint64]string // addresses in received messages, by sender; at most maxObservedAddresses
@@ -67,6 +71,7 @@
 	srv.consensus = raft.New(st.ID, st.HardState, st.Snapshot, slices.Concat(st.Tail, st.Entries), seed, 0)
 	srv.membership = newMembershipDriver(srv)
 	st.Tail, st.Entries = nil, nil // owned by the consensus now
+	srv.departures = departure.NewRecorder(srv.consensus, func(member string) wire.Departure_Phase { return srv.catalog.Departure(member) }, st.Departures)
 	srv.requests = newRequestQueue(srv.consensus, srv.minAckVoters, 0)
 	srv.operator = operatorRequests{requests: srv.requests, state: func() backup.Backup {
 		return backup.Backup{Term: srv.consensus.Term(), Index: srv.appliedIndex, State: srv.catalog}
--- a/internal/controlplane/server/server.go
+++ b/internal/controlplane/server/server.go
@@ -182,6 +182,7 @@
 	rpcServer.Handle("join", rpc.Unary(srv.membership.handleJoin), identity.QuorumMember)
 	rpcServer.Handle("leave", rpc.Unary(srv.membership.handleLeave), identity.QuorumMember)
 	rpcServer.Handle("propose", rpc.Unary(srv.handlePropose))
+	rpcServer.Handle("departure", rpc.Unary(srv.handleDeparture))
 	rpcServer.Handle("latest", rpc.Unary(srv.handleLatest))
 	rpcServer.Handle("subscribe", srv.hub.Serve)
 	return rpcServer
--- a/internal/controlplane/server/storage.go
+++ b/internal/controlplane/server/storage.go
@@ -70,5 +70,6 @@
 		panic(err)
 	}
 	srv.appliedIndex = snapshot.Index
+	srv.departures.Applied()
 	srv.publishFullState()
 }
--- a/internal/controlplane/store/load.go
+++ b/internal/controlplane/store/load.go
@@ -33,6 +33,11 @@
 	} else if ok {
 		s.HardState = hardState
 	}
+	departures := new(wire.Departures)
+	if _, err := s.get(keyDepartures, departures); err != nil {
+		return err
+	}
+	s.Departures = departures.Departures
 	if err := s.loadSnapshot(); err != nil {
 		return err
 	}
--- a/internal/controlplane/store/record.go
+++ b/internal/controlplane/store/record.go
@@ -14,11 +14,12 @@
 
 // Keys of the database. An entry's key is entryPrefix and the index as 8 bytes, big-endian.
 var (
-	keyID        = []byte("id")
-	keyHardState = []byte("hard")
-	keySnapshot  = []byte("snapshot")
-	keyFormat    = []byte("format")
-	entryPrefix  = byte('e')
+	keyID         = []byte("id")
+	keyHardState  = []byte("hard")
+	keySnapshot   = []byte("snapshot")
+	keyFormat     = []byte("format")
+	keyDepartures = []byte("departures")
+	entryPrefix   = byte('e')
 )
 
 // latestFormat is the latest format that this version supports. Format 1 added checksums to records, and format 2 files for
--- a/internal/controlplane/store/save.go
+++ b/internal/controlplane/store/save.go
@@ -25,7 +25,8 @@
 	ReplacesLog bool               // the snapshot was received from a leader and replaces all entries
 	First       uint64             // index of the oldest entry to keep before the snapshot; 0 keeps none
 	HardState   *wire.HardState
-	Entries     []*wire.Entry // replace all stored entries from the first one's index on
+	Entries     []*wire.Entry    // replace all stored entries from the first one's index on
+	Departures  *wire.Departures // replace the stored departures that are not in the log yet
 }
 
 // pendingBatch is the write of a Save, with the fields of Store that change once it succeeds.
@@ -79,6 +80,11 @@
 			return err
 		}
 	}
+	if batch.Departures != nil {
+		if err := pending.put(keyDepartures, batch.Departures); err != nil {
+			return fmt.Errorf("store: encoding departures: %w", err)
+		}
+	}
 	if pending.Len() == 0 {
 		return nil
 	}
--- a/internal/controlplane/store/store.go
+++ b/internal/controlplane/store/store.go
@@ -52,6 +52,8 @@
 	Snapshot  *wire.RaftSnapshot
 	Tail      []*wire.Entry // kept entries up to the snapshot's index, as loaded
 	Entries   []*wire.Entry // entries after the snapshot, as loaded; owned by the caller
+
+	Departures []*wire.Departure // departures that were not in the log when they were stored, as loaded
 }
 
 // options returns options with small buffers and caches: the state has a few megabytes at most.
--- a/internal/dataplane/localserver/localserver.go
+++ b/internal/dataplane/localserver/localserver.go
@@ -66,6 +66,7 @@
 	drainStartedAt time.Duration // time of the first heartbeat with the draining status
 	terminated     bool
 	unresponsive   bool // terminated by Sweep; a further heartbeat restores it
+	deregistered   bool // terminated at the server's own request
 
 	inflight    int
 	queue       []queuedRequest[T] // by priority, then in order of arrival
@@ -139,23 +140,37 @@
 
 // Adopt adds a server that is registered for this machine before its first
 // heartbeat to this process, so that a restarted process can serve at once. It
-// returns false if the registry already has a server, or if registered has no slots.
+// returns false if another server is running, if this incarnation is known, or if
+// registered has no slots. The caller has looked up that the server has not departed.
 // Requests name their incarnation, so another incarnation at the address rejects them.
 func (s *Registry[T]) Adopt(now time.Duration, registered Heartbeat) bool {
-	if len(s.incarnations) > 0 || registered.Slots <= 0 {
+	if s.Known(registered.ID) || registered.Slots <= 0 || len(s.incarnations) >= maxIncarnations {
 		return false
 	}
+	for _, other := range s.incarnations {
+		if !other.terminated {
+			return false
+		}
+	}
 	s.incarnations[registered.ID] = &incarnation[T]{Heartbeat: registered, heartbeatAt: now, respondedAt: now, health: health.New(now)}
 	return true
 }
 
+// Known reports whether this process remembers an incarnation, which may be terminated.
+func (s *Registry[T]) Known(id string) bool { return s.incarnations[id] != nil }
+
 // Deregister terminates a server at its own request. It reports false if the server is
-// unknown or already terminated.
-func (s *Registry[T]) Deregister(id string) (ended bool, grants []SlotGrant[T]) {
+// unknown or already terminated. An unknown server is remembered as terminated, because
+// an earlier process may have registered it.
+func (s *Registry[T]) Deregister(now time.Duration, id string) (ended bool, grants []SlotGrant[T]) {
 	server := s.incarnations[id]
 	if server == nil {
+		if len(s.incarnations) < maxIncarnations {
+			s.incarnations[id] = &incarnation[T]{Heartbeat: Heartbeat{ID: id}, heartbeatAt: now, terminated: true, deregistered: true}
+		}
 		return false, nil
 	}
+	server.deregistered = true
 	server.unresponsive = false
 	if server.terminated {
 		return false, nil
@@ -163,6 +178,12 @@
 	return true, server.end()
 }
 
+// Departed reports whether a server is known to have deregistered.
+func (s *Registry[T]) Departed(id string) bool {
+	server := s.incarnations[id]
+	return server != nil && server.deregistered
+}
+
 // end terminates an incarnation and rejects its queued requests.
 func (m *incarnation[T]) end() (grants []SlotGrant[T]) {
 	m.terminated = true
--- a/internal/dataplane/localserver/register.go
+++ b/internal/dataplane/localserver/register.go
@@ -20,10 +20,21 @@
 	protocolVersion = ProtocolFields
 )
 
+// Local holds what a node knows of the servers on its machine.
+type Local struct {
+	Servers     []Heartbeat
+	Departed    func(member string) bool // reports whether a server has deregistered; may be nil
+	JustStarted bool                     // servers may be running that have not sent a heartbeat to this process yet
+}
+
+// mayBeRunning reports whether a registered server that is not in Servers may still be running.
+func (l Local) mayBeRunning(member string) bool {
+	return l.JustStarted && len(l.Servers) == 0 && (l.Departed == nil || !l.Departed(member))
+}
+
 // Reconcile returns the commands that make the registered servers of a machine equal
-// to its actual servers. If justStarted is true and servers is empty, no registered
-// server is removed.
-func Reconcile(machine Machine, servers []Heartbeat, registered []*wire.Server, justStarted bool) []*wire.Command {
+// to its actual servers.
+func Reconcile(machine Machine, local Local, registered []*wire.Server) []*wire.Command {
 	stale := map[string]*wire.Server{}
 	for _, s := range registered {
 		if s.Node == machine.Node {
@@ -31,7 +42,7 @@
 		}
 	}
 	var commands []*wire.Command
-	for _, server := range servers {
+	for _, server := range local.Servers {
 		want := &wire.Server{
 			Member: server.ID, Service: server.Service, Node: machine.Node, Address: machine.Address, Zone: machine.Zone,
 			Slots: uint32(server.Slots), Draining: server.Draining, NodeLeaving: machine.Draining, ProtocolVersion: protocolVersion,
@@ -41,12 +52,14 @@
 		}
 		delete(stale, server.ID)
 	}
-	if len(stale) == 0 || justStarted && len(servers) == 0 {
-		return commands
-	}
 	var removed []string
 	for id := range stale {
-		removed = append(removed, id)
+		if !local.mayBeRunning(id) {
+			removed = append(removed, id)
+		}
+	}
+	if len(removed) == 0 {
+		return commands
 	}
 	slices.Sort(removed)
 	return append(commands, &wire.Command{Change: &wire.Command_Remove{Remove: &wire.RemoveServers{Members: removed}}})
--- a/internal/dataplane/proxy/inbound.go
+++ b/internal/dataplane/proxy/inbound.go
@@ -136,11 +136,25 @@
 	}
 }
 
+// Known reports whether this process remembers a server, which may have ended.
+func (i *Inbound) Known(id string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.registry.Known(id)
+}
+
+// Departed reports whether a server is known to have deregistered.
+func (i *Inbound) Departed(id string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.registry.Departed(id)
+}
+
 // Deregister removes a server at its own request.
 func (i *Inbound) Deregister(id string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	ended, grants := i.registry.Deregister(id)
+	ended, grants := i.registry.Deregister(i.now(), id)
 	deliverGrants(grants)
 	if ended {
 		i.removeServer(id)
--- a/internal/dataplane/sidecar/doc.go
+++ b/internal/dataplane/sidecar/doc.go
@@ -5,6 +5,7 @@
 //	node.go       construction and main loop
 //	listeners.go  listening sockets
 //	servers.go    heartbeats of the application server
+//	verifier.go   holds back servers that may have departed before the process started
 //	update.go     applies updates of the replicated state to the request path
 //	shutdown.go   graceful shutdown
 //	metrics.go, status.go, trace.go  metrics, status and traces for operators
--- a/internal/dataplane/sidecar/mesh_test.go
+++ b/internal/dataplane/sidecar/mesh_test.go
@@ -48,6 +48,16 @@
 }
 
 func (m *mesh) settings(n int, class nodefile.Class, bootstrap bool) *nodefile.Settings {
+	m.t.Helper()
+	s, err := nodefile.Parse(m.settingsText(n, class, bootstrap))
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	return s
+}
+
+// settingsText returns the content of a machine's settings file.
+func (m *mesh) settingsText(n int, class nodefile.Class, bootstrap bool) string {
 	m.t.Helper()
 	ip := fmt.Sprint("127.7.0.", n)
 	text := fmt.Sprintf(`node_name=n%d
@@ -77,11 +87,7 @@
 		f := m.issue(role, fmt.Sprint("n", n))
 		text += fmt.Sprintf("tls.cert=%s\ntls.key=%s\ntls.bundle=%s\ntls.operator=true\n", f.Cert, f.Key, f.Bundle)
 	}
-	s, err := nodefile.Parse(text)
-	if err != nil {
-		m.t.Fatal(err)
-	}
-	return s
+	return text
 }
 
 func (m *mesh) issue(role identity.Role, name string) identity.Files {
--- a/internal/dataplane/sidecar/node.go
+++ b/internal/dataplane/sidecar/node.go
@@ -36,6 +36,7 @@
 	frontend  *proxy.Listener
 	outbound  *proxy.Outbound
 	inbound   *proxy.Inbound
+	verifier  *verifier
 	startTime time.Time
 	workers   sync.WaitGroup
 
@@ -74,6 +75,7 @@
 	n.workers.Go(func() { readiness.Serve(sockets.readiness) })
 	n.workers.Go(func() { n.agent.Run(runCtx) })
 	n.workers.Go(func() { n.watch(runCtx) })
+	n.workers.Go(func() { n.verifier.run(runCtx) })
 	n.workers.Go(func() {
 		for s := reload(); s != nil; s = reload() {
 			n.settings.Store(s)
@@ -108,8 +110,9 @@
 	n.inbound = proxy.NewInbound(settings.Bounds.Drain, settings.HeartbeatInterval, log)
 	n.agent = agent.New(agent.Options{
 		Settings: n.settings.Load, Pool: n.pool, Seed: rng.Uint64(), Log: log,
-		Servers: n.inbound.Servers, ServersChanged: n.inbound.Changed(), Draining: n.draining.Load,
+		Servers: n.inbound.Servers, ServersChanged: n.inbound.Changed(), Departed: n.inbound.Departed, Draining: n.draining.Load,
 	})
+	n.verifier = newVerifier(n.inbound, n.agent.FindDepartures, log)
 	n.gossip, n.hub, n.follower = n.agent.Gossip, n.agent.Hub, n.agent.Follower
 	n.outbound = &proxy.Outbound{
 		Node: settings.Node, Zone: settings.Zone, Backend: settings.Backend, RetryRatio: settings.Bounds.RetryRatio, RetryWindow: settings.Bounds.RetryWindow,
--- a/internal/dataplane/sidecar/servers.go
+++ b/internal/dataplane/sidecar/servers.go
@@ -11,12 +11,13 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"ivydeck/internal/dataplane/proxy"
+	"ivydeck/internal/transport/wire"
 )
 
 const (
-	maxHeartbeatBytes = 4 << 10
-	maxWarmupMs       = 600_000                // upper bound on warmup_left_ms
-	drainAckTimeout   = 800 * time.Millisecond // wait for a draining status in the registry; servers time out a heartbeat after 1 s
+	maxHeartbeatBytes   = 4 << 10
+	maxWarmupMs         = 600_000                // upper bound on warmup_left_ms
+	departureAckTimeout = 800 * time.Millisecond // servers time out a call after 1 s
 )
 
 // heartbeatBody is the msgpack body of a server's heartbeat.
@@ -50,8 +51,8 @@
 		return
 	}
 	if action == "deregister" {
-		n.inbound.Deregister(id)
-		n.acknowledge(w)
+		n.verifier.Deregister(id)
+		n.acknowledgeDeparture(w, r, id, wire.Departure_DEREGISTERED)
 		return
 	}
 	heartbeat, err := readHeartbeat(body)
@@ -60,34 +61,40 @@
 		return
 	}
 	heartbeat.ID = id
-	if !n.inbound.Heartbeat(heartbeat, time.Now()) {
-		http.Error(w, "this life has ended", http.StatusConflict)
-		return
+	switch err := n.verifier.Heartbeat(heartbeat, time.Now()); {
+	case errors.Is(err, errIncarnationEnded):
+		http.Error(w, err.Error(), http.StatusConflict)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	case heartbeat.Draining:
+		n.acknowledgeDeparture(w, r, id, wire.Departure_DRAINING)
+	default:
+		n.acknowledge(w)
 	}
-	if heartbeat.Draining && !n.awaitDrainUpdate(r.Context(), id) {
-		http.Error(w, "the mark is not in the log yet", http.StatusServiceUnavailable)
+}
+
+// acknowledgeDeparture acknowledges the departure of a server once it is recorded.
+func (n *Node) acknowledgeDeparture(w http.ResponseWriter, r *http.Request, member string, phase wire.Departure_Phase) {
+	if !n.recordDeparture(r.Context(), member, phase) {
+		http.Error(w, "the departure is not recorded yet", http.StatusServiceUnavailable)
 		return
 	}
 	n.acknowledge(w)
 }
 
-// awaitDrainUpdate waits until the registry contains the draining status, and reports whether it does before drainAckTimeout.
-// An acknowledged status must survive a crash of this process, and the next process restores its servers from the registry.
-// Locally the status takes effect at once, whether it is acknowledged or not.
-func (n *Node) awaitDrainUpdate(ctx context.Context, id string) bool {
-	ctx, cancel := context.WithTimeout(ctx, drainAckTimeout)
+// recordDeparture records the departure of a server at a majority of the quorum, and reports whether it has done so within
+// departureAckTimeout. An acknowledged departure must survive a crash of this process, also while the quorum has no leader: see
+// package departure. Locally it takes effect at once, whether it is acknowledged or not.
+func (n *Node) recordDeparture(ctx context.Context, member string, phase wire.Departure_Phase) bool {
+	ctx, cancel := context.WithTimeout(ctx, departureAckTimeout)
 	defer cancel()
-	for {
-		changed := n.hub.Changed()
-		if n.hub.Server(id).GetDraining() {
-			return true
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return false
-		}
+	start := time.Now()
+	if !n.agent.RecordDeparture(ctx, &wire.Departure{Member: member, Phase: phase}) {
+		n.log.Warn("server.departure_not_recorded", "member", member, "phase", phase.String(), "duration_ms", time.Since(start).Milliseconds())
+		return false
 	}
+	n.log.Info("server.departure_recorded", "member", member, "phase", phase.String(), "duration_ms", time.Since(start).Milliseconds())
+	return true
 }
 
 // acknowledge responds with an empty msgpack map.
--- a/internal/dataplane/sidecar/update.go
+++ b/internal/dataplane/sidecar/update.go
@@ -56,17 +56,18 @@
 	}
 }
 
-// adopt adds the local server as the previous process registered it, so that it can serve before its first heartbeat. It does
-// nothing once the process has run for two heartbeat intervals.
+// adopt adds the local server as the previous process registered it, so that it can serve before its first heartbeat. It adds
+// none once the process has run for two heartbeat intervals.
 func (n *Node) adopt(changes *wire.Changes) {
 	settings := n.settings.Load()
-	if time.Since(n.startTime) >= 2*settings.HeartbeatInterval {
-		return
-	}
+	justStarted := time.Since(n.startTime) < 2*settings.HeartbeatInterval
 	for _, resource := range changes.GetResources() {
+		if removed := resource.GetRemovedServer(); removed != "" {
+			n.verifier.Unregistered(removed)
+		}
 		server := resource.GetServer()
-		if server != nil && server.Node == settings.Node && server.Service == settings.Backend && !server.Draining {
-			n.inbound.Adopt(proxy.Heartbeat{ID: server.Member, Service: server.Service, Address: settings.AppAddress, Zone: server.Zone, Slots: int(server.Slots)}, time.Now())
+		if justStarted && server != nil && server.Node == settings.Node && server.Service == settings.Backend && !server.Draining {
+			n.verifier.Adopt(proxy.Heartbeat{ID: server.Member, Service: server.Service, Address: settings.AppAddress, Zone: server.Zone, Slots: int(server.Slots)})
 		}
 	}
 }
--- a/internal/distribution/agent/agent.go
+++ b/internal/distribution/agent/agent.go
@@ -27,6 +27,7 @@
 
 	Servers        func() []localserver.Heartbeat // returns the servers of this machine, as they should be registered
 	ServersChanged <-chan struct{}                // receives when Servers may have changed
+	Departed       func(member string) bool       // reports whether a server is known to have deregistered; may be nil
 	Draining       func() bool                    // reports whether the node is shutting down and its servers accept no new requests
 }
 
--- a/internal/distribution/agent/leader.go
+++ b/internal/distribution/agent/leader.go
@@ -48,16 +48,26 @@
 }
 
 // callLeader calls quorum members until one of them is the leader, and records the leader's address. send calls one address.
-// It returns done if the leader handled the call, and otherwise the leader's address if the response contained it. If a
-// member does not respond within hedgeDelay, the next one is called as well: after a power failure, some machines start
-// long before others.
+// It returns done if the leader handled the call, and otherwise the leader's address if the response contained it.
 func callLeader[T any](ctx context.Context, a *Agent, send func(ctx context.Context, address string) (response T, done bool, leader string)) (response T, ok bool) {
+	response, leader := callQuorum(ctx, a, send)
+	if leader != "" || ctx.Err() == nil {
+		a.setLeader(leader)
+	}
+	return response, leader != ""
+}
+
+// callQuorum calls quorum members until one of them has handled the call, and returns that member's address, or "" if none has.
+// send calls one address. It returns done if the member handled the call, and otherwise the address of the member to call next,
+// if the response contained one. If a member does not respond within hedgeDelay, the next one is called as well: after a power
+// failure, some machines start long before others.
+func callQuorum[T any](ctx context.Context, a *Agent, send func(ctx context.Context, address string) (response T, done bool, next string)) (response T, handledBy string) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type reply struct {
-		address, leader string
-		response        T
-		done            bool
+		address, next string
+		response      T
+		done          bool
 	}
 	pending, called, inFlight := a.quorumAddresses(), map[string]bool{}, 0
 	replies := make(chan reply, maxLeaderCalls)
@@ -73,7 +83,7 @@
 				callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 				defer cancel()
 				r := reply{address: address}
-				r.response, r.done, r.leader = send(callCtx, address)
+				r.response, r.done, r.next = send(callCtx, address)
 				replies <- r
 			})
 			return
@@ -87,23 +97,21 @@
 			inFlight--
 			if r.done {
 				timer.Stop()
-				a.setLeader(r.address)
-				return r.response, true
+				return r.response, r.address
 			}
-			if r.leader != "" && !called[r.leader] {
-				pending = slices.Insert(pending, 0, r.leader)
+			if r.next != "" && !called[r.next] {
+				pending = slices.Insert(pending, 0, r.next)
 			}
 			callNext()
 		case <-timer.C:
 			callNext()
 		case <-ctx.Done():
 			timer.Stop()
-			return response, false
+			return response, ""
 		}
 		timer.Stop()
 	}
-	a.setLeader("")
-	return response, false
+	return response, ""
 }
 
 // LatestIndex queries the leader for the index of the latest update. ok is false if no leader responded.
--- a/internal/distribution/agent/register.go
+++ b/internal/distribution/agent/register.go
@@ -48,7 +48,8 @@
 func (a *Agent) registryDifference(registered []*wire.Server) []*wire.Command {
 	settings := a.options.Settings()
 	machine := localserver.Machine{Node: settings.Node, Address: settings.Internal(), Zone: settings.Zone, Draining: a.options.Draining()}
-	return localserver.Reconcile(machine, a.options.Servers(), registered, time.Since(a.startedAt) < 2*settings.HeartbeatInterval)
+	local := localserver.Local{Servers: a.options.Servers(), Departed: a.options.Departed, JustStarted: time.Since(a.startedAt) < 2*settings.HeartbeatInterval}
+	return localserver.Reconcile(machine, local, registered)
 }
 
 // propose sends a command to the leader, and reports whether it was committed.
--- a/internal/simulation/lab/node.go
+++ b/internal/simulation/lab/node.go
@@ -240,7 +240,8 @@
 	self := localserver.Machine{Node: n.name, Address: n.name, Zone: n.zone}
 	changes, _ := n.hub.State(n.registered.Index())
 	n.registered.Apply(changes)
-	commands := localserver.Reconcile(self, n.admission.Servers(), n.registered.Servers(), n.sim.now-n.startedAt < ms(2*n.sim.scenario.HeartbeatMs))
+	local := localserver.Local{Servers: n.admission.Servers(), Departed: n.admission.Departed, JustStarted: n.sim.now-n.startedAt < ms(2*n.sim.scenario.HeartbeatMs)}
+	commands := localserver.Reconcile(self, local, n.registered.Servers())
 	if len(commands) == 0 {
 		return
 	}
--- a/internal/simulation/lab/server.go
+++ b/internal/simulation/lab/server.go
@@ -105,7 +105,7 @@
 	v.sim.after(2*ms(v.sim.scenario.DrainMs), func() {
 		if v.id == id && v.up {
 			v.stop()
-			v.node.admission.Deregister(id)
+			v.node.admission.Deregister(v.sim.now, id)
 			v.sim.at(restartAt, func() { v.sim.startServer(v) })
 		}
 	})
