Record replaced servers as departed, so that their late heartbeats end no running server

Cause: only the memory of one process knew that a server had replaced another at its address. The next process took a late heartbeat of the earlier one for that of a newer server.

Change: a node records each server that another one has replaced as departed, also those that it finds in the registry, and those that had been unresponsive. The next process asks before it believes the late heartbeat. Nothing is acknowledged by it, so it is recorded in the background.

With the change it passes, and the late heartbeat gets 409.

--- a/internal/dataplane/localserver/localserver.go
+++ b/internal/dataplane/localserver/localserver.go
@@ -87,7 +87,8 @@
 	New          bool     // the incarnation was unknown
 	Recovered    bool     // the incarnation had been terminated by Sweep
 	DrainStarted bool     // this is the first heartbeat with the draining status
-	Ended        []string // earlier incarnations at the same address, which this one has replaced
+	Ended        []string // running incarnations at the same address, which this one has replaced
+	Replaced     []string // Ended, and the unresponsive incarnations at the same address, which no longer return
 	Grants       []SlotGrant[T]
 }
 
@@ -107,6 +108,9 @@
 			if id == heartbeat.ID || old.Address != heartbeat.Address {
 				continue
 			}
+			if !old.terminated || old.unresponsive {
+				result.Replaced = append(result.Replaced, id)
+			}
 			old.unresponsive = false
 			if !old.terminated {
 				result.Ended = append(result.Ended, id)
--- a/internal/dataplane/proxy/inbound.go
+++ b/internal/dataplane/proxy/inbound.go
@@ -39,6 +39,7 @@
 	registry   *localserver.Registry[*ticket]
 	freeTicket *ticket                // ticket of a request that was not queued, for reuse
 	pools      map[string]*serverPool // by member
+	replaced   []string               // see TakeReplaced
 }
 
 // serverPool holds the idle connections to an incarnation of a server.
@@ -110,6 +111,7 @@
 	for _, id := range result.Ended {
 		i.removeServer(id)
 	}
+	i.replaced = append(i.replaced, result.Replaced...)
 	if result.New {
 		i.Log.Info("server.registered", "member", heartbeat.ID, "service", heartbeat.Service, "address", heartbeat.Address)
 	}
@@ -126,16 +128,30 @@
 	return result.OK
 }
 
-// Adopt adds a server that is registered for this machine but has not yet sent a heartbeat to this process.
+// Adopt adds a server that is registered for this machine but has not yet sent a heartbeat to this process. If another server
+// is running, that one has replaced it.
 func (i *Inbound) Adopt(heartbeat Heartbeat, now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.registry.Adopt(now.Sub(i.start), heartbeat) {
+	switch {
+	case i.registry.Adopt(now.Sub(i.start), heartbeat):
 		i.addServer(heartbeat)
 		i.Log.Info("server.adopted", "member", heartbeat.ID)
+	case !i.registry.Known(heartbeat.ID) && len(i.registry.Servers()) > 0:
+		i.replaced = append(i.replaced, heartbeat.ID)
 	}
 }
 
+// TakeReplaced returns the servers that have been replaced by others at their addresses since the last call. They have ended,
+// although they have not said so.
+func (i *Inbound) TakeReplaced() []string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	replaced := i.replaced
+	i.replaced = nil
+	return replaced
+}
+
 // Known reports whether this process remembers a server, which may have ended.
 func (i *Inbound) Known(id string) bool {
 	i.mu.Lock()
--- a/internal/dataplane/sidecar/departure_test.go
+++ b/internal/dataplane/sidecar/departure_test.go
@@ -90,8 +90,14 @@
 	m.processes[n].Wait()
 }
 
-// call sends a server's call to the leaving node, and returns the status of the response, or 0 if there is none.
+// call sends a call of server i-1 to the leaving node, and returns the status of the response, or 0 if there is none.
 func (m *processMesh) call(action, status string, seq int) int {
+	m.t.Helper()
+	return m.callAs("i-1", action, status, seq)
+}
+
+// callAs is call for any server.
+func (m *processMesh) callAs(member, action, status string, seq int) int {
 	m.t.Helper()
 	settings := m.settings(leavingNode, nodefile.SidecarMachine, false)
 	body, err := msgpack.Marshal(map[string]any{"backend": "s", "address": settings.AppAddress, "zone": "z", "slots": 4, "status": status, "call_seq": seq})
@@ -100,7 +106,7 @@
 	}
 	client := http.Client{Timeout: callTimeout}
 	defer client.CloseIdleConnections()
-	response, err := client.Post("http://"+settings.Control+"/members/i-1/"+action, "application/msgpack", bytes.NewReader(body))
+	response, err := client.Post("http://"+settings.Control+"/members/"+member+"/"+action, "application/msgpack", bytes.NewReader(body))
 	if err != nil {
 		return 0
 	}
@@ -138,6 +144,12 @@
 	m.t.Cleanup(func() { app.Close() })
 }
 
+// awaitNode waits until the restarted leaving node accepts calls.
+func (m *processMesh) awaitNode() {
+	m.t.Helper()
+	m.waitFor("the restarted node", func() bool { return m.call("nothing", "", 0) == http.StatusNotFound })
+}
+
 // leader returns the number of the quorum member that leads.
 func (m *processMesh) leader(client *operator.Client) (leader int) {
 	m.t.Helper()
@@ -199,7 +211,7 @@
 			if c.restartedFirst {
 				m.kill(leavingNode)
 				m.startProcess(leavingNode, nodefile.SidecarMachine, false)
-				m.waitFor("the restarted node", func() bool { return m.call("nothing", "", 0) == http.StatusNotFound })
+				m.awaitNode()
 			}
 			if got := m.call(c.action, c.status, 9); got != http.StatusOK {
 				t.Fatalf("the departure got status %d, want 200 although the quorum has no leader", got)
@@ -208,19 +220,11 @@
 			m.kill(leavingNode)
 			c.after(m, leader)
 			m.startProcess(leavingNode, nodefile.SidecarMachine, false)
-			m.waitFor("the restarted node", func() bool { return m.call("nothing", "", 0) == http.StatusNotFound })
+			m.awaitNode()
 			for seq := 2; c.lateHeartbeat && seq < 5; seq++ {
 				m.call("heartbeat", "in_service", seq)
 			}
-			ready := func() bool {
-				response, err := http.Get("http://" + m.settings(leavingNode, nodefile.SidecarMachine, false).Readiness + "/ready")
-				if err != nil {
-					return false
-				}
-				response.Body.Close()
-				return m.leader(client) > 0
-			}
-			m.waitFor("a leader", ready)
+			m.leader(client)
 			for end := time.Now().Add(departureWatch); time.Now().Before(end); {
 				m.get()
 			}
@@ -231,3 +235,22 @@
 		})
 	}
 }
+
+// TestReplacedServerStaysEnded guards against the end of a running server by a late heartbeat of the server that it has
+// replaced, which a restarted node took for a newer one.
+func TestReplacedServerStaysEnded(t *testing.T) {
+	m, _ := newProcessMesh(t)
+	m.waitFor("the successor", func() bool { return m.callAs("i-2", "heartbeat", "in_service", 1) == http.StatusOK })
+	m.waitFor("the record", func() bool {
+		text, err := os.ReadFile(filepath.Join(m.dir, fmt.Sprint("log-", leavingNode)))
+		return err == nil && bytes.Contains(text, []byte("server.replacement_recorded"))
+	})
+	m.kill(leavingNode)
+	m.startProcess(leavingNode, nodefile.SidecarMachine, false)
+	m.awaitNode()
+	m.waitFor("the rejection of a late heartbeat", func() bool { return m.call("heartbeat", "in_service", 2) == http.StatusConflict })
+	if got := m.callAs("i-2", "heartbeat", "in_service", 2); got != http.StatusOK {
+		t.Errorf("the heartbeat of the running server got status %d, want 200", got)
+	}
+	m.waitFor("a served request", func() bool { return m.get() == http.StatusOK })
+}
--- a/internal/dataplane/sidecar/node.go
+++ b/internal/dataplane/sidecar/node.go
@@ -112,7 +112,7 @@
 		Settings: n.settings.Load, Pool: n.pool, Seed: rng.Uint64(), Log: log,
 		Servers: n.inbound.Servers, ServersChanged: n.inbound.Changed(), Departed: n.inbound.Departed, Draining: n.draining.Load,
 	})
-	n.verifier = newVerifier(n.inbound, n.agent.FindDepartures, log)
+	n.verifier = newVerifier(n.inbound, n.agent, log)
 	n.gossip, n.hub, n.follower = n.agent.Gossip, n.agent.Hub, n.agent.Follower
 	n.outbound = &proxy.Outbound{
 		Node: settings.Node, Zone: settings.Zone, Backend: settings.Backend, RetryRatio: settings.Bounds.RetryRatio, RetryWindow: settings.Bounds.RetryWindow,
--- a/internal/dataplane/sidecar/servers.go
+++ b/internal/dataplane/sidecar/servers.go
@@ -89,7 +89,7 @@
 	ctx, cancel := context.WithTimeout(ctx, departureAckTimeout)
 	defer cancel()
 	start := time.Now()
-	if !n.agent.RecordDeparture(ctx, &wire.Departure{Member: member, Phase: phase}) {
+	if !n.agent.RecordDepartures(ctx, &wire.Departure{Member: member, Phase: phase}) {
 		n.log.Warn("server.departure_not_recorded", "member", member, "phase", phase.String(), "duration_ms", time.Since(start).Milliseconds())
 		return false
 	}
--- a/internal/dataplane/sidecar/verifier.go
+++ b/internal/dataplane/sidecar/verifier.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	lookupTimeout    = time.Second            // a longer lookup is repeated, with the servers that have come since
-	lookupRetryPause = 100 * time.Millisecond // pause after a lookup without an answer
+	requestTimeout = time.Second            // a longer request is repeated, with the servers that have come since
+	retryPause     = 100 * time.Millisecond // pause after a request without an answer
 )
 
 // Errors of verifier.Heartbeat.
@@ -24,23 +24,27 @@
 	errTooManyUnverified = errors.New("too many servers wait for verification")
 )
 
-// lookup returns the recorded departures of servers: see agent.FindDepartures.
-type lookup func(ctx context.Context, members []string) (found []*wire.Departure, ok bool)
+// departureLog records departures at a majority of the quorum, and looks them up there. agent.Agent implements it.
+type departureLog interface {
+	RecordDepartures(ctx context.Context, departures ...*wire.Departure) bool
+	FindDepartures(ctx context.Context, members []string) (found []*wire.Departure, ok bool)
+}
 
 // verifier holds back the servers that this process does not know until a majority of the quorum has answered that they have
-// not deregistered: see localserver.Unverified. Its methods are safe for concurrent use.
+// not deregistered: see localserver.Unverified. It records the servers that others have replaced, so that a late heartbeat of
+// one does not end its successor in a later process. Its methods are safe for concurrent use.
 type verifier struct {
-	inbound *proxy.Inbound
-	lookup  lookup
-	log     *slog.Logger
-	wake    chan struct{} // buffered; receives when a server is held back
+	inbound    *proxy.Inbound
+	departures departureLog
+	log        *slog.Logger
+	wake       chan struct{} // buffered; receives when there is work for run
 
 	mu         sync.Mutex // also held while servers are passed to inbound, so that their events stay in order
 	unverified localserver.Unverified
 }
 
-func newVerifier(inbound *proxy.Inbound, lookup lookup, log *slog.Logger) *verifier {
-	return &verifier{inbound: inbound, lookup: lookup, log: log, wake: make(chan struct{}, 1)}
+func newVerifier(inbound *proxy.Inbound, departures departureLog, log *slog.Logger) *verifier {
+	return &verifier{inbound: inbound, departures: departures, log: log, wake: make(chan struct{}, 1)}
 }
 
 // Heartbeat processes a heartbeat of a server. An error means that it is not accepted.
@@ -91,26 +95,59 @@
 	}
 }
 
-// run looks up the servers that are held back until ctx is done.
+// run looks up the servers that are held back and records those that were replaced, until ctx is done.
 func (v *verifier) run(ctx context.Context) {
+	var replaced []string
 	for ctx.Err() == nil {
 		members := v.held()
-		if len(members) == 0 {
+		replaced = append(replaced, v.inbound.TakeReplaced()...)
+		if len(members) == 0 && len(replaced) == 0 {
 			select {
 			case <-v.wake:
 			case <-ctx.Done():
 			}
 			continue
 		}
-		lookupCtx, cancel := context.WithTimeout(ctx, lookupTimeout)
-		found, ok := v.lookup(lookupCtx, members)
-		cancel()
-		if !ok {
-			timerpool.Sleep(ctx, lookupRetryPause)
-			continue
+		verified, recorded := v.verify(ctx, members), v.recordReplaced(ctx, replaced)
+		if recorded {
+			replaced = nil
 		}
+		if !verified || !recorded {
+			timerpool.Sleep(ctx, retryPause)
+		}
+	}
+}
+
+// verify looks up servers and passes them on. It returns false if the lookup failed.
+func (v *verifier) verify(ctx context.Context, members []string) bool {
+	if len(members) == 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	found, ok := v.departures.FindDepartures(ctx, members)
+	if ok {
 		v.release(members, found, time.Now())
 	}
+	return ok
+}
+
+// recordReplaced records that servers have ended. It returns false if that failed.
+func (v *verifier) recordReplaced(ctx context.Context, members []string) bool {
+	if len(members) == 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	var departures []*wire.Departure
+	for _, member := range members {
+		departures = append(departures, &wire.Departure{Member: member, Phase: wire.Departure_DEREGISTERED})
+	}
+	if !v.departures.RecordDepartures(ctx, departures...) {
+		return false
+	}
+	v.log.Info("server.replacement_recorded", "members", members)
+	return true
 }
 
 func (v *verifier) held() []string {
@@ -141,4 +178,5 @@
 		case localserver.Dropped:
 		}
 	}
+	v.signal() // servers may have been replaced
 }
--- a/internal/distribution/agent/departures.go
+++ b/internal/distribution/agent/departures.go
@@ -7,10 +7,10 @@
 	"ivydeck/internal/transport/wire"
 )
 
-// RecordDeparture records the departure of a server at a majority of the quorum's voters, with a leader or without. It retries
-// until ctx is done, and reports whether the departure is recorded. Only then may it be acknowledged.
-func (a *Agent) RecordDeparture(ctx context.Context, d *wire.Departure) bool {
-	_, ok := a.callVoters(ctx, &wire.DepartureRequest{Record: []*wire.Departure{d}})
+// RecordDepartures records departures at a majority of the quorum's voters, with a leader or without. It retries until ctx is
+// done, and reports whether the departures are recorded. Only then may they be acknowledged.
+func (a *Agent) RecordDepartures(ctx context.Context, departures ...*wire.Departure) bool {
+	_, ok := a.callVoters(ctx, &wire.DepartureRequest{Record: departures})
 	return ok
 }
 
