Keep departures of log entries that a restarted quorum member has not applied yet

After a restart a quorum member could answer that it knew no departure of a server, although its log had it.

Cause: a member drops a departure from its own list once it has applied the entry of the log. The next process writes the shorter list with the next departure, and does not know at first which entries of its log are committed, so it had the departure neither in the list nor in the state.

Change: a new process takes the departures of its log's entries into the list, committed or not: each was announced by its server.

--- a/internal/controlplane/catalog/catalog_test.go
+++ b/internal/controlplane/catalog/catalog_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"testing"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -111,3 +112,35 @@
 		t.Error("truncated snapshot was restored")
 	}
 }
+
+// TestDepartures guards against departures that are lost in a snapshot, revoked by an earlier phase, or kept without a bound.
+func TestDepartures(t *testing.T) {
+	c := New()
+	record := func(member string, phase wire.Departure_Phase) {
+		t.Helper()
+		command := &wire.Command{Change: &wire.Command_Departures{Departures: &wire.Departures{Departures: []*wire.Departure{{Member: member, Phase: phase}}}}}
+		if changes, err := c.Apply(command); changes != nil || err != nil {
+			t.Fatalf("changes %v, error %v; want none, as departures are no resources", changes, err)
+		}
+	}
+	record("first", wire.Departure_DRAINING)
+	record("second", wire.Departure_DEREGISTERED)
+	record("second", wire.Departure_DRAINING)
+	data, err := c.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c, err = Decode(data); err != nil {
+		t.Fatal(err)
+	}
+	if c.Departure("first") != wire.Departure_DRAINING || c.Departure("second") != wire.Departure_DEREGISTERED || c.Departure("third") != wire.Departure_NONE {
+		t.Errorf("phases %v, %v and %v after a snapshot, want DRAINING, DEREGISTERED and NONE", c.Departure("first"), c.Departure("second"), c.Departure("third"))
+	}
+	for i := range maxDepartures {
+		record(fmt.Sprint("i-", i), wire.Departure_DEREGISTERED)
+	}
+	last := fmt.Sprint("i-", maxDepartures-1)
+	if c.Departure("first") != wire.Departure_NONE || c.Departure(last) != wire.Departure_DEREGISTERED || c.departures.Len() > maxDepartures {
+		t.Errorf("with more than %d departures: %d kept, the oldest in phase %v, the newest in phase %v", maxDepartures, c.departures.Len(), c.Departure("first"), c.Departure(last))
+	}
+}
--- a/internal/controlplane/catalog/image_test.go
+++ b/internal/controlplane/catalog/image_test.go
@@ -24,6 +24,9 @@
 	remove := func(names ...string) *wire.Command {
 		return &wire.Command{Change: &wire.Command_Remove{Remove: &wire.RemoveServers{Members: names}}}
 	}
+	depart := func(name string, phase wire.Departure_Phase) *wire.Command {
+		return &wire.Command{Change: &wire.Command_Departures{Departures: &wire.Departures{Departures: []*wire.Departure{{Member: name, Phase: phase}}}}}
+	}
 	if data, err := c.Image().Encode(); err != nil {
 		t.Fatal(err)
 	} else if empty, err := Decode(data); err != nil || empty.Index() != 0 {
@@ -35,6 +38,7 @@
 		apply(server("m1", fmt.Sprint("n", revision)))
 		if revision%5 == 0 {
 			apply(remove(fmt.Sprint("m", revision)))
+			apply(depart(fmt.Sprint("m", revision), wire.Departure_DRAINING))
 		}
 		want, err := c.Snapshot()
 		if err != nil {
@@ -44,6 +48,7 @@
 		apply(server("m1", "elsewhere"))
 		apply(server(fmt.Sprint("later", revision), "n"))
 		apply(remove(fmt.Sprint("m", revision-1)))
+		apply(depart(fmt.Sprint("m", revision), wire.Departure_DEREGISTERED))
 		if got, err := image.Encode(); err != nil || !bytes.Equal(got, want) {
 			t.Fatalf("revision %d: image differs from the state at its creation: %d bytes, want %d; %v", revision, len(got), len(want), err)
 		}
--- a/internal/controlplane/departure/recorder.go
+++ b/internal/controlplane/departure/recorder.go
@@ -41,14 +41,29 @@
 	offeredTerm uint64
 }
 
-// NewRecorder returns a recorder with the departures that are on the member's disk. applied returns the phase of a server's
-// departure in the replicated state.
-func NewRecorder(consensus Consensus, applied func(member string) wire.Departure_Phase, stored []*wire.Departure) *Recorder {
+// NewRecorder returns a recorder with the departures that are on the member's disk: those of the last Unsaved, and those in the
+// log's entries. An earlier process may have dropped a departure from the former once it had applied the entry; this one learns
+// only later that the entry is committed. applied returns the phase of a server's departure in the replicated state.
+func NewRecorder(consensus Consensus, applied func(member string) wire.Departure_Phase, stored []*wire.Departure, entries []*wire.Entry) *Recorder {
 	r := &Recorder{consensus: consensus, applied: applied, pending: *NewSet(stored)}
+	for _, entry := range entries {
+		for _, d := range departuresIn(entry) {
+			r.pending.Add(d)
+		}
+	}
 	r.Applied()
 	return r
 }
 
+// departuresIn returns the departures that an entry of the log records.
+func departuresIn(entry *wire.Entry) []*wire.Departure {
+	command := new(wire.Command)
+	if entry.Kind != wire.Entry_COMMAND || proto.Unmarshal(entry.Data, command) != nil {
+		return nil // an entry that cannot be decoded is applied by no member
+	}
+	return command.GetDepartures().GetDepartures()
+}
+
 // Accept adds the departures of a request to those to be saved. It returns false, and the request must not be acknowledged, if
 // it is for a member that had another disk at this address, or if too many departures are pending.
 func (r *Recorder) Accept(now time.Duration, request *wire.DepartureRequest) bool {
--- a/internal/controlplane/server/replica.go
+++ b/internal/controlplane/server/replica.go
@@ -70,8 +70,8 @@
 	}
 	srv.consensus = raft.New(st.ID, st.HardState, st.Snapshot, slices.Concat(st.Tail, st.Entries), seed, 0)
 	srv.membership = newMembershipDriver(srv)
+	srv.departures = departure.NewRecorder(srv.consensus, func(member string) wire.Departure_Phase { return srv.catalog.Departure(member) }, st.Departures, st.Entries)
 	st.Tail, st.Entries = nil, nil // owned by the consensus now
-	srv.departures = departure.NewRecorder(srv.consensus, func(member string) wire.Departure_Phase { return srv.catalog.Departure(member) }, st.Departures)
 	srv.requests = newRequestQueue(srv.consensus, srv.minAckVoters, 0)
 	srv.operator = operatorRequests{requests: srv.requests, state: func() backup.Backup {
 		return backup.Backup{Term: srv.consensus.Term(), Index: srv.appliedIndex, State: srv.catalog}
--- a/internal/controlplane/store/store_test.go
+++ b/internal/controlplane/store/store_test.go
@@ -47,12 +47,16 @@
 	}
 	save(t, s, Batch{HardState: &wire.HardState{Term: 2, Vote: 9}, Entries: entries(1, 1, 9)})
 	save(t, s, Batch{Entries: entries(2, 5, 6)}) // replaces 5 to 9
+	save(t, s, Batch{Departures: &wire.Departures{Departures: []*wire.Departure{{Member: "i", Phase: wire.Departure_DRAINING}}}})
 	save(t, s, Batch{Snapshot: &wire.RaftSnapshot{Term: 1, Index: 3, Data: []byte("s")}})
 	s.Close()
 	s = open(t, dir)
 	if s.Fresh || s.ID != id || s.HardState.GetVote() != 9 || s.Snapshot.GetIndex() != 3 {
 		t.Fatalf("loaded store: %+v", s)
 	}
+	if len(s.Departures) != 1 || s.Departures[0].Member != "i" {
+		t.Errorf("loaded departures are %v, want that of i", s.Departures)
+	}
 	if len(s.Entries) != 3 || s.Entries[0].Index != 4 || s.Entries[2].Index != 6 || s.Entries[2].Term != 2 {
 		t.Fatalf("loaded entries are %v, want 4 to 6, the last one of term 2", s.Entries)
 	}
