Put back the reasons that the change of wording had dropped from comments

Restored: the thresholds of the balancer's admission and of the gate's low pressure, why queues are short, why late runs and warm-up speeds count little, how far back accepted changes and the log's tail reach, and why few descriptors are refused. Comments only.

Left out: two measured costs (goroutine stacks, derived contexts) that were not measured again.

--- a/decide/admission_gate.go
+++ b/decide/admission_gate.go
@@ -13,7 +13,7 @@
 	gateOutcomeWindow = 8                      // outcomes over which r is averaged
 	gateLatencyMin    = 0.8                    // r below which every request is admitted
 	gateLatencyMax    = 2.0                    // r from which every request is refused
-	gateLowPressure   = 0.83                   // pressure below which LowPressure returns true
+	gateLowPressure   = 0.83                   // pressure below which no request has to wait for a slot
 	gateIdleLatency   = 0.5                    // upper bound of r for an idle service
 	gateIdleSlack     = 0.001                  // bound of an idle service's pressure minus gateLatencyMin
 
--- a/internal/balancer/node/config.go
+++ b/internal/balancer/node/config.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	minSockets  = 64
+	minSockets  = 64 // file descriptors below which a node cannot work
 	minMemoryMB = 32
 )
 
--- a/internal/controlplane/catalog/accepted.go
+++ b/internal/controlplane/catalog/accepted.go
@@ -9,8 +9,9 @@
 	"ivydeck/internal/transport/wire"
 )
 
-// maxAccepted bounds the number of accepted configurations that are kept to recognize resends. Each takes 40 bytes in
-// memory and in snapshots. Replicas may use different bounds: the bound affects the answer to a resend, never the state.
+// maxAccepted bounds the number of accepted configurations that are kept to recognize resends. At 49,000 changes a day they
+// reach eight hours back, and at some tens of changes a second several minutes; operators resend a change for seconds. Each
+// takes 40 bytes in memory and in snapshots. Replicas may use different bounds: the bound affects the answer to a resend, never the state.
 const maxAccepted = 16384
 
 // earlierMaxAccepted is the value of maxAccepted in earlier versions, whose snapshots lack the highest evicted revision.
--- a/internal/controlplane/raft/compaction.go
+++ b/internal/controlplane/raft/compaction.go
@@ -8,7 +8,8 @@
 
 // A snapshot is due when the backlog (the entries after the last snapshot) reaches one of the maxima. It is also due if the
 // backlog has minBacklogEntries and the last snapshot is at most snapshotWriteRatio times as large as the backlog. Below
-// the maxima, snapshots therefore write at most snapshotWriteRatio times as many bytes as the log.
+// the maxima, snapshots therefore write at most snapshotWriteRatio times as many bytes as the log, and a large state is written
+// less often than a small one.
 const (
 	minBacklogEntries  = 512
 	maxBacklogEntries  = 8 * minBacklogEntries
@@ -16,7 +17,7 @@
 	snapshotWriteRatio = 2
 )
 
-// The tail of entries before the snapshot is kept for members that lag. A leader keeps up to catchUpEntries and
+// The tail of entries before the snapshot is kept for members that lag: some seconds of changes at 2,000 a second. A leader keeps up to catchUpEntries and
 // catchUpBytes while a member needs them to catch up.
 const (
 	tailEntries    = 8192
--- a/internal/dataplane/health/health.go
+++ b/internal/dataplane/health/health.go
@@ -37,7 +37,7 @@
 	hangProbeInterval    = 500 * time.Millisecond // minimum time between probes of a hanging server
 	overdueLatencyFactor = 6                      // multiple of the typical latency after which a running request counts as failed
 	minOverdueTime       = 600 * time.Millisecond // lower bound of that time
-	lateLatencyFactor    = 3                      // timeouts before this multiple of the typical latency are ignored
+	lateLatencyFactor    = 3                      // timeouts before this multiple of the typical latency are ignored: too little time was left at any server
 )
 
 // Relative latency of a server.
@@ -128,7 +128,7 @@
 }
 
 // SetWarmup sets the remaining warmup time. When the warmup ends, it limits the weight of the relative latency measured so far
-// to relearnRuns.
+// to relearnRuns, because a server's speed during its warmup says little about its later speed.
 func (s *Server) SetWarmup(now, left time.Duration) {
 	if left > 0 {
 		s.warmupEnd = now + left
--- a/internal/dataplane/localserver/localserver.go
+++ b/internal/dataplane/localserver/localserver.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	maxQueuePerSlot     = 0.5             // maximum queue length per slot
+	maxQueuePerSlot     = 0.5             // maximum queue length per slot; a longer queue keeps no slot busier
 	minQueueLimit       = 2               // lower bound of the maximum queue length
 	maxMissedHeartbeats = 3               // missed heartbeats after which a server is terminated
 	forgetAfter         = 2 * time.Minute // retention of terminated incarnations, since their last heartbeat
