Save departures of the log's entries at a start, and end their calls with the server

Seen by callers: nothing; found by reading. A member that starts takes the departures of its log's entries as known, but counted them as on disk: an entry that is not committed may be replaced by another leader, after the member has acknowledged the departure by it.

Change: such departures are written to the member's own list before it responds to anything. A call that waits for the loop ends when the server stops, as all others do.

Measured: TestRecorderSavesDeparturesOfLog fails without the change (nothing to save at the start).

--- a/internal/controlplane/departure/departure_test.go
+++ b/internal/controlplane/departure/departure_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"ivydeck/internal/transport/wire"
 )
 
@@ -128,3 +130,22 @@
 		t.Errorf("%d proposals after retryInterval, want one more", consensus.proposals)
 	}
 }
+
+// TestRecorderSavesDeparturesOfLog guards against an acknowledgement of a departure that is only in an entry of the log, which
+// another leader may replace.
+func TestRecorderSavesDeparturesOfLog(t *testing.T) {
+	data, err := proto.Marshal(&wire.Command{Change: &wire.Command_Departures{Departures: &wire.Departures{Departures: record(1, "i").Record}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	entry := &wire.Entry{Kind: wire.Entry_COMMAND, Data: data}
+	r := NewRecorder(&fakeConsensus{}, none, nil, []*wire.Entry{entry})
+	if unsaved := r.Unsaved(); !r.Accept(0, record(1, "i")) || len(unsaved.GetDepartures()) != 1 {
+		t.Errorf("departures to save at the start are %v, want that of the log", unsaved)
+	}
+	saved := NewRecorder(&fakeConsensus{}, none, record(1, "i").Record, []*wire.Entry{entry})
+	applied := NewRecorder(&fakeConsensus{}, func(string) wire.Departure_Phase { return wire.Departure_DEREGISTERED }, nil, []*wire.Entry{entry})
+	if saved.Unsaved() != nil || len(applied.Unsaved().GetDepartures()) != 0 {
+		t.Error("departures that are on disk or applied are to be saved at the start")
+	}
+}
--- a/internal/controlplane/departure/recorder.go
+++ b/internal/controlplane/departure/recorder.go
@@ -43,12 +43,13 @@
 
 // NewRecorder returns a recorder with the departures that are on the member's disk: those of the last Unsaved, and those in the
 // log's entries. An earlier process may have dropped a departure from the former once it had applied the entry; this one learns
-// only later that the entry is committed. applied returns the phase of a server's departure in the replicated state.
+// only later that the entry is committed. Entries that are not may be replaced, so their departures are to be saved as well.
+// applied returns the phase of a server's departure in the replicated state.
 func NewRecorder(consensus Consensus, applied func(member string) wire.Departure_Phase, stored []*wire.Departure, entries []*wire.Entry) *Recorder {
 	r := &Recorder{consensus: consensus, applied: applied, pending: *NewSet(stored)}
 	for _, entry := range entries {
 		for _, d := range departuresIn(entry) {
-			r.pending.Add(d)
+			r.unsaved = r.pending.Add(d) || r.unsaved
 		}
 	}
 	r.Applied()
--- a/internal/controlplane/server/departures.go
+++ b/internal/controlplane/server/departures.go
@@ -102,8 +102,9 @@
 	case response := <-responses:
 		return response
 	case <-ctx.Done():
-		return &wire.DepartureResponse{}
+	case <-srv.ctx.Done():
 	}
+	return &wire.DepartureResponse{}
 }
 
 // saveDepartures writes the pending departures to disk if there are new ones, and completes the requests that wait for it.
--- a/internal/controlplane/server/server_test.go
+++ b/internal/controlplane/server/server_test.go
@@ -19,6 +19,8 @@
 		"currentLeader":        func() { srv.currentLeader(ctx) },
 		"currentStatus":        func() { srv.currentStatus(ctx) },
 		"applyCommand":         func() { srv.applyCommand(ctx, nil) },
+		"askVoters":            func() { srv.askVoters(ctx, &wire.DepartureRequest{}) },
+		"recordDepartures":     func() { srv.recordDepartures(context.Background(), &wire.DepartureRequest{}) },
 		"readState":            func() { srv.readState(ctx, func() {}) },
 		"handleJoin":           func() { srv.membership.handleJoin(ctx, &wire.JoinRequest{Peer: &wire.Peer{Id: 1, Address: "a"}}) },
 		"membershipDriver.run": func() { srv.membership.run(ctx); srv.workers.Wait() },
