--- a/decide/admission.go
+++ b/decide/admission.go
@@ -11,8 +11,8 @@
 // target. The curves are stacked: all requests of a lower value are refused before any of a higher value. If
 // the number of calls in flight shows an overload before the response times do, it replaces r.
 const (
-	admissionLatencyMax = 1.0 // r at which the pressure is 1 and even the highest value is refused
-	admissionLatencyMin = 0.6 // r at which the pressure is 0; below it the lowest value is admitted completely
+	admissionLatencyMax = 1.0 // r at which the pressure is 1, and even the highest value is refused
+	admissionLatencyMin = 0.6 // r at which the pressure is 0, and the lowest value is admitted
 
 	latencyPeriod     = 200 * time.Millisecond // interval between updates of r
 	latencyWindow     = 24                     // outcomes over which r is averaged
