--- a/review/harness2/cmd/bodies/main.go
+++ b/review/harness2/cmd/answers/main.go
@@ -1,5 +1,5 @@
-// Command bodies is case 4: four clients send a body of half of max_body_bytes each, at the same time. The platform ends the
-// process for its memory, and the requests of all other clients on the machine are lost.
+// Command answers is case 4: clients that are slow to read get large answers at the same time. The platform ends the process for its
+// memory, and the requests of all other clients on the machine are lost.
 package main
 
 import (
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,15 +20,18 @@
 )
 
 const (
-	memoryMB     = 284      // request_limits.memory_mb of the machine
-	largeBody    = 32 << 20 // bytes, half of max_body_bytes (67,108,864)
-	smallBody    = 1200     // bytes, the mean of the site's requests
-	largeClients = 4
-	keptClients  = 24
-	budgetMs     = 3000
-	warmUp       = 3 * time.Second
-	watchTime    = 8 * time.Second
-	maxLost      = 3 // LOST: more than three times
+	memoryMB    = 284      // request_limits.memory_mb of the machine
+	largeAnswer = 32 << 20 // bytes, half of what a request may have (max_body_bytes, 67,108,864)
+	smallAnswer = 5000     // bytes, the mean of the site's answers
+	smallBody   = 1200     // bytes, the mean of the site's requests
+	slowClients = 16
+	slowRead    = 256 << 10             // bytes that a slow client reads at a time
+	slowPause   = 20 * time.Millisecond // its pause after that: 32 MiB in 2.6 s
+	keptClients = 12
+	budgetMs    = 4000
+	warmUp      = 3 * time.Second
+	watchTime   = 8 * time.Second
+	maxLost     = 3 // LOST: more than three times
 )
 
 // sent is a request of a client with a kept connection.
@@ -44,9 +48,14 @@
 }
 
 func run(m *mesh.Mesh, trouble bool) bool {
-	config := mesh.Config(1, []string{"crew"}, mesh.Route("hours-approve", "non_idempotent", "/hours/", "crew", 3000, 800, 1, 2))
+	config := mesh.Config(1, []string{"crew"}, mesh.Route("hours-approve", "non_idempotent", "/hours/", "crew", 4000, 800, 1, 2),
+		mesh.Route("roster-view", "idempotent", "/roster/", "crew", 4000, 1000, 2, 1))
+	var answer atomic.Int64
 	nodes, servers := m.StartAll(config, []string{"crew", "crew"}, func(int) mesh.ServerOptions {
 		return mesh.ServerOptions{Run: func(s *mesh.Server, conn net.Conn, request *http.Request, _ []byte) bool {
+			if request.Method == "GET" {
+				return s.Answer(conn, request.Header.Get("Attempt-Id"), 200, strings.Repeat("a", int(answer.Load())))
+			}
 			time.Sleep(time.Duration(100+rand.IntN(300)) * time.Millisecond) // 210 ms on average, as hours-approve
 			return s.Answer(conn, request.Header.Get("Attempt-Id"), 200, "done")
 		}}
@@ -64,23 +73,16 @@
 	killed := make(chan struct{})
 	watching := make(chan struct{})
 	go watchMemory(m, node, killed, watching)
-	size := smallBody
+	answer.Store(smallAnswer)
 	if trouble {
-		size = largeBody
+		answer.Store(largeAnswer)
 	}
-	body := bytes.Repeat([]byte("x"), size)
-	var large sync.WaitGroup
-	for i := range largeClients {
-		large.Add(1)
-		go func() {
-			defer large.Done()
-			id := mesh.NewID()
-			m.Record.Logf("client %d sends %s, a body of %d bytes, on a new connection", i, id, size)
-			a := m.Do(node.N, "POST", "/hours/large", id, budgetMs, body)
-			m.Record.Logf("client %d: %s is answered %d after %v (%v); run %d times", i, id, a.Status, a.Took.Round(time.Millisecond), a.Err, servers[0].Ran(id)+servers[1].Ran(id))
-		}()
+	var slow sync.WaitGroup
+	for i := range slowClients {
+		slow.Add(1)
+		go func() { defer slow.Done(); readSlowly(m, node.N, i) }()
 	}
-	large.Wait()
+	slow.Wait()
 	select {
 	case <-killed:
 	case <-time.After(watchTime):
@@ -169,3 +171,31 @@
 		}
 	}
 }
+
+// readSlowly sends one request and reads its answer slowly, but within its time.
+func readSlowly(m *mesh.Mesh, n, i int) {
+	time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+	conn, err := net.DialTimeout("tcp", m.Address(n, mesh.Outbound), time.Second)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	conn.(*net.TCPConn).SetReadBuffer(slowRead)
+	id, start, total := mesh.NewID(), time.Now(), 0
+	conn.SetDeadline(start.Add(budgetMs * time.Millisecond))
+	conn.Write(mesh.Request("GET", "/roster/all", id, budgetMs, nil))
+	buffer := make([]byte, slowRead)
+	first := ""
+	for {
+		k, err := conn.Read(buffer)
+		if first == "" && k > 12 {
+			first = string(buffer[9:12])
+		}
+		total += k
+		if err != nil || total >= int(largeAnswer) || total > smallAnswer && k < 1000 || first != "200" || total > smallAnswer && total < 2*smallAnswer {
+			m.Record.Logf("slow client %d: %s, status %s, %d bytes read in %v (%v)", i, id, first, total, time.Since(start).Round(time.Millisecond), err)
+			return
+		}
+		time.Sleep(slowPause)
+	}
+}
