--- a/review/harness2/cmd/backend/main.go
+++ b/review/harness2/cmd/backend/main.go
@@ -1,5 +1,5 @@
-// Command backend is case 6: the server of a machine ends, its address goes to a server of another service, and the settings file
-// names that service from then on.
+// Command backend is case 6: the server of a machine ends, its address goes to a server of another service, and the settings file of
+// the running node changes: it names that service from then on. With TROUBLE=0 the file names it when the node starts.
 package main
 
 import (
@@ -15,7 +15,9 @@
 const (
 	addressReuse = 2 * time.Second // bounds.addr_reuse_s
 	drain        = 2 * time.Second // bounds.drain_ms
-	settle       = 5 * time.Second // more than contact_ms and config_apply_ms
+	settle       = 6 * time.Second // more than contact_ms and config_apply_ms, from the last start and signal
+	grace        = 6 * time.Second // bounds.grace_s
+	restartAfter = 500 * time.Millisecond
 )
 
 func main() { mesh.Main(mesh.Options{}, run) }
@@ -56,20 +58,36 @@
 		}
 	}
 	send("before")
+	// The server of the machine leaves in order, and the node is stopped and started, as the pages say.
+	old := servers[0]
+	old.SetStatus("draining")
+	m.WaitFor("the server's draining is acknowledged", 5*time.Second, func() bool { return old.Beat() == 200 })
+	time.Sleep(drain + 500*time.Millisecond)
+	m.Record.Logf("server %s deregisters: %d", old.ID, old.Deregister())
+	old.Close()
+	ended := time.Now()
+	nodes[0].Signal(syscall.SIGTERM)
+	select {
+	case <-nodes[0].Done:
+	case <-time.After(grace):
+		mesh.Unable("the node has not ended in grace_s")
+	}
+	time.Sleep(restartAfter)
+	named := service // by the settings file at the start
+	service = "punch-ledger"
+	if !trouble {
+		named = service
+	}
+	node := m.Start(moved, "sidecar", named, false)
+	time.Sleep(max(time.Second, addressReuse+500*time.Millisecond-time.Since(ended)))
+
+	// The address goes to a server of another service, which the settings file names from now on, if it did not before.
 	if trouble {
-		old := servers[0]
-		old.SetStatus("draining")
-		m.WaitFor("the server's draining is acknowledged", 5*time.Second, func() bool { return old.Beat() == 200 })
-		time.Sleep(drain + 500*time.Millisecond)
-		m.Record.Logf("server %s deregisters: %d", old.ID, old.Deregister())
-		old.Close()
-		time.Sleep(addressReuse + 500*time.Millisecond)
-		service = "punch-ledger"
 		m.Rewrite(moved, service)
-		nodes[0].Signal(syscall.SIGHUP)
-		options.Service, options.Machine = service, moved
-		m.StartServer(options)
+		node.Signal(syscall.SIGHUP)
 	}
+	options.Service, options.Machine = service, moved
+	m.StartServer(options)
 	time.Sleep(settle)
 	m.WaitFor("machine 4 is ready", 10*time.Second, func() bool { return m.Ready(moved) })
 	send("after")
