Decode configurations at a cost in proportion to their size

The cause is wider than the nested value of the case: the MessagePack library recurses once per level of a value that it skips, and allocates as many elements as an array announces; the bounds on routes were checked after they were decoded, and each of their errors became a line of the answer. Two checks took the product of two counts.

The current configuration sent again stays acknowledged.

Hypotheses for the case: recursion of the skipping decoder, the copy of the body, the index, several calls at once.

--- a/internal/config/meshconfig/patch.go
+++ b/internal/config/meshconfig/patch.go
@@ -91,5 +91,9 @@
 	if len(p.RemovedBackends) == 0 {
 		return backends
 	}
-	return slices.DeleteFunc(backends, func(b Backend) bool { return slices.Contains(p.RemovedBackends, b.Name) })
+	removed := make(map[string]bool, len(p.RemovedBackends))
+	for _, name := range p.RemovedBackends {
+		removed[name] = true
+	}
+	return slices.DeleteFunc(backends, func(b Backend) bool { return removed[b.Name] })
 }
--- a/internal/controlplane/catalog/accept.go
+++ b/internal/controlplane/catalog/accept.go
@@ -27,8 +27,13 @@
 	return c.Config.Revision
 }
 
-// Parse parses and validates another configuration. It reuses the routes whose encoding is the same in the current one.
+// Parse parses and validates another configuration. It reuses the routes whose encoding is the same in the current one. The
+// current configuration itself, which an operator may send again, is valid even if it exceeds bounds that were introduced
+// later.
 func (c Current) Parse(body []byte) (*meshconfig.Config, error) {
+	if c.Config != nil && bytes.Equal(body, c.Body) {
+		return c.Config, nil
+	}
 	return meshconfig.ParseNext(body, c.Config)
 }
 
@@ -45,7 +50,7 @@
 	return &wire.Command{Change: &wire.Command_Config{Config: put}}
 }
 
-// acceptConfig validates a configuration and records it as accepted. It returns nil and no error if the same configuration
+// acceptConfig validates a committed configuration, whose proposer has applied the bounds of Current.Parse, and records it as accepted. It returns nil and no error if the same configuration
 // was accepted before.
 func (c *Catalog) acceptConfig(put *wire.PutConfig) (*Current, error) {
 	body, change := put.Body, Change{revision: put.Revision}
@@ -61,7 +66,7 @@
 	} else {
 		change.digest = sha256.Sum256(body)
 	}
-	config, err := meshconfig.ParseNext(body, c.config)
+	config, err := meshconfig.ParseAccepted(body, c.config)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
--- a/internal/controlplane/catalog/accept_test.go
+++ b/internal/controlplane/catalog/accept_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -87,3 +88,32 @@
 		t.Errorf("valid change after rejected ones: accepted %v, %v", accepted, err)
 	}
 }
+
+// TestNestedConfigurationStaysReadable guards against a bound on nested values that makes a quorum unable to read what an
+// earlier version has accepted: the log, a snapshot, and the same configuration sent again.
+func TestNestedConfigurationStaysReadable(t *testing.T) {
+	const depth = 800_000
+	nested := func(revision uint64) []byte {
+		marker := []byte("\xa1x")
+		body := encodeConfig(t, revision, func(c map[string]any) { c["zz"] = "x" })
+		return bytes.Replace(body, append([]byte("\xa2zz"), marker...), []byte("\xa2zz"+strings.Repeat("\x91", depth)+"\xc0"), 1)
+	}
+	c, body := New(), nested(3)
+	if changes, err := c.Apply(put(0, body)); changes == nil || err != nil {
+		t.Fatalf("a committed configuration: error %v", err)
+	}
+	snapshot, err := c.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored, err := Decode(snapshot)
+	if err != nil || !bytes.Equal(restored.Body(), body) {
+		t.Fatalf("the restored state: error %v, body of %d bytes, want %d", err, len(restored.Body()), len(body))
+	}
+	if config, err := restored.Current().Parse(body); err != nil || config.Revision != 3 {
+		t.Errorf("the same configuration sent again: error %v", err)
+	}
+	if _, err := restored.Current().Parse(nested(5)); err == nil || !strings.Contains(err.Error(), "nested more than 1000 levels") {
+		t.Errorf("a new configuration: error %v, want one that names the bound", err)
+	}
+}
--- a/internal/controlplane/catalog/snapshot.go
+++ b/internal/controlplane/catalog/snapshot.go
@@ -61,7 +61,7 @@
 	var config *meshconfig.Config
 	if len(state.Config) > 0 {
 		var err error
-		if config, err = meshconfig.ParseNext(state.Config, c.config); err != nil {
+		if config, err = meshconfig.ParseAccepted(state.Config, c.config); err != nil {
 			return fmt.Errorf("catalog: %w", err)
 		}
 	}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -112,7 +112,7 @@
 	case status != http.StatusOK:
 		return nil, nil, fmt.Errorf("the quorum returned status %d: %s", status, bytes.TrimSpace(body))
 	}
-	config, err := meshconfig.Parse(body)
+	config, err := meshconfig.ParseAccepted(body, nil)
 	return body, config, err
 }
 
