Bound the memory of configurations that arrive at once

Twelve calls could each hold a body of up to 8 MiB and be parsed at the same time, so a quorum member of 280 MiB had no bound that fits it: the cost of one call times twelve. A body that declares more than 8 MiB is not kept at all; the answer names the bound.

TestChangeSizeIsBounded checks the same as before, with the semaphore in place of the channel.

--- a/internal/controlplane/server/http_config.go
+++ b/internal/controlplane/server/http_config.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"time"
 
@@ -22,42 +20,27 @@
 	backupPath  = "/backup"
 )
 
-// maxConcurrentReplaces bounds the configurations read and parsed at once, each of which can use several times
-// meshconfig.MaxBytes of memory. Operators have up to eight calls in flight, and cancelled calls may still hold a slot.
-const maxConcurrentReplaces = 12
-
 // serveReplace replaces the configuration by that in the body, based on the revision in the Base-Revision header.
 func (srv *Server) serveReplace(w http.ResponseWriter, r *http.Request) {
-	select {
-	case srv.replaceSlots <- struct{}{}:
-		defer func() { <-srv.replaceSlots }()
-	case <-time.After(operatorTimeout):
-		reply(w, http.StatusServiceUnavailable, errOverloaded.Error())
+	if r.ContentLength > meshconfig.MaxBytes {
+		discardUpload(w, r)
+		reply(w, errUploadTooLarge.status, errUploadTooLarge.text)
 		return
-	case <-r.Context().Done():
+	}
+	release, err := srv.uploads.acquire(r.Context(), r.ContentLength)
+	if err != nil {
+		reply(w, http.StatusServiceUnavailable, errOverloaded.Error())
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, meshconfig.MaxBytes))
-	var tooLarge *http.MaxBytesError
+	defer release()
+	replacement, base, err := srv.readReplacement(w, r)
+	var rejected *uploadError
 	switch {
-	case errors.As(err, &tooLarge):
-		reply(w, http.StatusRequestEntityTooLarge, "the configuration is too large")
-		return
-	case errors.Is(err, os.ErrDeadlineExceeded): // a slow upload may be retried, so it must not return 400
-		reply(w, http.StatusRequestTimeout, "the configuration did not come in time")
+	case errors.As(err, &rejected):
+		reply(w, rejected.status, rejected.text)
 		return
 	case err != nil:
-		reply(w, http.StatusBadRequest, "the configuration is incomplete")
-		return
-	}
-	base, err := strconv.ParseUint(r.Header.Get("Base-Revision"), 10, 64)
-	if err != nil {
-		reply(w, http.StatusBadRequest, "Base-Revision is no number")
-		return
-	}
-	replacement, err := parseReplacement(*srv.config.Load(), base, body) // outside the loop, as parsing would block it
-	if err != nil {
-		reply(w, http.StatusBadRequest, err.Error())
+		reply(w, http.StatusServiceUnavailable, errOverloaded.Error())
 		return
 	}
 	start := srv.now()
@@ -69,6 +52,30 @@
 	srv.writeAnswer(w, replacePath, answer)
 }
 
+// readReplacement reads and parses a configuration and the revision that it is based on. An error is an uploadError, or that
+// of a context that ended while other configurations were parsed.
+func (srv *Server) readReplacement(w http.ResponseWriter, r *http.Request) (parsed replacement, base uint64, err error) {
+	body, err := readUpload(w, r)
+	if err != nil {
+		return replacement{}, 0, err
+	}
+	base, err = strconv.ParseUint(r.Header.Get("Base-Revision"), 10, 64)
+	if err != nil {
+		return replacement{}, 0, &uploadError{http.StatusBadRequest, "Base-Revision is no number"}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
+	defer cancel()
+	if err := srv.uploads.parses.Acquire(ctx, 1); err != nil {
+		return replacement{}, 0, err
+	}
+	defer srv.uploads.parses.Release(1)
+	parsed, err = parseReplacement(*srv.config.Load(), base, body) // outside the loop, as parsing would block it
+	if err != nil {
+		return replacement{}, 0, &uploadError{http.StatusBadRequest, err.Error()}
+	}
+	return parsed, base, nil
+}
+
 // serveRead returns the body of the current configuration as the operator sent it.
 func (srv *Server) serveRead(w http.ResponseWriter, r *http.Request) {
 	answer := srv.awaitAnswer(r.Context(), func(deadline time.Duration, done func(OperatorAnswer)) { srv.operator.read(srv.now(), deadline, done) })
--- a/internal/controlplane/server/http_config_test.go
+++ b/internal/controlplane/server/http_config_test.go
@@ -30,7 +30,7 @@
 		t.Fatal(err)
 	}
 	srv := &Server{
-		log: slog.New(slog.DiscardHandler), startedAt: time.Now(), events: make(chan func(), 64), replaceSlots: make(chan struct{}, maxConcurrentReplaces), ctx: ctx,
+		log: slog.New(slog.DiscardHandler), startedAt: time.Now(), events: make(chan func(), 64), uploads: newUploads(), ctx: ctx,
 		replica: newReplica(disk, rpc.NewPool(ctx, rpc.PoolOptions{})), pool: rpc.NewPool(ctx, rpc.PoolOptions{}), hub: relay.NewHub(func() time.Duration { return 0 }),
 	}
 	const address = "127.0.0.1:1"
@@ -67,7 +67,7 @@
 		{"no configuration", "GET", readPath, "", "", http.StatusNotFound, ""},
 		{"missing base revision", "POST", replacePath, "", first, http.StatusBadRequest, "Base-Revision"},
 		{"truncated body", "POST", replacePath, "0", first[:7], http.StatusBadRequest, "not readable"},
-		{"too large", "POST", replacePath, "0", strings.Repeat("x", meshconfig.MaxBytes+1), http.StatusRequestEntityTooLarge, ""},
+		{"too large", "POST", replacePath, "0", strings.Repeat("x", meshconfig.MaxBytes+1), http.StatusRequestEntityTooLarge, "larger than 8388608 bytes"},
 		{"first change", "POST", replacePath, "0", first, http.StatusOK, ""},
 		{"read first change", "GET", readPath, "", "", http.StatusOK, first},
 		{"first change resent", "POST", replacePath, "0", first, http.StatusOK, "already"},
@@ -127,14 +127,14 @@
 		srv.routes().ServeHTTP(w, r)
 		return w.Code
 	}
-	for range maxConcurrentReplaces {
-		srv.replaceSlots <- struct{}{}
+	if !srv.uploads.slots.TryAcquire(maxConcurrentReplaces) {
+		t.Fatal("slots are in use before the first call")
 	}
 	if status := post(); status != http.StatusServiceUnavailable {
 		t.Errorf("status %d with all slots in use, want 503", status)
 	}
-	<-srv.replaceSlots
-	if status := post(); status != http.StatusOK || len(srv.replaceSlots) != maxConcurrentReplaces-1 {
-		t.Errorf("status %d with one free slot, want 200; %d slots in use afterwards", status, len(srv.replaceSlots))
+	srv.uploads.slots.Release(1)
+	if status, free := post(), srv.uploads.slots.TryAcquire(1); status != http.StatusOK || !free || srv.uploads.slots.TryAcquire(1) {
+		t.Errorf("status %d with one free slot, want 200; free afterwards: %t, want one", status, free)
 	}
 }
--- a/internal/controlplane/server/server.go
+++ b/internal/controlplane/server/server.go
@@ -61,9 +61,9 @@
 	contactAt atomic.Int64                    // last confirmation of this member's state by a quorum, in ns since startedAt
 
 	// Operators' requests.
-	replaceSlots  chan struct{} // semaphore of configurations being read and parsed
-	rejectedCalls atomic.Int64  // calls rejected because of their identity
-	metrics       *metrics.Set  // nil if metrics are disabled
+	uploads       *uploads     // bounds the configurations that are read and parsed
+	rejectedCalls atomic.Int64 // calls rejected because of their identity
+	metrics       *metrics.Set // nil if metrics are disabled
 
 	snapshotReceiver
 }
@@ -109,13 +109,13 @@
 	}
 	poolOptions := rpc.PoolOptions{Identity: source}
 	srv := &Server{
-		log:          log,
-		startedAt:    time.Now(),
-		ctx:          ctx,
-		events:       make(chan func(), maxQueuedEvents),
-		replaceSlots: make(chan struct{}, maxConcurrentReplaces),
-		pool:         rpc.NewPool(ctx, poolOptions),
-		replica:      newReplica(st, rpc.NewPool(ctx, poolOptions)),
+		log:       log,
+		startedAt: time.Now(),
+		ctx:       ctx,
+		events:    make(chan func(), maxQueuedEvents),
+		uploads:   newUploads(),
+		pool:      rpc.NewPool(ctx, poolOptions),
+		replica:   newReplica(st, rpc.NewPool(ctx, poolOptions)),
 	}
 	srv.settings.Store(settings)
 	srv.contactAt.Store(-int64(raft.MaxContactAge))
