Stop checking a configuration once its errors exceed the list

A body of 100 KB with 100,000 empty routes took 40 calls at once 6.8 s, and most of them were answered 503 in place of 400: the index was built and all errors were formatted, although 100 of them are listed. Routes are now checked by themselves before the index is built, and the first 100 errors end the check.

--- a/internal/config/meshconfig/bounds_test.go
+++ b/internal/config/meshconfig/bounds_test.go
@@ -172,7 +172,7 @@
 func TestErrorsAreBounded(t *testing.T) {
 	raw := array32 + string(binary.BigEndian.AppendUint32(nil, maxRoutes)) + strings.Repeat(emptyMap, maxRoutes)
 	body := withRaw(t, func(m, _ map[string]any) { m["route_table"] = placeholder }, placeholder, raw)
-	checkRejected(t, body, "more errors")
+	checkRejected(t, body, "more errors may follow")
 	checkRejected(t, validBody(t, func(_, r map[string]any) { r["path_prefix"] = strings.Repeat("\x00", MaxBytes/2) }), "does not start and end")
 }
 
--- a/internal/config/meshconfig/meshconfig.go
+++ b/internal/config/meshconfig/meshconfig.go
@@ -61,13 +61,16 @@
 }
 
 func (l *errorList) add(format string, args ...any) {
-	if len(l.errors) == maxErrors {
+	if l.full() {
 		l.more++
 		return
 	}
 	l.errors = append(l.errors, fmt.Errorf(format, args...))
 }
 
+// full reports whether further errors would not be listed.
+func (l *errorList) full() bool { return len(l.errors) == maxErrors }
+
 // err returns the errors as one, or nil if there are none.
 func (l *errorList) err() error {
 	if l.more > 0 {
@@ -103,10 +106,7 @@
 	}
 	keys := make(map[Key]bool, len(routes))
 	for _, i := range routes {
-		r := c.Routes[i]
-		addRouteError := func(format string, args ...any) {
-			list.add("route_table[%d] (%s)"+format, append([]any{i, shorten(r.Name)}, args...)...)
-		}
+		r, addRouteError := c.Routes[i], c.routeErrors(&list, i)
 		if keys[r.Key()] {
 			addRouteError(": another route has host %q and prefix %q", shorten(r.Host), shorten(r.Prefix))
 		}
@@ -120,6 +120,26 @@
 	return list.err()
 }
 
+// checkRoutesAlone returns the errors that the routes at the given indexes have by themselves if there are more than can be
+// listed, and nil otherwise. It is cheaper than check, and needs no index.
+func (c *Config) checkRoutesAlone(routes []int) error {
+	var list errorList
+	for _, i := range routes {
+		c.Routes[i].check(c.routeErrors(&list, i))
+		if list.full() {
+			return errors.Join(list.err(), errors.New("more errors may follow"))
+		}
+	}
+	return nil
+}
+
+// routeErrors returns a function that adds an error of the route at an index to a list.
+func (c *Config) routeErrors(list *errorList, index int) func(format string, args ...any) {
+	return func(format string, args ...any) {
+		list.add("route_table[%d] (%s)"+format, append([]any{index, shorten(c.Routes[index].Name)}, args...)...)
+	}
+}
+
 // references returns the number of services that the routes at the given indexes name, repeated ones included.
 func (c *Config) references(routes []int) (n int) {
 	for _, i := range routes {
--- a/internal/config/meshconfig/parse.go
+++ b/internal/config/meshconfig/parse.go
@@ -44,6 +44,9 @@
 		return nil, errors.New("configuration: there is more after its end")
 	}
 	c := p.config
+	if err := c.checkRoutesAlone(p.decoded); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
 	c.buildIndex(p.base)
 	if err := p.check(); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
