Decode heartbeats at a cost in proportion to their size

A heartbeat of 11 bytes that announced a long string made the node allocate a megabyte, and one of 3,616 bytes nested a stack of 1.3 MB; a node decodes as many at once as it has connections.

--- a/internal/dataplane/sidecar/servers.go
+++ b/internal/dataplane/sidecar/servers.go
@@ -3,35 +3,20 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
-	"ivydeck/internal/dataplane/proxy"
 	"ivydeck/internal/transport/wire"
 )
 
 const (
 	maxHeartbeatBytes   = 4 << 10
-	maxWarmupMs         = 600_000                // upper bound on warmup_left_ms
 	departureAckTimeout = 800 * time.Millisecond // servers time out a call after 1 s
 )
 
-// heartbeatBody is the msgpack body of a server's heartbeat.
-type heartbeatBody struct {
-	Backend  string  `msgpack:"backend"`
-	Address  string  `msgpack:"address"`
-	Zone     string  `msgpack:"zone"`
-	Revision string  `msgpack:"revision"`
-	Slots    int     `msgpack:"slots"`
-	Status   string  `msgpack:"status"`
-	WarmupMs float64 `msgpack:"warmup_left_ms"`
-	Seq      uint64  `msgpack:"call_seq"`
-}
-
 // serveHeartbeat serves the HTTP calls of the local server:
 // POST /members/ID/heartbeat and POST /members/ID/deregister.
 func (n *Node) serveHeartbeat(w http.ResponseWriter, r *http.Request) {
@@ -46,8 +31,13 @@
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxHeartbeatBytes))
-	if err != nil {
-		http.Error(w, "the body is too large or did not come", http.StatusBadRequest)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		http.Error(w, fmt.Sprintf("the body is larger than %d bytes", maxHeartbeatBytes), http.StatusRequestEntityTooLarge)
+		return
+	case err != nil:
+		http.Error(w, "the body is incomplete", http.StatusBadRequest)
 		return
 	}
 	if action == "deregister" {
@@ -103,23 +93,3 @@
 	w.Header().Set("Content-Length", "1")
 	w.Write([]byte{0x80})
 }
-
-// readHeartbeat decodes and validates a heartbeat. Its error is sent to the server as the body of the response.
-func readHeartbeat(body []byte) (proxy.Heartbeat, error) {
-	var b heartbeatBody
-	if err := msgpack.Unmarshal(body, &b); err != nil {
-		return proxy.Heartbeat{}, errors.New("the heartbeat is not readable")
-	}
-	switch {
-	case b.Backend == "" || b.Address == "":
-		return proxy.Heartbeat{}, errors.New("the heartbeat names no backend or address")
-	case b.Status != "in_service" && b.Status != "draining":
-		return proxy.Heartbeat{}, errors.New("the heartbeat's status is neither in_service nor draining")
-	case b.Slots < 0 || b.Slots > 1<<20:
-		return proxy.Heartbeat{}, errors.New("the heartbeat's slots are no number of slots")
-	}
-	return proxy.Heartbeat{
-		Service: b.Backend, Address: b.Address, Zone: b.Zone, Slots: b.Slots, Draining: b.Status == "draining", Seq: b.Seq,
-		WarmupLeft: time.Duration(max(0, min(b.WarmupMs, maxWarmupMs)) * float64(time.Millisecond)),
-	}, nil
-}
