Bound the elements of messages between processes

A message of another process may hold elements of two bytes, each of which becomes a struct: one of 2 MiB took 122 MiB to decode, and 72 MiB are allowed. A feed is compressed besides, so a few kilobytes were enough. Groups, which no message has, nested a stack of 992 KiB for 10 KB.

Messages are now counted before they are decoded: at most 262,144 elements each, 524,288 in the messages of a process that are being handled; 1,048,576 in a feed, of at most 32 MiB (it was 64). Messages of up to 1,024 elements always pass. A refused call gets an error that names the bound.

--- a/internal/distribution/relay/pack.go
+++ b/internal/distribution/relay/pack.go
@@ -14,7 +14,8 @@
 
 const (
 	packAbove   = 2 << 10  // in bytes; smaller changes are sent uncompressed
-	maxUnpacked = 64 << 20 // in bytes of decompressed changes; 28,000 servers take 2 MB, a configuration at most 8 MB
+	maxUnpacked = 32 << 20 // in bytes of decompressed changes; 28,000 servers take 2 MB, a configuration at most 8 MB
+	maxElements = 1 << 20  // elements of decompressed changes: see wire.CountElements
 )
 
 // errUnpack ends the subscription to a parent whose packed changes cannot be decoded.
@@ -60,7 +61,7 @@
 		return fmt.Errorf("%w: decompressed size exceeds %d bytes", errUnpack, maxUnpacked)
 	}
 	changes := new(wire.Changes)
-	if err := proto.Unmarshal(data, changes); err != nil {
+	if err := wire.Unmarshal(data, changes, maxElements); err != nil {
 		return fmt.Errorf("%w: %w", errUnpack, err)
 	}
 	feed.Changes, feed.Packed = changes, nil
--- a/internal/distribution/relay/pack_test.go
+++ b/internal/distribution/relay/pack_test.go
@@ -44,7 +44,7 @@
 	}
 	for name, packed := range map[string][]byte{
 		"not compressed": []byte("plain"), "not a message": compress([]byte{0xff}), "too large": compress(make([]byte, maxUnpacked+1)),
-		"truncated": compress(make([]byte, 1000))[:4],
+		"truncated": compress(make([]byte, 1000))[:4], "too many elements": compress(bytes.Repeat([]byte{5<<3 | 2, 0}, maxElements+1)),
 	} {
 		if err := unpack(&wire.Feed{Packed: packed}); !errors.Is(err, errUnpack) {
 			t.Errorf("%s: unpack returned %v, want errUnpack", name, err)
--- a/internal/transport/rpc/conn.go
+++ b/internal/transport/rpc/conn.go
@@ -7,6 +7,7 @@
 //
 //	conn.go      connections: reading and writing frames
 //	stream.go    streams: messages, credit, deadlines
+//	decode.go    decoding of messages within bounds
 //	pool.go      client: connections by address
 //	rpc.go       server: listener, handlers
 //	liveness.go  pings and detection of unresponsive peers
@@ -44,6 +45,9 @@
 	maxMessage        = 72 << 20                // in bytes
 	maxStreams        = 4096                    // open streams per connection
 	maxPartialBytes   = 128 << 20               // total size of incomplete messages in the process
+	maxElements       = 1 << 18                 // elements of a message: see wire.CountElements
+	maxElementsAtOnce = 1 << 19                 // elements of all messages in the process that are being handled
+	freeElements      = 1 << 10                 // messages with up to this many elements do not count against maxElementsAtOnce
 	maxRetainedBuffer = 8 << 10                 // in bytes; larger buffers are not reused
 	pingInterval      = 600 * time.Millisecond  // interval of liveness checks, and of pings to a quiet peer with open streams
 	idlePingInterval  = 9 * time.Second         // interval of pings to a peer without open streams; Pool.Live pings before it returns such a connection
@@ -60,11 +64,17 @@
 // errFrameMaybeComplete means that a write failed, but the peer may have received the complete frame.
 var errFrameMaybeComplete = errors.New("the frame may have arrived completely")
 
-// ErrTooLarge means that a message exceeds maxMessage, or the incomplete messages of the process exceed maxPartialBytes.
+// ErrTooLarge means that a message exceeds maxMessage, the incomplete messages of the process exceed maxPartialBytes, or the
+// elements of all messages exceed maxElementsAtOnce.
 var ErrTooLarge = errors.New("message too large")
 
-// partialBytes is the size of all incomplete messages in this process.
-var partialBytes atomic.Int64
+var (
+	// partialBytes is the size of all incomplete messages in this process.
+	partialBytes atomic.Int64
+	// handledElements is the number of elements of the decoded messages whose streams have not ended, without messages of up to
+	// freeElements.
+	handledElements atomic.Int64
+)
 
 // conn is a connection, on the client or the server side.
 type conn struct {
@@ -210,6 +220,9 @@
 		if _, err := io.ReadFull(r, buf); err != nil {
 			return fmt.Errorf("reading a frame: %w", err)
 		}
+		if err := wire.RejectGroups(buf); err != nil {
+			return fmt.Errorf("a frame from %s: %w", c.nc.RemoteAddr(), err)
+		}
 		if err := proto.Unmarshal(buf, &f); err != nil {
 			return fmt.Errorf("a frame from %s: %w", c.nc.RemoteAddr(), err)
 		}
--- a/internal/transport/rpc/stream.go
+++ b/internal/transport/rpc/stream.go
@@ -34,6 +34,7 @@
 	firstMessage [1][]byte     // initial backing array of messages, as most streams receive only one
 	fin          bool          // no more messages will be received
 	err          error         // returned by Recv after all messages
+	elements     int64         // counted elements of the latest decoded message, part of handledElements
 
 	creditWake chan struct{} // capacity 1; signals more credit or the end of the stream; created on first use
 	onFrame    func()        // called for each received data frame
@@ -134,6 +135,7 @@
 		return
 	}
 	s.endErr = err
+	s.releaseElements()
 	if s.done != nil {
 		close(s.done)
 	}
@@ -243,7 +245,7 @@
 			s.messages = s.messages[1:]
 			open := !s.fin
 			s.mu.Unlock()
-			if err := proto.Unmarshal(data, m); err != nil {
+			if err := s.decode(data, m); err != nil {
 				return fmt.Errorf("decoding a message: %w", err)
 			}
 			if open && len(data) > 0 {
