Bound what the tools and settings read from files

ivydeckctl decoded TOML with a decoder that recurses once per level of a value and takes quadratic time in the parts of a key, read files of any size, and decoded backups whose elements take two bytes each.

--- a/internal/balancer/node/list.go
+++ b/internal/balancer/node/list.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -32,21 +33,50 @@
 	return servers
 }
 
+// maxInstances bounds the instances of a list. Each takes three bytes of JSON at least, and a hundred in memory.
+const maxInstances = 100_000
+
+// instanceJSON is a server in discovery's JSON format.
+type instanceJSON struct {
+	ID        string  `json:"instanceId"`
+	HostPort  string  `json:"hostPort"`
+	Zone      string  `json:"zone"`
+	Cell      int     `json:"cell"`
+	Lifecycle string  `json:"lifecycle"`
+	Weight    float64 `json:"weight"`
+	StartedMs int64   `json:"startedAtMs"`
+}
+
+// instancesJSON is a list of at most maxInstances servers.
+type instancesJSON []instanceJSON
+
+// UnmarshalJSON decodes an array one element at a time. It implements json.Unmarshaler.
+func (l *instancesJSON) UnmarshalJSON(text []byte) error {
+	*l = nil
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	if start, err := decoder.Token(); err != nil || start != json.Delim('[') {
+		return errors.Join(errors.New("instances is no array"), err)
+	}
+	for decoder.More() {
+		if len(*l) == maxInstances {
+			return fmt.Errorf("more than %d instances", maxInstances)
+		}
+		var instance instanceJSON
+		if err := decoder.Decode(&instance); err != nil {
+			return err
+		}
+		*l = append(*l, instance)
+	}
+	return nil
+}
+
 // parseList parses a list in discovery's JSON format. It rejects the list if any entry
 // is invalid: leaving out entries of a full list would remove their servers.
 func parseList(text []byte) (*list, error) {
 	var raw struct {
-		Generation *uint64 `json:"generation"`
-		Reset      bool    `json:"reset"`
-		Instances  *[]struct {
-			ID        string  `json:"instanceId"`
-			HostPort  string  `json:"hostPort"`
-			Zone      string  `json:"zone"`
-			Cell      int     `json:"cell"`
-			Lifecycle string  `json:"lifecycle"`
-			Weight    float64 `json:"weight"`
-			StartedMs int64   `json:"startedAtMs"`
-		} `json:"instances"`
+		Generation *uint64        `json:"generation"`
+		Reset      bool           `json:"reset"`
+		Instances  *instancesJSON `json:"instances"`
 	}
 	if err := json.Unmarshal(text, &raw); err != nil {
 		return nil, fmt.Errorf("malformed list: %w", err)
--- a/internal/balancer/node/parsing_test.go
+++ b/internal/balancer/node/parsing_test.go
@@ -94,3 +94,11 @@
 		t.Errorf("%d requests reached the server", s.requestCount())
 	}
 }
+
+// TestListInstancesAreBounded guards against a list whose instances of three bytes each take the node over its memory.
+func TestListInstancesAreBounded(t *testing.T) {
+	empty := strings.Repeat("{},", maxInstances)
+	if _, err := parseList([]byte(`{"generation":1,"instances":[` + empty + `{}]}`)); err == nil || !strings.Contains(err.Error(), "more than 100000 instances") {
+		t.Errorf("error %v, want one that names the bound", err)
+	}
+}
--- a/internal/config/nodefile/nodefile.go
+++ b/internal/config/nodefile/nodefile.go
@@ -6,11 +6,12 @@
 import (
 	"fmt"
 	"net/netip"
-	"os"
 	"sort"
 	"strconv"
 	"strings"
 	"time"
+
+	"ivydeck/internal/pkg/boundedfile"
 )
 
 // PathVariable is the environment variable that holds the path of the settings file.
@@ -18,6 +19,7 @@
 
 const (
 	maxBytes         = 1 << 20 // maximum size of the file
+	maxErrors        = 100     // maximum number of errors that are listed
 	maxTraceCapacity = 1 << 20 // maximum value of trace.keep, in requests
 )
 
@@ -101,14 +103,7 @@
 	if path == "" {
 		return nil, fmt.Errorf("settings: the path of the settings file is empty; set %s", PathVariable)
 	}
-	info, err := os.Stat(path)
-	if err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
-	}
-	if info.Size() > maxBytes {
-		return nil, fmt.Errorf("settings: %s has %d bytes, the maximum is %d", path, info.Size(), maxBytes)
-	}
-	text, err := os.ReadFile(path)
+	text, err := boundedfile.Read(path, maxBytes)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
@@ -119,10 +114,10 @@
 	return s, nil
 }
 
-// ParseErrors lists all errors in a settings file.
+// ParseErrors lists the first errors in a settings file.
 type ParseErrors []string
 
-// Error returns all errors in one line.
+// Error returns the errors in one line.
 func (e ParseErrors) Error() string { return strings.Join(e, "; ") }
 
 // reader parses values and collects their errors.
@@ -132,6 +127,9 @@
 }
 
 func (r *reader) addError(format string, args ...any) {
+	if len(r.errors) == maxErrors {
+		return
+	}
 	r.errors = append(r.errors, fmt.Sprintf(format, args...))
 }
 
--- a/internal/config/nodefile/nodefile_test.go
+++ b/internal/config/nodefile/nodefile_test.go
@@ -1,6 +1,7 @@
 package nodefile
 
 import (
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -76,3 +77,12 @@
 		}
 	})
 }
+
+// TestErrorsAreBounded guards against an error that is many times as large as the file.
+func TestErrorsAreBounded(t *testing.T) {
+	_, err := Parse(validFile + strings.Repeat("x\n", maxBytes/2))
+	var list ParseErrors
+	if !errors.As(err, &list) || len(list) != maxErrors {
+		t.Errorf("%d errors are listed, want %d", len(list), maxErrors)
+	}
+}
--- a/internal/controlplane/backup/backup.go
+++ b/internal/controlplane/backup/backup.go
@@ -19,6 +19,7 @@
 
 	"ivydeck/internal/controlplane/catalog"
 	"ivydeck/internal/controlplane/store"
+	"ivydeck/internal/pkg/boundedfile"
 	"ivydeck/internal/transport/wire"
 )
 
@@ -30,6 +31,11 @@
 // that they have already applied, and may have applied more updates than the backup holds.
 const restoredIndexOffset = 1 << 32
 
+const (
+	maxFileBytes = 64 << 20 // maximum size of a backup file, in bytes
+	maxElements  = 1 << 10  // maximum number of elements in a wire.Backup, whose snapshot is one: see wire.CountElements
+)
+
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 // Backup is the replicated state after the log entry with the given term and index.
@@ -96,14 +102,14 @@
 		return nil, errors.New("backup: checksum mismatch")
 	}
 	var message wire.Backup
-	if err := proto.Unmarshal(rest[4:], &message); err != nil {
+	if err := wire.Unmarshal(rest[4:], &message, maxElements); err != nil {
 		return nil, fmt.Errorf("backup: decoding: %w", err)
 	}
-	b := &Backup{Term: message.Term, Index: message.Index, State: catalog.New()}
-	if err := b.State.Restore(message.Snapshot); err != nil {
+	state, err := catalog.Decode(message.Snapshot)
+	if err != nil {
 		return nil, err
 	}
-	return b, nil
+	return &Backup{Term: message.Term, Index: message.Index, State: state}, nil
 }
 
 // Save writes the backup to a new file and syncs it. It returns an error if the file exists.
@@ -136,7 +142,7 @@
 
 // Load reads and decodes a backup file.
 func Load(path string) (*Backup, error) {
-	data, err := os.ReadFile(path)
+	data, err := boundedfile.Read(path, maxFileBytes)
 	if err != nil {
 		return nil, fmt.Errorf("backup: %w", err)
 	}
--- a/internal/controlplane/backup/backup_test.go
+++ b/internal/controlplane/backup/backup_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -127,3 +130,26 @@
 		t.Error("Load of a missing file returned no error")
 	}
 }
+
+// TestBackupElementsAreBounded guards against a backup file that takes the tool over the machine's memory by departures of two
+// bytes each.
+func TestBackupElementsAreBounded(t *testing.T) {
+	state := bytes.Repeat([]byte{10<<3 | 2, 0}, 1<<20) // State.departures
+	snapshot := append(binary.AppendUvarint([]byte{1<<3 | 2}, uint64(len(state))), state...)
+	body, err := proto.Marshal(&wire.Backup{Term: 1, Index: 1, Snapshot: snapshot})
+	if err != nil {
+		t.Fatal(err)
+	}
+	data := binary.BigEndian.AppendUint32(bytes.Clone(magic), crc32.Checksum(body, castagnoli))
+	var tooMany *wire.ElementsError
+	if _, err := Decode(append(data, body...)); !errors.As(err, &tooMany) {
+		t.Errorf("error %v, want one that names the bound on elements", err)
+	}
+	path := filepath.Join(t.TempDir(), "large")
+	if err := os.WriteFile(path, make([]byte, maxFileBytes+1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Load(path); err == nil || !strings.Contains(err.Error(), "larger than 67108864 bytes") {
+		t.Errorf("a file that is too large: error %v", err)
+	}
+}
--- a/internal/controlplane/catalog/image.go
+++ b/internal/controlplane/catalog/image.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"fmt"
 	"slices"
 
 	"ivydeck/internal/config/meshconfig"
@@ -35,8 +36,16 @@
 	return c.Snapshot()
 }
 
-// Decode returns the state that a snapshot encodes.
+// maxSnapshotElements bounds the elements of a snapshot from outside the process. A state of maxServers servers and
+// maxDepartures departures has about half as many.
+const maxSnapshotElements = 1 << 20
+
+// Decode returns the state that a snapshot of another process encodes. It returns a wire.ElementsError for one with more than
+// maxSnapshotElements elements.
 func Decode(data []byte) (*Catalog, error) {
+	if _, err := wire.CountElements(data, new(wire.Snapshot), maxSnapshotElements); err != nil {
+		return nil, fmt.Errorf("catalog: %w", err)
+	}
 	c := New()
 	return c, c.Restore(data)
 }
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -4,9 +4,9 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"sort"
 
 	"github.com/BurntSushi/toml"
@@ -14,27 +14,25 @@
 	"gopkg.in/yaml.v3"
 
 	"ivydeck/internal/config/meshconfig"
+	"ivydeck/internal/pkg/boundedfile"
 )
 
+// maxFileBytes is the maximum size of a configuration file, in bytes. Text takes more than the encoded configuration.
+const maxFileBytes = 4 * meshconfig.MaxBytes
+
 // Load reads a configuration from a file. The extension determines the format: .toml, .yaml, .yml, .json, or MessagePack for
 // any other. It returns the MessagePack encoding and the parsed configuration.
 func Load(path string) ([]byte, *meshconfig.Config, error) {
-	body, err := os.ReadFile(path)
+	body, err := boundedfile.Read(path, maxFileBytes)
 	if err != nil {
 		return nil, nil, err
 	}
-	var values map[string]any
-	switch filepath.Ext(path) {
-	case ".toml":
-		err = toml.Unmarshal(body, &values)
-	case ".yaml", ".yml":
-		err = yaml.Unmarshal(body, &values)
-	case ".json":
-		err = json.Unmarshal(body, &values)
-	default:
+	format := filepath.Ext(path)
+	if !slices.Contains([]string{".toml", ".yaml", ".yml", ".json"}, format) {
 		config, err := meshconfig.Parse(body)
 		return body, config, err
 	}
+	values, err := decodeText(format, body)
 	if err != nil {
 		return nil, nil, fmt.Errorf("parsing %s: %w", path, err)
 	}
@@ -48,6 +46,22 @@
 	return encoded.Bytes(), config, err
 }
 
+// decodeText decodes a file in one of the text formats. The decoders of YAML and JSON bound the nesting themselves.
+func decodeText(format string, text []byte) (values map[string]any, err error) {
+	switch format {
+	case ".toml":
+		if err := checkTOMLDepth(text); err != nil {
+			return nil, err
+		}
+		err = toml.Unmarshal(text, &values)
+	case ".yaml", ".yml":
+		err = yaml.Unmarshal(text, &values)
+	default:
+		err = json.Unmarshal(text, &values)
+	}
+	return values, err
+}
+
 // Diff returns the differences between two configurations, one per line.
 func Diff(a, b *meshconfig.Config) []string {
 	var lines []string
