Answer stale configurations before they enter the log

Eight operators that replaced the same revision by configurations of 8 MiB took a quorum member to 309 MiB: one was accepted, and each of the others was proposed, stored and parsed by all members before it was rejected. The leader now answers 412 by its own state: a configuration based on an earlier revision can only be the one that replaced that revision, and the state has it. When an entry is applied, its base is checked before it is parsed, as for deltas. Large bodies share 16 MiB (was 24).

TestStaleChangeIsNotProposed failed before (2 entries), and passes.

--- a/internal/config/meshconfig/decode.go
+++ b/internal/config/meshconfig/decode.go
@@ -32,6 +32,23 @@
 	})
 }
 
+// Revision returns the revision of a configuration that a quorum has received, without parsing the rest. The configuration may
+// be invalid.
+func Revision(body []byte) (revision uint64, err error) {
+	r := msgpackreader.NewUnlimited(body)
+	err = r.Struct(configFields, func(field int) (err error) {
+		if configFields[field] == "revision" {
+			revision, err = r.Uint()
+			return err
+		}
+		return r.Skip()
+	})
+	if err != nil {
+		return 0, fmt.Errorf("configuration: not readable: %w", err)
+	}
+	return revision, nil
+}
+
 // decodeFieldsOf decodes a route.
 func (p *parser) decodeFieldsOf(route *Route) error {
 	r := p.reader
--- a/internal/controlplane/catalog/accept.go
+++ b/internal/controlplane/catalog/accept.go
@@ -53,18 +53,26 @@
 // acceptConfig validates a committed configuration, whose proposer has applied the bounds of Current.Parse, and records it as accepted. It returns nil and no error if the same configuration
 // was accepted before.
 func (c *Catalog) acceptConfig(put *wire.PutConfig) (*Current, error) {
-	body, change := put.Body, Change{revision: put.Revision}
+	change := Change{revision: put.Revision}
 	if len(put.Delta) > 0 {
 		copy(change.digest[:], put.Hash)
-		if duplicate, err := c.checkChange(change, put.Base); duplicate || err != nil {
-			return nil, err
+	} else {
+		change.digest = sha256.Sum256(put.Body)
+		var err error
+		if change.revision, err = meshconfig.Revision(put.Body); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
 		}
+	}
+	// Several operators may replace the same revision. All but one fail here, at a lower cost than that of parsing.
+	if duplicate, err := c.checkChange(change, put.Base); duplicate || err != nil {
+		return nil, err
+	}
+	body := put.Body
+	if len(put.Delta) > 0 {
 		var err error
 		if body, err = c.rebuild(put); err != nil {
 			return nil, err
 		}
-	} else {
-		change.digest = sha256.Sum256(body)
 	}
 	config, err := meshconfig.ParseAccepted(body, c.config)
 	if err != nil {
@@ -90,6 +98,13 @@
 	return body, nil
 }
 
+// CheckChange returns the error with which a change that is not accepted yet would be rejected now, or nil: ErrStale,
+// ErrInvalid or ErrOutcomeUnknown. It does not check the configuration itself.
+func (c *Catalog) CheckChange(change Change, base uint64) error {
+	_, err := c.checkChange(change, base)
+	return err
+}
+
 // checkChange reports whether a change was accepted before. If not, it returns an error unless the change has the current
 // revision as its base and a higher revision of its own.
 func (c *Catalog) checkChange(change Change, base uint64) (duplicate bool, err error) {
--- a/internal/controlplane/server/http_config_test.go
+++ b/internal/controlplane/server/http_config_test.go
@@ -68,6 +68,8 @@
 		{"missing base revision", "POST", replacePath, "", first, http.StatusBadRequest, "Base-Revision"},
 		{"truncated body", "POST", replacePath, "0", first[:7], http.StatusBadRequest, "not readable"},
 		{"too large", "POST", replacePath, "0", strings.Repeat("x", meshconfig.MaxBytes+1), http.StatusRequestEntityTooLarge, "larger than 8388608 bytes"},
+		{"nested value, cut short", "POST", replacePath, "0", "\x81\xa2zz" + strings.Repeat("\x91", 4_000_000), http.StatusBadRequest, "nested more than 1000 levels"},
+		{"announced count", "POST", replacePath, "0", "\x81\xadbackend_table\xdd\xff\xff\xff\xff", http.StatusBadRequest, "the data ends within a value"},
 		{"first change", "POST", replacePath, "0", first, http.StatusOK, ""},
 		{"read first change", "GET", readPath, "", "", http.StatusOK, first},
 		{"first change resent", "POST", replacePath, "0", first, http.StatusOK, "already"},
@@ -138,3 +140,39 @@
 		t.Errorf("status %d with one free slot, want 200; free afterwards: %t, want one", status, free)
 	}
 }
+
+// TestStaleChangeIsNotProposed guards against rejected configurations that fill the log, and with it the memory of all members:
+// each of several operators that replace the same revision added its whole configuration.
+func TestStaleChangeIsNotProposed(t *testing.T) {
+	srv := newSingleMember(t)
+	handler := srv.routes()
+	post := func(base, body string) int {
+		r := httptest.NewRequest(http.MethodPost, replacePath, strings.NewReader(body))
+		r.Header.Set("Base-Revision", base)
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		return w.Code
+	}
+	committed := func() uint64 {
+		index, err := callInLoop(t.Context(), srv, func() uint64 { return srv.consensus.Committed() })
+		if err != nil {
+			t.Fatal(err)
+		}
+		return index
+	}
+	if status := post("0", encodeConfig(t, 3, "a")); status != http.StatusOK {
+		t.Fatalf("first change: status %d, want 200", status)
+	}
+	before := committed()
+	for _, base := range []string{"0", "2"} {
+		if status := post(base, encodeConfig(t, 4, "b")); status != http.StatusPreconditionFailed {
+			t.Errorf("a change of revision %s: status %d, want 412", base, status)
+		}
+	}
+	if after := committed(); after != before {
+		t.Errorf("stale changes added %d entries to the log, want none", after-before)
+	}
+	if status := post("3", encodeConfig(t, 4, "b")); status != http.StatusOK || committed() != before+1 {
+		t.Errorf("a change of the current revision: status %d, %d more entries; want 200 and 1", status, committed()-before)
+	}
+}
--- a/internal/controlplane/server/operator_requests.go
+++ b/internal/controlplane/server/operator_requests.go
@@ -70,6 +70,7 @@
 type replacement struct {
 	command  *wire.Command
 	change   catalog.Change
+	base     uint64 // revision that it replaces
 	revision uint64
 }
 
@@ -80,17 +81,23 @@
 	if err != nil {
 		return replacement{}, err
 	}
-	return replacement{current.Command(base, config, body), catalog.ChangeOf(config, body), config.Revision}, nil
+	return replacement{current.Command(base, config, body), catalog.ChangeOf(config, body), base, config.Revision}, nil
 }
 
 // replace proposes a configuration. If this member's state already contains it as an accepted change, replace answers
 // AlreadyAccepted instead. An accepted change stays accepted, so this is correct even if the member is behind or doesn't
-// lead.
+// lead. A leader does not propose a configuration that replaces an earlier revision than the state's: only one change can
+// have replaced that revision, and the state contains it. Rejected configurations thus take no space in the log.
 func (a *operatorRequests) replace(now, deadline time.Duration, r replacement, done func(OperatorAnswer)) {
-	if a.state().State.Accepted(r.change) {
+	state := a.state().State
+	if state.Accepted(r.change) {
 		done(OperatorAnswer{Result: AlreadyAccepted})
 		return
 	}
+	if r.base < state.Revision() && a.requests.consensus.IsLeader() {
+		done(replaceAnswer(outcome{err: state.CheckChange(r.change, r.base)}))
+		return
+	}
 	data, err := proto.Marshal(r.command)
 	if err != nil {
 		done(redirectOrUnavailable(err))
--- a/internal/controlplane/server/upload.go
+++ b/internal/controlplane/server/upload.go
@@ -24,7 +24,7 @@
 	// uploads of large ones do not delay it.
 	maxSmallUpload = 256 << 10
 	// maxUploadBytes bounds the total size of larger configurations that are read, parsed or proposed at once.
-	maxUploadBytes = 3 * meshconfig.MaxBytes
+	maxUploadBytes = 2 * meshconfig.MaxBytes
 )
 
 // uploads bounds the memory that the configurations of operators take, however many calls arrive at once.
