--- a/internal/config/meshconfig/meshconfig.go
+++ b/internal/config/meshconfig/meshconfig.go
@@ -54,6 +54,9 @@
 // linearCheckLimit is the maximum number of references to services that are looked up without an index.
 const linearCheckLimit = 8
 
+// errMoreErrors is the last error of a configuration whose check ended at maxErrors.
+var errMoreErrors = errors.New("more errors may follow")
+
 // errorList collects the first maxErrors errors of a configuration.
 type errorList struct {
 	errors []error
@@ -106,13 +109,18 @@
 	}
 	keys := make(map[Key]bool, len(routes))
 	for _, i := range routes {
+		if list.full() {
+			return errors.Join(list.err(), errMoreErrors)
+		}
 		r, addRouteError := c.Routes[i], c.routeErrors(&list, i)
 		if keys[r.Key()] {
 			addRouteError(": another route has host %q and prefix %q", shorten(r.Host), shorten(r.Prefix))
 		}
 		keys[r.Key()] = true
 		r.check(addRouteError)
-		r.checkServices(known, addRouteError)
+		if service, ok := r.unknownService(known); ok {
+			addRouteError(": no service %q", shorten(service))
+		}
 	}
 	if c.Limits.HeaderBytes < 0 || c.Limits.BodyBytes < 0 || c.Limits.HeaderMs < 0 || c.Limits.IdleMs < 0 {
 		list.add("request_limits: a negative number")
@@ -127,7 +135,7 @@
 	for _, i := range routes {
 		c.Routes[i].check(c.routeErrors(&list, i))
 		if list.full() {
-			return errors.Join(list.err(), errors.New("more errors may follow"))
+			return errors.Join(list.err(), errMoreErrors)
 		}
 	}
 	return nil
@@ -196,19 +204,17 @@
 	}
 }
 
-// checkServices reports the services of a route that the configuration does not contain.
-func (r *Route) checkServices(known func(service string) bool, addError func(format string, args ...any)) {
+// unknownService returns the first service of a route that the configuration does not contain.
+func (r *Route) unknownService(known func(service string) bool) (service string, ok bool) {
 	if r.Backend != "" {
-		if !known(r.Backend) {
-			addError(": no service %q", shorten(r.Backend))
-		}
-		return
+		return r.Backend, !known(r.Backend)
 	}
 	for _, w := range r.Backends {
 		if !known(w.Backend) {
-			addError(": no service %q", shorten(w.Backend))
+			return w.Backend, true
 		}
 	}
+	return "", false
 }
 
 // buildIndex builds the index for Find from the index of base, which may be nil. The cost depends on the difference.
