Take a slot before a pipelined request is read

A request that was read after the client had left took no slot of the connection, but its worker gave one back, so the last workers and the connection waited for ever. With 64 requests in work the connection was not read, so that servers worked on for a client that had left.

A slot is now taken before a request is read and given back by its owner; past 64 requests nothing is read, and the client's end is watched for meanwhile. A node whose connections are at their maximum is not ready.

--- a/internal/controlplane/server/doc.go
+++ b/internal/controlplane/server/doc.go
@@ -24,6 +24,7 @@
 //	operator_requests.go   results of operators' requests (no I/O)
 //	ack_gate.go            the minimum number of voters for an acknowledgement (no I/O)
 //	http*.go               the operators' HTTP interface
+//	upload.go              reading configurations within a bound on memory
 //	node_queries.go        queries to all nodes
 //	rpc_nodes.go           RPC methods that nodes call
 //	metrics.go             the member's own metrics
--- a/internal/dataplane/proxy/client.go
+++ b/internal/dataplane/proxy/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ivydeck/internal/dataplane/http1"
+	"ivydeck/internal/transport/sock"
 )
 
 // clientConn is a connection from a client.
@@ -27,6 +28,7 @@
 	pending     int  // requests without a response
 	closing     bool // no further request is accepted
 	readStopped bool // no further bytes are read
+	watching    bool // watchDisconnect may wait for data
 
 	lastResponseAt time.Time // when the last response was written
 }
@@ -48,23 +50,13 @@
 	lastWritten := make(chan struct{}) // closed once the previous response has been written
 	close(lastWritten)
 	r := bufio.NewReaderSize(conn, 4<<10)
-	for {
+	for c.acquireSlot(slots, r) {
 		call, err := c.readRequest(r)
 		if err != nil {
-			var rejected *http1.Error
-			if errors.As(err, &rejected) {
-				written := make(chan struct{})
-				response := textResponse(rejected.Status, rejected.Text)
-				response.Close = true
-				c.writeResponse(lastWritten, written, "", response)
-				lastWritten = written
-			}
+			<-slots
+			lastWritten = c.reject(err, lastWritten)
 			break
 		}
-		select {
-		case slots <- struct{}{}:
-		case <-ctx.Done():
-		}
 		written := make(chan struct{})
 		previous := lastWritten
 		lastWritten = written
@@ -88,24 +80,102 @@
 	c.linger()
 }
 
+// acquireSlot waits until fewer than maxPending requests are without a response. The connection is not read meanwhile. It
+// returns false if the client disconnects first, which cancels the requests.
+func (c *clientConn) acquireSlot(slots chan<- struct{}, r *bufio.Reader) bool {
+	select {
+	case slots <- struct{}{}:
+		return true
+	default:
+	}
+	defer c.watchDisconnect(r)()
+	select {
+	case slots <- struct{}{}:
+		return true
+	case <-c.ctx.Done():
+		return false
+	}
+}
+
+// reject answers a request that was not accepted, if the error of readRequest is an http1.Error. It returns the channel that is
+// closed once the last response has been written.
+func (c *clientConn) reject(err error, lastWritten chan struct{}) chan struct{} {
+	var rejected *http1.Error
+	if !errors.As(err, &rejected) {
+		return lastWritten
+	}
+	written := make(chan struct{})
+	response := textResponse(rejected.Status, rejected.Text)
+	response.Close = true
+	c.writeResponse(lastWritten, written, "", response)
+	return written
+}
+
 // awaitResponses waits for the responses to the requests that were read. It cancels the requests if the client disconnects.
 func (c *clientConn) awaitResponses(r *bufio.Reader, running *sync.WaitGroup) {
-	watcherDone := make(chan struct{})
+	stop := c.watchDisconnect(r)
+	running.Wait()
+	c.stopReads()
+	stop()
+}
+
+// watchDisconnect cancels the requests if the client disconnects, until the returned function is called. The connection may not
+// be read meanwhile.
+func (c *clientConn) watchDisconnect(r *bufio.Reader) (stop func()) {
+	stopped, done := make(chan struct{}), make(chan struct{})
+	c.mu.Lock()
+	c.watching = true
+	c.mu.Unlock()
 	go func() {
-		defer close(watcherDone)
-		// Peek detects a disconnect without consuming data, as long as the buffer has space.
-		for n := 1; n < r.Size() && c.setReadDeadline(time.Time{}); n = r.Buffered() + 1 {
-			if _, err := r.Peek(n); err != nil {
-				if !errors.Is(err, os.ErrDeadlineExceeded) {
-					c.cancel()
-				}
-				return
-			}
+		defer close(done)
+		if c.awaitDisconnect(r, stopped) {
+			c.cancel()
 		}
 	}()
-	running.Wait()
-	c.stopReads()
-	<-watcherDone
+	return func() {
+		close(stopped)
+		c.mu.Lock()
+		c.watching = false
+		c.netConn.SetReadDeadline(time.Unix(1, 0)) // aborts a pending Peek
+		c.mu.Unlock()
+		<-done
+	}
+}
+
+// awaitDisconnect waits until the client disconnects, or until watching ends, and reports whether the client has disconnected.
+func (c *clientConn) awaitDisconnect(r *bufio.Reader, stopped <-chan struct{}) bool {
+	// Peek detects a disconnect without consuming data, as long as the buffer has space.
+	for n := 1; n < r.Size(); n = r.Buffered() + 1 {
+		if !c.beginPeek() {
+			return false
+		}
+		if _, err := r.Peek(n); err != nil {
+			return !errors.Is(err, os.ErrDeadlineExceeded)
+		}
+	}
+	tick := time.NewTicker(disconnectPollInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			if sock.PeerClosed(c.netConn) {
+				return true
+			}
+		case <-stopped:
+			return false
+		}
+	}
+}
+
+// beginPeek clears the read deadline. It returns false if watching has ended or reads have been stopped.
+func (c *clientConn) beginPeek() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readStopped || !c.watching {
+		return false
+	}
+	c.netConn.SetReadDeadline(time.Time{})
+	return true
 }
 
 // setReadDeadline sets the read deadline, where the zero time means none. It returns false if reads have been stopped.
--- a/internal/dataplane/proxy/listener.go
+++ b/internal/dataplane/proxy/listener.go
@@ -3,6 +3,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -16,14 +17,18 @@
 )
 
 const (
-	maxPending       = 64                     // maximum number of requests without a response, per connection
-	maxClients       = 3000                   // maximum number of connections
+	maxPending       = 64                     // maximum number of requests without a response, per connection; no more are read
 	writeTimeout     = 10 * time.Second       // time for a client to receive a response
 	lingerTimeout    = 180 * time.Millisecond // time for a client to receive the last response before the connection is closed
 	bodyTimeout      = 30 * time.Second       // time for a client to send a body
 	maxUncountedBody = 64 << 10               // bytes; bodies up to this size do not count against Listener.MaxBodyMemory
+
+	disconnectPollInterval = 100 * time.Millisecond // of the state of a connection whose buffer is full
 )
 
+// DefaultMaxClients is the default of Listener.MaxClients.
+const DefaultMaxClients = 3000
+
 // Call is a request with its complete body.
 type Call struct {
 	http1.Request
@@ -55,6 +60,7 @@
 	Handle        func(ctx context.Context, call *Call) *Response
 	Bounds        func() Bounds
 	MaxBodyMemory int64 // in bytes, for the bodies of all requests; no limit if zero
+	MaxClients    int   // maximum number of connections; DefaultMaxClients if zero
 	Log           *slog.Logger
 
 	shuttingDown atomic.Bool
@@ -126,6 +132,14 @@
 // Open returns the number of open connections.
 func (l *Listener) Open() int64 { return l.open.Load() }
 
+// Full reports whether the listener closes new connections, because as many as allowed are open.
+func (l *Listener) Full() bool {
+	return l.open.Load() >= int64(cmp.Or(l.MaxClients, DefaultMaxClients))
+}
+
+// BodyMemory returns the size of the bodies that count against MaxBodyMemory, in bytes.
+func (l *Listener) BodyMemory() int64 { return l.bodyMemory.Load() }
+
 // Serve accepts connections until ctx ends, and then waits for them to close.
 func (l *Listener) Serve(ctx context.Context, ln net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -153,7 +167,7 @@
 			}
 			continue
 		}
-		if l.open.Load() >= maxClients {
+		if l.Full() {
 			conn.Close() // before anything is read, so that the client can retry elsewhere
 			continue
 		}
--- a/internal/dataplane/sidecar/doc.go
+++ b/internal/dataplane/sidecar/doc.go
@@ -4,7 +4,8 @@
 //
 //	node.go       construction and main loop
 //	listeners.go  listening sockets
-//	servers.go    heartbeats of the application server
+//	servers.go    calls of the application server
+//	heartbeat.go  decoding of its heartbeats
 //	verifier.go   holds back servers that may have departed before the process started
 //	update.go     applies updates of the replicated state to the request path
 //	shutdown.go   graceful shutdown
--- a/internal/dataplane/sidecar/metrics.go
+++ b/internal/dataplane/sidecar/metrics.go
@@ -102,5 +102,6 @@
 		metrics.NewGauge("ivydeck_identity_ends_seconds", "Time that is left of this process's certificate; -1: it has none.", func() float64 { return n.pool.Identity().Remaining().Seconds() }),
 		metrics.NewGauge("ivydeck_client_connections", "Open.", func() float64 { return float64(n.frontend.Open()) }),
 		metrics.NewGauge("ivydeck_client_requests", "Without an answer.", func() float64 { return float64(n.frontend.Pending()) }),
+		metrics.NewGauge("ivydeck_client_body_bytes", "Large bodies of requests without an answer.", func() float64 { return float64(n.frontend.BodyMemory()) }),
 	}
 }
--- a/internal/dataplane/sidecar/node.go
+++ b/internal/dataplane/sidecar/node.go
@@ -157,6 +157,8 @@
 	switch {
 	case n.shuttingDown.Load():
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case n.frontend.Full():
+		http.Error(w, "too many client connections", http.StatusServiceUnavailable)
 	case !n.agent.Ready() || !n.canServe.Load():
 		http.Error(w, "no configuration or servers yet", http.StatusServiceUnavailable)
 	default:
--- a/internal/transport/sock/sock.go
+++ b/internal/transport/sock/sock.go
@@ -45,3 +45,28 @@
 		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 }
+
+// States of a connection that the peer has closed: TCP_CLOSE_WAIT, TCP_LAST_ACK and TCP_CLOSE in the kernel's numbering.
+const (
+	tcpClose     = 7
+	tcpCloseWait = 8
+	tcpLastAck   = 9
+)
+
+// PeerClosed reports whether the peer has closed or reset a connection, even if data that it sent before was not read yet. It
+// reports false for a connection that is not TCP, or whose state is not available.
+func PeerClosed(c net.Conn) (closed bool) {
+	tc, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err == nil && (info.State == tcpClose || info.State == tcpCloseWait || info.State == tcpLastAck)
+	})
+	return closed
+}
