--- a/internal/dataplane/proxy/client.go
+++ b/internal/dataplane/proxy/client.go
@@ -54,7 +54,7 @@
 		call, err := c.readRequest(r)
 		if err != nil {
 			<-slots
-			lastWritten = c.reject(err, lastWritten)
+			c.reject(err, lastWritten)
 			break
 		}
 		written := make(chan struct{})
@@ -97,18 +97,15 @@
 	}
 }
 
-// reject answers a request that was not accepted, if the error of readRequest is an http1.Error. It returns the channel that is
-// closed once the last response has been written.
-func (c *clientConn) reject(err error, lastWritten chan struct{}) chan struct{} {
+// reject answers a request that was not accepted, if the error of readRequest is an http1.Error, once previous is closed.
+func (c *clientConn) reject(err error, previous chan struct{}) {
 	var rejected *http1.Error
 	if !errors.As(err, &rejected) {
-		return lastWritten
+		return
 	}
-	written := make(chan struct{})
 	response := textResponse(rejected.Status, rejected.Text)
 	response.Close = true
-	c.writeResponse(lastWritten, written, "", response)
-	return written
+	c.writeResponse(previous, make(chan struct{}), "", response)
 }
 
 // awaitResponses waits for the responses to the requests that were read. It cancels the requests if the client disconnects.
