Send the service of the settings in force as Caller-Service

The name was copied when the process started; it is now asked for when a request begins, and all its attempts have it.

--- a/internal/dataplane/proxy/attempt.go
+++ b/internal/dataplane/proxy/attempt.go
@@ -195,7 +195,7 @@
 	if err == nil {
 		forward := forwardRequests.Get().(*wire.ForwardRequest)
 		fieldBuffer := messageBuffers.Get().(*[]byte)
-		forward.Member, forward.Service, forward.Method, forward.Target, forward.Body, forward.Caller = result.server, request.Service, call.Method, call.Target, call.Body, o.Backend
+		forward.Member, forward.Service, forward.Method, forward.Target, forward.Body, forward.Caller = result.server, request.Service, call.Method, call.Target, call.Body, call.caller
 		forward.Priority, forward.Attempt, forward.Retry = request.Priority, call.Headers.Get("Attempt-Id"), action.Retry
 		forward.TimeLeftMs = uint32(max(1, (request.Deadline - o.now()).Milliseconds()))
 		forward.Zone, forward.NonIdempotent, forward.TypicalLatencyMs, forward.IgnoreEjection, forward.MayQueue = o.Zone, request.NonIdempotent(), uint32(action.TypicalLatency.Milliseconds()), action.IgnoreEjection, action.MayQueue
--- a/internal/dataplane/proxy/harness_test.go
+++ b/internal/dataplane/proxy/harness_test.go
@@ -120,7 +120,7 @@
 	}
 	server := rpc.NewServer(rpc.ServerOptions{Log: log, Identity: source})
 	server.Handle("forward", rpc.Unary(h.inbound.Forward))
-	h.outbound = &Outbound{Node: "n", Zone: "z", Backend: "own", RetryRatio: 1, RetryWindow: 10 * time.Second, Pool: rpc.NewPool(ctx, rpc.PoolOptions{Identity: source}), Log: log, RecordCall: h.inbound.RecordCall, CallFailed: h.inbound.CallFailed}
+	h.outbound = &Outbound{Node: "n", Zone: "z", Caller: func() string { return "own" }, RetryRatio: 1, RetryWindow: 10 * time.Second, Pool: rpc.NewPool(ctx, rpc.PoolOptions{Identity: source}), Log: log, RecordCall: h.inbound.RecordCall, CallFailed: h.inbound.CallFailed}
 	h.outbound.Start(1)
 	h.outbound.SetRetrySlack(1000)
 	handle := func(ctx context.Context, call *Call) *Response {
--- a/internal/dataplane/proxy/listener.go
+++ b/internal/dataplane/proxy/listener.go
@@ -35,6 +35,8 @@
 	Body    []byte
 	Arrived time.Time // when the last byte was received
 	Remote  net.Addr
+
+	caller string // Caller-Service of all attempts: the service of this machine when the request began
 }
 
 // Response is the final response to a request.
--- a/internal/dataplane/proxy/outbound.go
+++ b/internal/dataplane/proxy/outbound.go
@@ -35,20 +35,21 @@
 // Outbound handles the requests of clients on this machine: it selects servers for them and forwards the response. The
 // decisions are those of a router.Table.
 type Outbound struct {
-	Node, Zone, Backend string
-	RetryRatio          float64       // see router.Options.RetryRatio
-	RetryWindow         time.Duration // see router.Options.RetryWindow
-	Pool                *rpc.Pool
-	Log                 *slog.Logger
-	Metrics             *metrics.Set                                      // may be nil
-	RecordCall          func(attempt, service string) (inner, retry bool) // see localserver.Registry.RecordCall; may be nil
-	CallFailed          func(attempt string)                              // see localserver.Registry.CallFailed; may be nil
-	Trace               func(trace.Record)                                // receives a record of each request; may be nil
-	served              atomic.Uint64
-	refused             atomic.Uint64
-	failed              atomic.Uint64
-	start               time.Time
-	ready               chan struct{} // closed once there is a configuration
+	Node, Zone  string
+	Caller      func() string // returns the service of this machine, which may change; called when a request begins
+	RetryRatio  float64       // see router.Options.RetryRatio
+	RetryWindow time.Duration // see router.Options.RetryWindow
+	Pool        *rpc.Pool
+	Log         *slog.Logger
+	Metrics     *metrics.Set                                      // may be nil
+	RecordCall  func(attempt, service string) (inner, retry bool) // see localserver.Registry.RecordCall; may be nil
+	CallFailed  func(attempt string)                              // see localserver.Registry.CallFailed; may be nil
+	Trace       func(trace.Record)                                // receives a record of each request; may be nil
+	served      atomic.Uint64
+	refused     atomic.Uint64
+	failed      atomic.Uint64
+	start       time.Time
+	ready       chan struct{} // closed once there is a configuration
 
 	lateAttempts sync.WaitGroup // attempts that may outlast their request
 	mu           sync.Mutex
@@ -161,6 +162,7 @@
 
 // Handle processes a request, records its metrics and trace, and returns the response.
 func (o *Outbound) Handle(ctx context.Context, call *Call) *Response {
+	call.caller = o.Caller()
 	record := trace.Record{Entry: true}
 	response := o.handle(ctx, call, &record)
 	switch {
--- a/internal/dataplane/proxy/proxy_test.go
+++ b/internal/dataplane/proxy/proxy_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"reflect"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -84,6 +85,26 @@
 	}
 }
 
+// TestCallerServiceIsThatOfTheBeginning guards against requests that go on under the name of a service that has left the machine,
+// and against one whose attempts have different names.
+func TestCallerServiceIsThatOfTheBeginning(t *testing.T) {
+	h := newHarness(t, nil)
+	var calls atomic.Int64
+	h.outbound.Caller = func() string { return fmt.Sprint("service-", calls.Add(1)) }
+	for i, path := range []string{"/safe/x", "/safe/full", "/safe/truncated", "/safe/x"} { // two of them take two attempts
+		id := fmt.Sprint("caller", i)
+		if status, _, _ := h.request("GET", path, id, ""); status != 200 {
+			t.Fatalf("%s: status %d", path, status)
+		}
+		h.mu.Lock()
+		caller := h.headers[id].Get("Caller-Service")
+		h.mu.Unlock()
+		if want := fmt.Sprint("service-", i+1); caller != want {
+			t.Errorf("%s: the last attempt has Caller-Service %q, want %q", path, caller, want)
+		}
+	}
+}
+
 // TestCheckResponse checks that a promise that a request has not run is accepted only if it belongs to this request.
 func TestCheckResponse(t *testing.T) {
 	for _, test := range []struct {
--- a/internal/dataplane/proxy/schedule_test.go
+++ b/internal/dataplane/proxy/schedule_test.go
@@ -315,7 +315,7 @@
 func newEntryNode(t *testing.T, cluster *ClusterState) *Outbound {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	outbound := &Outbound{Node: "n", Zone: "z", Backend: "own", RetryRatio: 1, RetryWindow: time.Second, Pool: rpc.NewPool(ctx, rpc.PoolOptions{}), Log: slog.New(slog.DiscardHandler)}
+	outbound := &Outbound{Node: "n", Zone: "z", Caller: func() string { return "own" }, RetryRatio: 1, RetryWindow: time.Second, Pool: rpc.NewPool(ctx, rpc.PoolOptions{}), Log: slog.New(slog.DiscardHandler)}
 	outbound.Start(1)
 	outbound.Update(cluster)
 	return outbound
--- a/internal/dataplane/sidecar/node.go
+++ b/internal/dataplane/sidecar/node.go
@@ -76,11 +76,7 @@
 	n.workers.Go(func() { n.agent.Run(runCtx) })
 	n.workers.Go(func() { n.watch(runCtx) })
 	n.workers.Go(func() { n.verifier.run(runCtx) })
-	n.workers.Go(func() {
-		for s := reload(); s != nil; s = reload() {
-			n.settings.Store(s)
-		}
-	})
+	n.workers.Go(func() { n.applyReloads(reload) })
 	if settings.Metrics != "" {
 		n.workers.Go(func() {
 			n.outbound.Metrics.Serve(runCtx, settings.Metrics, program.Secure(n.pool.Identity(), settings.SecureMetrics), log)
@@ -115,7 +111,7 @@
 	n.verifier = newVerifier(n.inbound, n.agent, log)
 	n.gossip, n.hub, n.follower = n.agent.Gossip, n.agent.Hub, n.agent.Follower
 	n.outbound = &proxy.Outbound{
-		Node: settings.Node, Zone: settings.Zone, Backend: settings.Backend, RetryRatio: settings.Bounds.RetryRatio, RetryWindow: settings.Bounds.RetryWindow,
+		Node: settings.Node, Zone: settings.Zone, Caller: func() string { return n.settings.Load().Backend }, RetryRatio: settings.Bounds.RetryRatio, RetryWindow: settings.Bounds.RetryWindow,
 		Pool: n.pool, Log: log, RecordCall: n.inbound.RecordCall, CallFailed: n.inbound.CallFailed,
 	}
 	n.outbound.Start(rng.Uint64())
@@ -134,6 +130,14 @@
 	return n, nil
 }
 
+// applyReloads puts each new version of the settings into force. reload blocks until they change, and returns nil once the
+// program ends.
+func (n *Node) applyReloads(reload func() *nodefile.Settings) {
+	for s := reload(); s != nil; s = reload() {
+		n.settings.Store(s)
+	}
+}
+
 // rpcServer returns the server for RPCs of other nodes and of quorum members.
 func (n *Node) rpcServer() *rpc.Server {
 	server := rpc.NewServer(rpc.ServerOptions{Log: n.log, Identity: n.pool.Identity(), Rejected: &n.refused})
--- a/internal/simulation/scale/state.go
+++ b/internal/simulation/scale/state.go
@@ -186,7 +186,7 @@
 // newNodeState returns the state of node 0 with an empty hub and a memberlist that contains only the node.
 func newNodeState(o *StateOptions) *nodeState {
 	n := &nodeState{hub: relay.NewHub(func() time.Duration { return 0 }), memberlist: membership.New(o.member(0), 1, 0)}
-	n.outbound = &proxy.Outbound{Node: nodeName(0), Zone: o.zone(0), Backend: serviceName(0), RetryRatio: 0.2, RetryWindow: 10 * time.Second,
+	n.outbound = &proxy.Outbound{Node: nodeName(0), Zone: o.zone(0), Caller: func() string { return serviceName(0) }, RetryRatio: 0.2, RetryWindow: 10 * time.Second,
 		Log: slog.New(slog.DiscardHandler), RecordCall: func(string, string) (inner, repeat bool) { return false, false }, CallFailed: func(string) {}}
 	n.outbound.Start(1)
 	return n
