Count only what takes more memory than its size; a large state passes

The count of elements took in every string, so that a feed with the largest valid state (100,000 routes and services, 500,000 weights, 60,000 servers) was refused: nodes would have got no state. Embedded messages and strings in lists count now; other strings take memory in proportion to their size. A feed has at most 2,097,152 elements, twice the largest state.

--- a/internal/controlplane/catalog/image.go
+++ b/internal/controlplane/catalog/image.go
@@ -37,7 +37,7 @@
 }
 
 // maxSnapshotElements bounds the elements of a snapshot from outside the process. A state of maxServers servers and
-// maxDepartures departures has about half as many.
+// maxDepartures departures has about a seventh of it.
 const maxSnapshotElements = 1 << 20
 
 // Decode returns the state that a snapshot of another process encodes. It returns a wire.ElementsError for one with more than
--- a/internal/distribution/relay/pack.go
+++ b/internal/distribution/relay/pack.go
@@ -15,7 +15,7 @@
 const (
 	packAbove   = 2 << 10  // in bytes; smaller changes are sent uncompressed
 	maxUnpacked = 32 << 20 // in bytes of decompressed changes; 28,000 servers take 2 MB, a configuration at most 8 MB
-	maxElements = 1 << 20  // elements of decompressed changes: see wire.CountElements
+	maxElements = 1 << 21  // elements of decompressed changes, see wire.CountElements; the largest state has half as many
 )
 
 // errUnpack ends the subscription to a parent whose packed changes cannot be decoded.
--- a/internal/distribution/relay/pack_test.go
+++ b/internal/distribution/relay/pack_test.go
@@ -51,3 +51,28 @@
 		}
 	}
 }
+
+// TestLargestStateIsUnpacked guards against bounds on feeds that keep a large but valid state from the nodes.
+func TestLargestStateIsUnpacked(t *testing.T) {
+	const routes, weighted, servers = 100_000, 500_000, 60_000 // the bounds of packages meshconfig and catalog
+	changes := &wire.Changes{To: 9, Full: true}
+	for i := range servers {
+		changes.Resources = append(changes.Resources, &wire.Resource{Index: 9, Value: &wire.Resource_Server{Server: &wire.Server{
+			Member: fmt.Sprintf("i-%08x", i*7919), Service: "shop", Node: fmt.Sprint("node-", i), Address: "10.1.0.1:7380", Zone: "hall-a", Slots: 18}}})
+	}
+	for i := range routes {
+		backend := &wire.Backend{Name: fmt.Sprint("service-", i), HealthPath: "/health", Protocol: "h1"}
+		route := &wire.Route{Name: fmt.Sprint("r", i), Host: "h.example", Prefix: fmt.Sprintf("/%d/", i), Kind: "idempotent", TimeoutMs: 1000}
+		for range weighted / routes {
+			route.Backends = append(route.Backends, &wire.WeightedBackend{Backend: backend.Name, Weight: 1})
+		}
+		changes.Resources = append(changes.Resources, &wire.Resource{Index: 9, Value: &wire.Resource_Backend{Backend: backend}}, &wire.Resource{Index: 9, Value: &wire.Resource_Route{Route: route}})
+	}
+	feed, err := pack(changes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := unpack(feed); err != nil || len(feed.Changes.GetResources()) != len(changes.Resources) {
+		t.Errorf("%d of %d resources, error %v", len(feed.Changes.GetResources()), len(changes.Resources), err)
+	}
+}
--- a/internal/transport/wire/bounds.go
+++ b/internal/transport/wire/bounds.go
@@ -20,10 +20,10 @@
 	return fmt.Sprintf("wire: the message has more than %d elements", e.Max)
 }
 
-// CountElements returns the number of elements in the encoding of a message: of messages, strings and byte strings in it, at
+// CountElements returns the number of elements in the encoding of a message: of embedded messages, and of strings in lists, at
 // any level. An element may take two bytes encoded and a hundred in memory, so the count must be bounded before the message is
-// decoded. CountElements returns an ElementsError if there are more than maximum, and ErrGroup for a group, without reading
-// the rest. It ignores malformed data, which decoding rejects.
+// decoded; all else takes memory in proportion to its size. CountElements returns an ElementsError if there are more than
+// maximum, and ErrGroup for a group, without reading the rest. It ignores malformed data, which decoding rejects.
 func CountElements(data []byte, m proto.Message, maximum int) (int, error) {
 	c := counter{maximum: maximum}
 	err := c.message(data, m.ProtoReflect().Descriptor().Fields())
@@ -94,10 +94,13 @@
 
 // element counts a length-delimited value of a field, which is nil if the field is unknown.
 func (c *counter) element(value []byte, field protoreflect.FieldDescriptor) error {
+	if field == nil || field.Message() == nil && !field.IsList() {
+		return nil
+	}
 	if c.elements++; c.elements > c.maximum {
 		return &ElementsError{c.maximum}
 	}
-	if field == nil || field.Message() == nil {
+	if field.Message() == nil {
 		return nil
 	}
 	return c.message(value, field.Message().Fields())
